--- /dev/null
+++ b/marlseam/interface.py
@@ -0,0 +1,200 @@
+"""What passes between the decision module and the node around it: settings, words, and the node's port.
+
+Nothing is decided here. All times are milliseconds as floats on the node's clock; executors, project types,
+kinds, zones and tenants are small dense indices given out at the node's door.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+
+class Effect(Enum):
+    """What a repeat of a work unit would do."""
+
+    RERUNNABLE = "rerunnable"
+    RECEIPTED = "receipted"
+    EXCLUSIVE = "exclusive"
+
+
+class Group(Enum):
+    """Which executors drop the repeats of a receipted work unit."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Outcome(Enum):
+    """How an allocation ended."""
+
+    COMPLETED = "completed"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    WITHDRAWN = "withdrawn"
+    VOID = "void"
+
+
+class Listing(Enum):
+    """What a roster update is."""
+
+    DELTA = "delta"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+class State(Enum):
+    """What the roster says of an executor."""
+
+    GONE = "gone"
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@dataclass(frozen=True)
+class ProjectType:
+    """What the settings say of one project type."""
+
+    name: str
+    promised_ms: float
+    stretch: float
+    limit_ms: float
+    credit: float
+    late_credit: float
+    effect: Effect
+    group: Group
+    memory_ms: float
+    kind: int
+    streaming: bool = False
+
+
+@dataclass(frozen=True)
+class Settings:
+    """What an instance is told when it starts."""
+
+    types: tuple[ProjectType, ...]
+    kinds: int
+    zone: int
+    nodes: int
+    tick_ms: float
+    max_allocs: int
+    may_probe: bool
+    may_cancel: bool
+    second_copies: bool
+    may_advise: bool
+    max_advice_ms: float
+    connect_ms: float
+    asked_roster: bool
+    must_ask_ms: float
+    drain_grace_ms: float
+    slack_ms: float
+    tells_start: bool
+    progress_ms: float
+    cold_share: float
+    warm_ms: float
+    fall_multiple: float
+    fall_ms: float
+    cross_price: float
+    probe_price: float
+    waste_price: float
+    late_price: float
+    nominal_sizes: bool
+    tenant_rates: tuple[float, ...] = ()
+    over_share: float = 1.0
+
+
+@dataclass(frozen=True)
+class Member:
+    """One executor as the roster lists it."""
+
+    executor: int
+    state: State
+    kind: int
+    zone: int
+    cell: int
+    size: float
+    born_ms: float | None
+
+
+@dataclass(frozen=True)
+class Report:
+    """An executor's own figures; None where the deployment does not tell one."""
+
+    held: float | None = None
+    queued: float | None = None
+    free_slots: float | None = None
+    free_memory: float | None = None
+    errors_per_s: float | None = None
+
+
+@dataclass(frozen=True)
+class WorkUnit:
+    """What is known of a work unit when it is taken."""
+
+    ref: str
+    type: int
+    expires_ms: float
+    slots: float = 1.0
+    memory: float = 0.0
+    tenant: int = -1
+    hint_ms: float | None = None
+    resent: bool = False
+
+
+@dataclass(slots=True)
+class Alloc:
+    """One allocation of a work unit, from its sending until its outcome."""
+
+    executor: int
+    sent_ms: float
+    wait_ms: float
+    started_ms: float | None = None
+    sign_ms: float = 0.0
+    share: float = 0.0
+    outcome: Outcome | None = None
+    cancelled: bool = False
+
+
+class Handle(Protocol):
+    """What taking a work unit gives: all that happens to it later is a call on this."""
+
+    work: WorkUnit
+    allocs: list[Alloc]
+    done: bool
+
+    def settled(self, alloc: int, outcome: Outcome, final: bool, report: Report | None) -> None: ...
+
+    def started(self, alloc: int) -> None: ...
+
+    def progress(self, alloc: int, share: float) -> None: ...
+
+    def streaming(self, alloc: int) -> None: ...
+
+    def left(self) -> None: ...
+
+
+class Port(Protocol):
+    """What the decision module may ask of the node that it lives in."""
+
+    def now(self) -> float: ...
+
+    def send(self, wu: Handle, executor: int, limit_ms: float) -> None: ...
+
+    def cancel(self, wu: Handle, alloc: int) -> None: ...
+
+    def defer(self, wu: Handle, advice_ms: float) -> None: ...
+
+    def abort(self, wu: Handle) -> None: ...
+
+    def probe(self, executor: int) -> None: ...
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None: ...
+
+    def subscribe(self) -> None: ...
+
+    def log(self, text: str) -> None: ...
--- /dev/null
+++ b/marlseam/logic.py
@@ -0,0 +1,608 @@
+"""Every decision of marlseam: forward probing (docs/design.md) and what keeps the four rules around it.
+
+Called by a node through the interface in marlseam/interface.py: the node makes `Node(settings, seed, port)`, then
+calls `roster`, `probed` and `take`; `take` gives a Handle, and all that happens to that work unit later is a call
+on it. The module acts through the port alone. Times are float milliseconds, executors and types dense indices.
+"""
+
+import zlib
+from collections.abc import Callable
+from math import log
+
+from marlseam.interface import (
+    Alloc,
+    Effect,
+    Group,
+    Listing,
+    Member,
+    Outcome,
+    Port,
+    Report,
+    Settings,
+    State,
+    WorkUnit,
+)
+
+PROBES = 2  # the paper's probe limit
+ASK = 0.25  # how long a probe's answer is waited for, in promised turnarounds of the most urgent project type
+FRESH = 0.5  # how old home's report may be, likewise
+SWEEP = 0.5  # how often standing work is looked at, likewise
+FIRST_GUESS = 2.0  # the run of a project type not seen yet, in its promised turnarounds
+SICK_ERROR, WELL_ERROR = 0.5, 0.02  # error rates of a sick and of a healthy executor
+SICK_SLOW = 4.0  # how many times slower than its kind a sick executor is
+TRIP = 4.0  # log-likelihood ratio at which the sequential test calls an executor sick
+CAP = 2.5  # what one allocation may say in it: a single heavy work unit condemns nobody
+REST = 0.2  # first rest of a sick executor, in hard limits of the shortest project type
+NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
+
+
+class Handle:
+    """A work unit on this node, from its taking to its one final answer."""
+
+    def __init__(self, node: "Node", work: WorkUnit) -> None:
+        self.node, self.work, self.type = node, work, node.types[work.type]
+        self.taken = node.port.now()
+        self.allocs: list[Alloc] = []
+        self.done = self.lined = False
+        self.home = -1
+        self.asked: list[int] = []
+        self.round = 0
+
+    # What may be done, by the rules.
+
+    def traces(self) -> list[Alloc]:
+        """Return the allocations that may have run."""
+        return [a for a in self.allocs if a.outcome not in NEVER_RAN]
+
+    def out(self) -> int:
+        """Return how many allocations are out."""
+        return sum(a.outcome is None for a in self.allocs)
+
+    def may_send(self) -> bool:
+        """Return whether another allocation is allowed now, to some executor at least."""
+        node, now = self.node, self.node.port.now()
+        if self.done or len(self.allocs) >= node.set.max_allocs or now >= self.work.expires_ms - node.margin:
+            return False
+        traces = self.traces()
+        if not traces:
+            return True
+        if self.type.effect is Effect.EXCLUSIVE or (self.out() and not node.set.second_copies):
+            return False
+        return self.type.effect is Effect.RERUNNABLE or now < traces[0].sent_ms + self.type.memory_ms - node.margin
+
+    def fits(self, e: int) -> bool:
+        """Return whether an executor may get this work unit at all."""
+        node, traces = self.node, self.traces()
+        if self.type.kind not in (-1, node.kind[e]) or 0 < node.slots(e) < self.work.slots:
+            return False
+        if any(a.executor == e and (a.outcome is None or len(traces) < node.set.max_allocs) for a in traces):
+            return False
+        if self.type.effect is not Effect.RECEIPTED or not traces or self.type.group is Group.ALL:
+            return True
+        group = node.zone if self.type.group is Group.ZONE else node.cell
+        return group[e] == group[traces[0].executor]
+
+    def may_defer(self) -> bool:
+        """Return whether the client may be told that a retry does no harm."""
+        if self.type.effect is Effect.RERUNNABLE or not self.traces():
+            return True
+        return self.type.effect is Effect.RECEIPTED and self.type.group is Group.ALL
+
+    # The ordinary path: home, threshold, probes, random pick.
+
+    def place(self) -> None:
+        """Draw a home and, where its report is old, ask it first."""
+        self.lined = False
+        if self.done:
+            return
+        if not self.may_send():
+            self.give_up_unless_out()
+            return
+        ready = [e for e in self.node.ready() if self.fits(e)]
+        if not ready:
+            self.hold()
+            return
+        self.home = self.node.draw(ready)
+        if self.node.stale(self.home):
+            self.ask([self.home], self.at_home)
+        else:
+            self.at_home()
+
+    def at_home(self) -> None:
+        """Home takes the work unit unless it is over its threshold; then others are probed."""
+        node = self.node
+        if self.home not in node.ready():
+            self.round += 1
+            if self.round < node.set.max_allocs:
+                self.place()
+            else:
+                self.hold()
+            return
+        others = [e for e in node.ready() if e != self.home and self.fits(e)]
+        if not node.over(self.home, self.work) or not others or not node.set.may_probe:
+            self.send(self.home)
+            return
+        chosen = []
+        for _ in range(min(PROBES, len(others))):
+            e = node.draw(others)
+            others.remove(e)
+            chosen.append(e)
+        self.ask(chosen, self.choose)
+
+    def choose(self) -> None:
+        """Pass the work unit to a random one of those under threshold; else home keeps it."""
+        node = self.node
+        ready = node.ready()
+        good = [e for e in self.asked if e in ready and not node.passed[e] and node.heard(e, self.round_ms)]
+        good = [e for e in good if not node.over(e, self.work)]
+        if good:
+            to = good[int(node.chance() * len(good))]
+            node.passed[to] = True
+            self.send(to)
+        elif self.home in ready:
+            self.send(self.home)
+        else:
+            self.hold()
+
+    def ask(self, executors: list[int], then: Callable[[], None]) -> None:
+        """Probe some executors in parallel and go on when all have answered or the wait is over."""
+        node = self.node
+        self.asked, self.round_ms = executors, node.port.now()
+        pending = set(executors)
+
+        def answered(e: int | None) -> None:
+            nonlocal pending
+            if e is None:
+                pending = set()
+            elif e in pending:
+                pending.discard(e)
+            else:
+                return
+            if not pending and not self.done and self.asked is executors:
+                self.asked = list(executors)
+                then()
+
+        for e in executors:
+            node.ask(e, answered)
+        node.port.after(node.ask_ms, lambda: answered(None) if pending else None)
+
+    def send(self, e: int) -> None:
+        """Send the work unit to an executor."""
+        node, now = self.node, self.node.port.now()
+        if not self.may_send() or not self.fits(e):
+            self.give_up_unless_out()
+            return
+        self.allocs.append(Alloc(e, now, node.wait(e), sign_ms=now))
+        node.own[e].append((self, len(self.allocs) - 1))
+        node.spend(e, self)
+        node.port.send(self, e, self.work.expires_ms - now)
+
+    def hold(self) -> None:
+        """Wait in line for an executor: first allocations in one, further ones in another served after it."""
+        if not self.lined:
+            self.lined = True
+            self.node.lines[bool(self.allocs)].append(self)
+
+    def again(self) -> None:
+        """Seek a further allocation, or give up when none is allowed."""
+        if self.may_send():
+            self.round = 0
+            self.hold()
+        else:
+            self.give_up_unless_out()
+
+    # Final answers.
+
+    def give_up_unless_out(self) -> None:
+        """Answer at once when nothing is out and nothing more may be sent."""
+        if not self.done and not self.out():
+            self.answer()
+
+    def answer(self) -> None:
+        """Give the final answer: deferred where a retry is harmless, else aborted."""
+        self.done = True
+        if self.may_defer():
+            self.node.port.defer(self, self.node.advice())
+        else:
+            self.node.port.abort(self)
+        self.drop_rest()
+
+    def drop_rest(self) -> None:
+        """Stop what is still out for a work unit that has its answer."""
+        for i, a in enumerate(self.allocs):
+            if a.outcome is None and not a.cancelled and self.node.set.may_cancel:
+                a.cancelled = True
+                self.node.port.cancel(self, i)
+
+    def guard(self) -> None:
+        """Answer before this try's hard limit, whatever is out."""
+        if not self.done:
+            self.answer()
+
+    # What happens to it.
+
+    def started(self, alloc: int) -> None:
+        """Note that an allocation began to run."""
+        a = self.allocs[alloc]
+        a.started_ms = a.sign_ms = self.node.port.now()
+
+    def progress(self, alloc: int, share: float) -> None:
+        """Note a sign of life of an allocation."""
+        a = self.allocs[alloc]
+        a.sign_ms, a.share = self.node.port.now(), share
+
+    def streaming(self, alloc: int) -> None:
+        """Note that the answer is on its way: the client owns it now."""
+        self.started(alloc)
+        self.done = True
+
+    def left(self) -> None:
+        """Forget a work unit whose client has gone."""
+        self.done = True
+        self.drop_rest()
+
+    def settled(self, alloc: int, outcome: Outcome, final: bool, report: Report | None) -> None:
+        """Take in how an allocation ended."""
+        a, node = self.allocs[alloc], self.node
+        a.outcome = outcome
+        node.own[a.executor].remove((self, alloc))
+        node.ended(self, a, report)
+        if final or self.done:
+            self.done = True
+            self.drop_rest()
+        else:
+            self.again()
+
+
+class Node:
+    """One dispatcher: executors in parallel arrays, what its own traffic has taught it, and its lines."""
+
+    def __init__(self, settings: Settings, seed: int, port: Port) -> None:
+        self.set, self.seed, self.port, self.types = settings, seed, port, settings.types
+        self.draws = 0
+        urgent = min((t.promised_ms for t in self.types), default=100.0)
+        shortest = min((t.limit_ms for t in self.types), default=1000.0)
+        self.ask_ms = max(ASK * urgent, 4.0 * settings.tick_ms)
+        self.fresh_ms, self.sweep_ms, self.rest_ms = FRESH * urgent, SWEEP * urgent, REST * shortest
+        self.margin = 2.0 * settings.tick_ms
+        # By project type: mean run and how many were seen. By kind: pace (run against the type's mean), most free
+        # slots seen.
+        self.run = [FIRST_GUESS * t.promised_ms for t in self.types]
+        self.seen = [2.0] * len(self.types)
+        self.kind_pace = [1.0] * (settings.kinds + 1)
+        self.most_free = [0.0] * (settings.kinds + 1)
+        # By executor.
+        self.state: list[State] = []
+        self.kind: list[int] = []
+        self.zone: list[int] = []
+        self.cell: list[int] = []
+        self.size: list[float] = []
+        self.born: list[float | None] = []
+        self.pace: list[float] = []
+        self.others: list[float | None] = []
+        self.heard_ms: list[float] = []
+        self.free_memory: list[float | None] = []
+        self.asked_ms: list[float | None] = []
+        self.waiters: list[list[Callable[[int | None], None]]] = []
+        self.full: list[bool] = []
+        self.passed: list[bool] = []
+        self.own: list[list[tuple[Handle, int]]] = []
+        self.evidence: list[float] = []
+        self.out_until: list[float | None] = []
+        self.rest: list[float] = []
+        self.silent: list[bool] = []
+        self.tokens: list[float] = []
+        self.token_ms: list[float] = []
+        self.rate: list[float] = []
+        self.lines: tuple[list[Handle], list[Handle]] = ([], [])
+        self.subscribed = not settings.asked_roster
+        self.next_ask = 0.0
+        self.backoff = 0.0
+        self.sweep()
+
+    def chance(self) -> float:
+        """Return the next number in [0, 1) of this instance's own sequence."""
+        self.draws += 1
+        return zlib.crc32(b"%d:%d" % (self.seed, self.draws)) / 2.0**32
+
+    # The roster.
+
+    def roster(self, listing: Listing, members: list[Member]) -> None:
+        """Take in the roster's news."""
+        now = self.port.now()
+        if listing is Listing.FAILED:
+            self.subscribed = not self.set.asked_roster
+            self.backoff = min(2.0 * self.backoff or 0.02 * self.set.must_ask_ms, 0.2 * self.set.must_ask_ms)
+            self.next_ask = now + self.backoff * (0.5 + self.chance())
+            return
+        if listing is not Listing.CACHED:
+            self.subscribed, self.backoff = True, 0.0
+        if listing is not Listing.DELTA:
+            for e in set(range(len(self.state))) - {m.executor for m in members}:
+                self.state[e] = State.GONE
+        for m in members:
+            while m.executor >= len(self.state):
+                self.add()
+            e = m.executor
+            self.state[e], self.kind[e], self.zone[e], self.cell[e] = m.state, m.kind, m.zone, m.cell
+            self.size[e] = m.size
+            if m.born_ms is not None and m.born_ms != self.born[e]:
+                self.reborn(e, m.born_ms)
+        for e, state in enumerate(self.state):
+            if state is State.GONE:
+                self.rescue(e)
+        self.pump()
+
+    def add(self) -> None:
+        """Make room for one more executor."""
+        for array, value in (
+            (self.state, State.GONE), (self.kind, -1), (self.zone, -1), (self.cell, -1), (self.size, 1.0),
+            (self.born, None), (self.pace, 0.0), (self.others, None), (self.heard_ms, -1e18),
+            (self.free_memory, None), (self.asked_ms, None), (self.full, False), (self.passed, False),
+            (self.evidence, 0.0), (self.out_until, None), (self.rest, self.rest_ms), (self.silent, False),
+            (self.tokens, 0.0), (self.token_ms, 0.0), (self.rate, 0.0),
+        ):  # fmt: skip
+            array.append(value)
+        self.waiters.append([])
+        self.own.append([])
+
+    def reborn(self, e: int, born: float) -> None:
+        """Start afresh with an executor whose process has: it is cold and its old counts are void."""
+        now = self.port.now()
+        self.born[e], self.others[e], self.heard_ms[e] = born, None, -1e18
+        self.full[e] = self.passed[e] = self.silent[e] = False
+        self.evidence[e], self.out_until[e], self.rest[e] = 0.0, None, self.rest_ms
+        self.tokens[e], self.token_ms[e] = self.chance(), now
+        self.rescue(e, born)
+
+    # What an executor's figures say.
+
+    def slots(self, e: int) -> float:
+        """Return how many slots an executor seems to have; 0 where nothing tells."""
+        return self.most_free[self.kind[e]]
+
+    def count(self, e: int) -> float:
+        """Return an executor's count: what the others had there at its last report, and what is ours now."""
+        others = self.others[e]
+        if others is None:
+            known = [o for o, s in zip(self.others, self.state, strict=True) if o is not None and s is State.READY]
+            others = sum(known) / len(known) if known else 0.0
+        return others + len(self.own[e])
+
+    def over(self, e: int, work: WorkUnit) -> bool:
+        """Return whether one more work unit would put an executor over its kind's threshold plus one."""
+        memory = self.free_memory[e]
+        if self.full[e] or (memory is not None and memory < work.memory):
+            return True
+        return self.count(e) + 1.0 > self.threshold(self.kind[e]) + 1.0
+
+    def threshold(self, kind: int) -> float:
+        """Return the mean count of a kind's ready executors, rounded to the nearest whole."""
+        counts = [self.count(e) for e in self.ready() if self.kind[e] == kind]
+        return int(sum(counts) / len(counts) + 0.5) if counts else 0.0
+
+    def wait(self, e: int) -> float:
+        """Return how long a work unit sent now should wait before it starts."""
+        slots = self.slots(e) or 1.0
+        mean = sum(self.run) / max(1, len(self.run))
+        return max(0.0, self.count(e) + 1.0 - slots) * mean * self.pace_of(e) / slots
+
+    def pace_of(self, e: int) -> float:
+        """Return how long an executor takes over a work unit, against the mean of all."""
+        return self.pace[e] or self.kind_pace[self.kind[e]]
+
+    def ready(self) -> list[int]:
+        """Return the executors that may get work now."""
+        return [e for e, state in enumerate(self.state) if state is State.READY and self.usable(e)]
+
+    def usable(self, e: int) -> bool:
+        """Return whether a listed executor is in health, answers its probes and is warm enough."""
+        now, asked, until = self.port.now(), self.asked_ms[e], self.out_until[e]
+        if asked is not None and now - asked > self.ask_ms:
+            return False  # a probe overdue: a cut link, a machine gone silent, a long pause
+        if until is not None and (self.silent[e] or now < until or self.own[e]):
+            return False  # a sick one rests, then gets one work unit at a time on trial
+        return self.warm(e)
+
+    def draw(self, executors: list[int]) -> int:
+        """Draw an executor at random, each kind by its pace."""
+        weights = [1.0 / self.pace_of(e) for e in executors]
+        at = self.chance() * sum(weights)
+        for e, weight in zip(executors, weights, strict=True):
+            at -= weight
+            if at < 0.0:
+                return e
+        return executors[-1]
+
+    # Probes.
+
+    def stale(self, e: int) -> bool:
+        """Return whether home must be asked before its count is believed."""
+        return self.set.may_probe and self.port.now() - self.heard_ms[e] > self.fresh_ms
+
+    def heard(self, e: int, since: float) -> bool:
+        """Return whether an executor has answered since a time."""
+        return self.heard_ms[e] >= since
+
+    def ask(self, e: int, then: Callable[[int | None], None] | None = None) -> None:
+        """Probe an executor, or share the probe that is out."""
+        if then is not None:
+            self.waiters[e].append(then)
+        if self.asked_ms[e] is None:
+            self.asked_ms[e] = self.port.now()
+            self.port.probe(e)
+
+    def probed(self, e: int, outcome: Outcome, lag_ms: float, report: Report | None) -> None:
+        """Take in a probe's answer."""
+        self.asked_ms[e] = None
+        if outcome is Outcome.COMPLETED:
+            self.heard_ms[e], self.silent[e] = self.port.now(), False
+            if report is not None:
+                self.take_report(e, report, self.port.now() - lag_ms)
+        elif outcome in (Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.BROKEN):
+            self.silent[e] = True
+            self.suspend(e, "probe " + outcome.value)
+        waiters, self.waiters[e] = self.waiters[e], []
+        for then in waiters:
+            then(e)
+
+    def take_report(self, e: int, report: Report, sampled_ms: float) -> None:
+        """Turn a report into a count of what the others have there."""
+        self.full[e] = self.passed[e] = False
+        self.free_memory[e] = report.free_memory
+        held, kind = report.held, self.kind[e]
+        allocs = [wu.allocs[i] for wu, i in self.own[e]]
+        mine = sum(a.sent_ms < sampled_ms for a in allocs)
+        if report.free_slots is not None:
+            self.most_free[kind] = max(self.most_free[kind], float(round(report.free_slots)))
+        if held is None and report.free_slots is not None:
+            held = max(0.0, self.most_free[kind] - report.free_slots)
+            if report.queued is not None:
+                held += report.queued
+            else:
+                mine = sum(a.started_ms is not None for a in allocs)
+        if held is not None:
+            self.others[e] = max(0.0, held - mine)
+
+    # Health.
+
+    def ended(self, wu: Handle, a: Alloc, report: Report | None) -> None:
+        """Let an outcome speak for or against its executor."""
+        e, now, outcome = a.executor, self.port.now(), a.outcome
+        if report is not None:
+            self.take_report(e, report, now)
+        if outcome is Outcome.FULL:
+            self.full[e] = True
+        elif outcome is Outcome.COMPLETED:
+            self.rate[e] += 1.0
+            weight = log((1.0 - SICK_ERROR) / (1.0 - WELL_ERROR))
+            if a.started_ms is not None:
+                weight += self.learn(wu.work.type, e, now - a.started_ms)
+            self.testify(e, weight)
+            if self.evidence[e] <= 0.0 and self.out_until[e] is not None:
+                self.out_until[e], self.rest[e] = None, self.rest_ms
+        elif outcome in (Outcome.ERROR, Outcome.BROKEN, Outcome.UNREACHABLE):
+            self.testify(e, log(SICK_ERROR / WELL_ERROR))
+
+    def learn(self, kind: int, e: int, run: float) -> float:
+        """Learn from a run, and return what it says of the executor's slowness."""
+        ratio = run / (self.run[kind] * self.kind_pace[self.kind[e]])
+        self.seen[kind] = min(self.seen[kind] + 1.0, 50.0)
+        self.run[kind] += (min(run, 5.0 * self.run[kind]) - self.run[kind]) / self.seen[kind]
+        pace = min(run / self.run[kind], 5.0)
+        self.kind_pace[self.kind[e]] += (pace - self.kind_pace[self.kind[e]]) / 50.0
+        return max(-1.0, min((1.0 - 1.0 / SICK_SLOW) * ratio - log(SICK_SLOW), 1.5))
+
+    def testify(self, e: int, weight: float) -> None:
+        """Add to the sequential test on an executor's outcomes."""
+        self.evidence[e] = max(0.0, self.evidence[e] + weight)
+        if self.evidence[e] >= TRIP:
+            self.suspend(e, "outcomes")
+
+    def standing(self, e: int) -> float:
+        """Return what the allocations still out say against an executor: no start, no progress, no end."""
+        now, total = self.port.now(), 0.0
+        for wu, i in self.own[e]:
+            a = wu.allocs[i]
+            mean = self.run[wu.work.type] * self.kind_pace[self.kind[e]]
+            if a.started_ms is None:
+                late = (now - a.sent_ms - a.wait_ms) / mean if self.set.tells_start else 0.0
+                total += max(0.0, min(late, CAP))
+            elif self.set.progress_ms:
+                total += max(0.0, min((now - a.sign_ms) / self.set.progress_ms - 1.5, CAP))
+        return total
+
+    def suspend(self, e: int, why: str) -> None:
+        """Let a sick executor rest, and see to what it holds."""
+        now = self.port.now()
+        if self.out_until[e] is None or now >= self.out_until[e]:
+            self.port.log(f"executor {e} rests {self.rest[e]:.0f} ms: {why}, holds {len(self.own[e])} of ours")
+            self.out_until[e] = now + self.rest[e]
+            self.rest[e] = min(2.0 * self.rest[e], 8.0 * self.rest_ms)
+            self.evidence[e] = TRIP / 2.0
+        self.rescue(e)
+
+    def rescue(self, e: int, born: float | None = None) -> None:
+        """Seek another place for what an executor seems to have lost, as the rules allow."""
+        now = self.port.now()
+        for wu, i in list(self.own[e]):
+            a = wu.allocs[i]
+            alive = a.share > 0.0 and now - a.sign_ms < 1.5 * self.set.progress_ms
+            if born is not None:
+                alive = a.sent_ms >= born
+            if alive or wu.done or wu.lined or a.cancelled or wu.type.effect is Effect.EXCLUSIVE:
+                continue
+            if wu.out() > 1 or len(wu.allocs) >= self.set.max_allocs:
+                continue
+            if self.set.second_copies:
+                wu.again()
+            elif self.set.may_cancel and any(x != e and wu.fits(x) for x in self.ready()):
+                a.cancelled = True
+                self.port.cancel(wu, i)
+
+    # Cold executors.
+
+    def warm(self, e: int) -> bool:
+        """Return whether an executor's cold budget allows a work unit now."""
+        born, now = self.born[e], self.port.now()
+        if born is None or now > born + 1.5 * self.set.warm_ms:
+            return True
+        share = self.set.cold_share + (1.0 - self.set.cold_share) * (now - born) / (1.5 * self.set.warm_ms)
+        peers = [x for x, s in enumerate(self.state) if s is State.READY and self.kind[x] == self.kind[e] and x != e]
+        carried = max((self.rate[x] for x in peers), default=0.0) / (8.0 * self.rest_ms)
+        carried = max(carried, 0.1 / self.set.fall_ms)
+        self.tokens[e] += (now - self.token_ms[e]) * carried * share * min(self.set.fall_multiple, 2.0)
+        self.tokens[e] = min(self.tokens[e], 1.0)
+        self.token_ms[e] = now
+        return self.tokens[e] > 0.0
+
+    def spend(self, e: int, wu: Handle) -> None:
+        """Charge a cold executor's budget with a work unit, by its type's mean run."""
+        self.tokens[e] -= self.run[wu.work.type] * wu.work.slots / (sum(self.run) / len(self.run))
+
+    # Standing work.
+
+    def take(self, work: WorkUnit) -> Handle:
+        """Take a work unit; the handle hears of all that happens to it."""
+        wu = Handle(self, work)
+        self.port.after(work.expires_ms - self.port.now() - self.margin, wu.guard)
+        wu.place()
+        return wu
+
+    def advice(self) -> float:
+        """Return when a deferred client should come back."""
+        return min(self.rest_ms, self.set.max_advice_ms) if self.set.may_advise else 0.0
+
+    def sweep(self) -> None:
+        """Look at what stands: the roster's call, sick executors, lines."""
+        now = self.port.now()
+        if not self.subscribed and now >= self.next_ask:
+            self.next_ask = now + 0.4 * self.set.must_ask_ms
+            self.port.subscribe()
+        for e, state in enumerate(self.state):
+            if state is not State.READY:
+                continue
+            self.rate[e] *= max(0.0, 1.0 - self.sweep_ms / (8.0 * self.rest_ms))
+            until = self.out_until[e]
+            if until is None:
+                if self.evidence[e] + self.standing(e) >= TRIP:
+                    self.suspend(e, "standing work")
+            elif now >= until and self.silent[e] and self.set.may_probe:
+                self.out_until[e] = now + self.rest_ms
+                self.ask(e)
+            elif now >= until and self.own[e] and self.standing(e) >= CAP / 2.0:
+                self.suspend(e, "trial stands")
+        self.pump()
+        self.port.after(self.sweep_ms, self.sweep)
+
+    def pump(self) -> None:
+        """Serve the lines: first allocations, then further ones; give up what has waited too long."""
+        now = self.port.now()
+        for line in self.lines:
+            waiting, line[:] = list(line), []
+            for wu in waiting:
+                wu.lined = False
+                if now > wu.taken + wu.type.promised_ms and not wu.allocs:
+                    wu.give_up_unless_out()
+                else:
+                    wu.place()
--- /dev/null
+++ b/marlseam/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the decision module and the simulator's wire."""
--- /dev/null
+++ b/tests/test_logic.py
@@ -0,0 +1,2 @@
+def test_placeholder() -> None:
+    assert True
