--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -1,8 +1,8 @@
 """Every decision of marlseam: forward probing (docs/design.md) and what keeps the four rules around it.
 
-Called by a node through the interface in marlseam/interface.py: the node makes `Node(settings, seed, port)`, then
-calls `roster`, `probed` and `take`; `take` gives a Handle, and all that happens to that work unit later is a call
-on it. The module acts through the port alone. Times are float milliseconds, executors and types dense indices.
+Called by a node through the interface in marlseam/interface.py: the node makes `Node(settings, seed, port)`,
+then calls `roster`, `probed` and `take`; `take` gives a Handle, and all that happens to that work unit later
+is a call on it. The module acts through the port alone. Times are float milliseconds.
 """
 
 import zlib
@@ -68,7 +68,8 @@
             return True
         if self.type.effect is Effect.EXCLUSIVE or (self.out() and not node.set.second_copies):
             return False
-        return self.type.effect is Effect.RERUNNABLE or now < traces[0].sent_ms + self.type.memory_ms - node.margin
+        memory_ends = traces[0].sent_ms + self.type.memory_ms - node.margin
+        return self.type.effect is Effect.RERUNNABLE or now < memory_ends
 
     def fits(self, e: int) -> bool:
         """Return whether an executor may get this work unit at all."""
@@ -265,8 +266,7 @@
         self.ask_ms = max(ASK * urgent, 4.0 * settings.tick_ms)
         self.fresh_ms, self.sweep_ms, self.rest_ms = FRESH * urgent, SWEEP * urgent, REST * shortest
         self.margin = 2.0 * settings.tick_ms
-        # By project type: mean run and how many were seen. By kind: pace (run against the type's mean), most free
-        # slots seen.
+        # By project type: mean run, how many were seen. By kind: pace (run against the mean), most free slots.
         self.run = [FIRST_GUESS * t.promised_ms for t in self.types]
         self.seen = [2.0] * len(self.types)
         self.kind_pace = [1.0] * (settings.kinds + 1)
@@ -365,7 +365,7 @@
         """Return an executor's count: what the others had there at its last report, and what is ours now."""
         others = self.others[e]
         if others is None:
-            known = [o for o, s in zip(self.others, self.state, strict=True) if o is not None and s is State.READY]
+            known = [o for x, o in enumerate(self.others) if o is not None and self.state[x] is State.READY]
             others = sum(known) / len(known) if known else 0.0
         return others + len(self.own[e])
 
@@ -516,7 +516,8 @@
         """Let a sick executor rest, and see to what it holds."""
         now = self.port.now()
         if self.out_until[e] is None or now >= self.out_until[e]:
-            self.port.log(f"executor {e} rests {self.rest[e]:.0f} ms: {why}, holds {len(self.own[e])} of ours")
+            held = len(self.own[e])
+            self.port.log(f"executor {e} rests {self.rest[e]:.0f} ms: {why}, holds {held} of ours")
             self.out_until[e] = now + self.rest[e]
             self.rest[e] = min(2.0 * self.rest[e], 8.0 * self.rest_ms)
             self.evidence[e] = TRIP / 2.0
@@ -548,8 +549,8 @@
         if born is None or now > born + 1.5 * self.set.warm_ms:
             return True
         share = self.set.cold_share + (1.0 - self.set.cold_share) * (now - born) / (1.5 * self.set.warm_ms)
-        peers = [x for x, s in enumerate(self.state) if s is State.READY and self.kind[x] == self.kind[e] and x != e]
-        carried = max((self.rate[x] for x in peers), default=0.0) / (8.0 * self.rest_ms)
+        peers = [x for x, s in enumerate(self.state) if s is State.READY and self.kind[x] == self.kind[e]]
+        carried = max((self.rate[x] for x in peers if x != e), default=0.0) / (8.0 * self.rest_ms)
         carried = max(carried, 0.1 / self.set.fall_ms)
         self.tokens[e] += (now - self.token_ms[e]) * carried * share * min(self.set.fall_multiple, 2.0)
         self.tokens[e] = min(self.tokens[e], 1.0)
--- a/marlseam/simhost/instance.py
+++ b/marlseam/simhost/instance.py
@@ -152,4 +152,3 @@
             size=wire.number(values, "weight", 1.0),
             born_ms=wire.ms(values, "bornUs"),
         )
-
--- a/marlseam/simhost/wire.py
+++ b/marlseam/simhost/wire.py
@@ -114,7 +114,7 @@
 
 
 def report_reader(info: dict[str, Any]) -> Callable[[str | None], Report | None]:
-    """Make the function that reads this deployment's load reports; pairs that mean nothing here are passed by."""
+    """Make the function that reads this deployment's load reports, unknown pairs passed by."""
     names = {"outstanding": "held", "backlog": "queued", "errors_per_s": "errors_per_s"}
     for extra in ("X0", "X1"):
         meaning = str(info.get("report" + extra) or "")
