Hold work that would be late at home; only silence counts as standing work

Cause: under overload every count grows, the threshold (a mean) grows with it, and home keeps everything: queues of seconds, then 'full' and five allocations a work unit. Change: home keeps a work unit only where its queue leaves time for the promise, else it waits in line and is deferred once the promise cannot be kept; an executor stands only when started work shows no progress or when it reports all slots free and does not start ours.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -7,21 +7,10 @@
 
 import zlib
 from collections.abc import Callable
-from math import log
-
-from marlseam.interface import (
-    Alloc,
-    Effect,
-    Group,
-    Listing,
-    Member,
-    Outcome,
-    Port,
-    Report,
-    Settings,
-    State,
-    WorkUnit,
-)
+from math import inf, log
+
+from marlseam.interface import Alloc, Effect, Group, Listing, Member, Outcome, Port, Report, Settings, State
+from marlseam.interface import WorkUnit as Work
 
 PROBES = 2  # the paper's probe limit
 ASK = 0.25  # how long a probe's answer is waited for, in promised turnarounds of the most urgent project type
@@ -31,7 +20,7 @@
 SICK_ERROR, WELL_ERROR = 0.5, 0.02  # error rates of a sick and of a healthy executor
 SICK_SLOW = 4.0  # how many times slower than its kind a sick executor is
 TRIP = 4.0  # log-likelihood ratio at which the sequential test calls an executor sick
-CAP = 2.5  # what one allocation may say in it: a single heavy work unit condemns nobody
+STANDS = 2.2  # silence of started work that counts as standing, in progress periods
 REST = 0.2  # first rest of a sick executor, in hard limits of the shortest project type
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
 
@@ -39,7 +28,7 @@
 class Handle:
     """A work unit on this node, from its taking to its one final answer."""
 
-    def __init__(self, node: "Node", work: WorkUnit) -> None:
+    def __init__(self, node: "Node", work: Work) -> None:
         self.node, self.work, self.type = node, work, node.types[work.type]
         self.taken = node.port.now()
         self.allocs: list[Alloc] = []
@@ -83,6 +72,20 @@
         group = node.zone if self.type.group is Group.ZONE else node.cell
         return group[e] == group[traces[0].executor]
 
+    def in_time(self, e: int) -> bool:
+        """Return whether an executor's queue leaves a chance to keep the promise.
+
+        Guards against collapse under overload: where every count grows, so does the mean that the threshold
+        follows, and work queues up that will all be late.
+        """
+        return self.node.wait(e) <= self.slack(self.node.pace_of(e))
+
+    def slack(self, pace: float) -> float:
+        """Return how long the work unit may still wait at an executor of some pace and be in time."""
+        run = self.work.hint_ms or self.node.run[self.work.type]
+        allowed = min(self.type.promised_ms + self.type.stretch * run, self.work.expires_ms - self.taken)
+        return self.taken + allowed - run * pace - self.node.port.now()
+
     def may_defer(self) -> bool:
         """Return whether the client may be told that a retry does no harm."""
         if self.type.effect is Effect.RERUNNABLE or not self.traces():
@@ -99,7 +102,7 @@
         if not self.may_send():
             self.give_up_unless_out()
             return
-        ready = [e for e in self.node.ready() if self.fits(e)]
+        ready = [e for e in self.node.ready() if self.fits(e) and self.in_time(e)]
         if not ready:
             self.hold()
             return
@@ -120,9 +123,12 @@
                 self.hold()
             return
         others = [e for e in node.ready() if e != self.home and self.fits(e)]
-        if not node.over(self.home, self.work) or not others or not node.set.may_probe:
+        if not node.over(self.home, self.work):
             self.send(self.home)
             return
+        if not others or not node.set.may_probe:
+            self.keep_home()
+            return
         chosen = []
         for _ in range(min(PROBES, len(others))):
             e = node.draw(others)
@@ -140,7 +146,12 @@
             to = good[int(node.chance() * len(good))]
             node.passed[to] = True
             self.send(to)
-        elif self.home in ready:
+        else:
+            self.keep_home()
+
+    def keep_home(self) -> None:
+        """Home keeps the work unit, unless it would be late there: then it waits in line."""
+        if self.home in self.node.ready() and self.in_time(self.home):
             self.send(self.home)
         else:
             self.hold()
@@ -225,12 +236,15 @@
     def started(self, alloc: int) -> None:
         """Note that an allocation began to run."""
         a = self.allocs[alloc]
-        a.started_ms = a.sign_ms = self.node.port.now()
+        node, now = self.node, self.node.port.now()
+        a.started_ms = a.sign_ms = node.sign_ms[a.executor] = node.waited_ms[a.executor] = now
+        node.waited[a.executor] = now - a.sent_ms
 
     def progress(self, alloc: int, share: float) -> None:
         """Note a sign of life of an allocation."""
         a = self.allocs[alloc]
-        a.sign_ms, a.share = self.node.port.now(), share
+        a.sign_ms = self.node.sign_ms[a.executor] = self.node.port.now()
+        a.share = share
 
     def streaming(self, alloc: int) -> None:
         """Note that the answer is on its way: the client owns it now."""
@@ -266,9 +280,10 @@
         self.ask_ms = max(ASK * urgent, 4.0 * settings.tick_ms)
         self.fresh_ms, self.sweep_ms, self.rest_ms = FRESH * urgent, SWEEP * urgent, REST * shortest
         self.margin = 2.0 * settings.tick_ms
-        # By project type: mean run, how many were seen. By kind: pace (run against the mean), most free slots.
+        # By project type: mean run, how many were seen. By kind: pace (run over mean), most free slots.
         self.run = [FIRST_GUESS * t.promised_ms for t in self.types]
         self.seen = [2.0] * len(self.types)
+        self.mean_run = sum(self.run) / max(1, len(self.run))
         self.kind_pace = [1.0] * (settings.kinds + 1)
         self.most_free = [0.0] * (settings.kinds + 1)
         # By executor.
@@ -276,11 +291,13 @@
         self.kind: list[int] = []
         self.zone: list[int] = []
         self.cell: list[int] = []
-        self.size: list[float] = []
         self.born: list[float | None] = []
-        self.pace: list[float] = []
         self.others: list[float | None] = []
         self.heard_ms: list[float] = []
+        self.sign_ms: list[float] = []
+        self.room: list[float] = []
+        self.waited: list[float] = []
+        self.waited_ms: list[float] = []
         self.free_memory: list[float | None] = []
         self.asked_ms: list[float | None] = []
         self.waiters: list[list[Callable[[int | None], None]]] = []
@@ -325,7 +342,6 @@
                 self.add()
             e = m.executor
             self.state[e], self.kind[e], self.zone[e], self.cell[e] = m.state, m.kind, m.zone, m.cell
-            self.size[e] = m.size
             if m.born_ms is not None and m.born_ms != self.born[e]:
                 self.reborn(e, m.born_ms)
         for e, state in enumerate(self.state):
@@ -336,8 +352,9 @@
     def add(self) -> None:
         """Make room for one more executor."""
         for array, value in (
-            (self.state, State.GONE), (self.kind, -1), (self.zone, -1), (self.cell, -1), (self.size, 1.0),
-            (self.born, None), (self.pace, 0.0), (self.others, None), (self.heard_ms, -1e18),
+            (self.state, State.GONE), (self.kind, -1), (self.zone, -1), (self.cell, -1), (self.born, None),
+            (self.others, None), (self.heard_ms, -1e18), (self.sign_ms, -1e18), (self.room, 0.0),
+            (self.waited, 0.0), (self.waited_ms, 0.0),
             (self.free_memory, None), (self.asked_ms, None), (self.full, False), (self.passed, False),
             (self.evidence, 0.0), (self.out_until, None), (self.rest, self.rest_ms), (self.silent, False),
             (self.tokens, 0.0), (self.token_ms, 0.0), (self.rate, 0.0),
@@ -369,7 +386,7 @@
             others = sum(known) / len(known) if known else 0.0
         return others + len(self.own[e])
 
-    def over(self, e: int, work: WorkUnit) -> bool:
+    def over(self, e: int, work: Work) -> bool:
         """Return whether one more work unit would put an executor over its kind's threshold plus one."""
         memory = self.free_memory[e]
         if self.full[e] or (memory is not None and memory < work.memory):
@@ -384,12 +401,22 @@
     def wait(self, e: int) -> float:
         """Return how long a work unit sent now should wait before it starts."""
         slots = self.slots(e) or 1.0
-        mean = sum(self.run) / max(1, len(self.run))
-        return max(0.0, self.count(e) + 1.0 - slots) * mean * self.pace_of(e) / slots
+        served = slots / (self.mean_run * self.pace_of(e))
+        now = self.port.now()
+        age = now - self.heard_ms[e]
+        if self.full[e] and age <= self.fresh_ms:
+            return inf
+        ahead = max(self.count(e) - age * served, float(len(self.own[e])))
+        queue = max(0.0, ahead + 1.0 - slots) / served
+        if not self.set.tells_start or (self.heard_ms[e] >= now - self.fresh_ms and self.room[e] >= 1.0):
+            return queue
+        # Guards against a queue that no report shows: what stands there has waited at least so long.
+        waits = [now - wu.allocs[i].sent_ms for wu, i in self.own[e] if wu.allocs[i].started_ms is None]
+        return max(queue, *waits, self.waited[e] - (now - self.waited_ms[e]))
 
     def pace_of(self, e: int) -> float:
         """Return how long an executor takes over a work unit, against the mean of all."""
-        return self.pace[e] or self.kind_pace[self.kind[e]]
+        return self.kind_pace[self.kind[e]]
 
     def ready(self) -> list[int]:
         """Return the executors that may get work now."""
@@ -454,6 +481,7 @@
         allocs = [wu.allocs[i] for wu, i in self.own[e]]
         mine = sum(a.sent_ms < sampled_ms for a in allocs)
         if report.free_slots is not None:
+            self.room[e] = report.free_slots
             self.most_free[kind] = max(self.most_free[kind], float(round(report.free_slots)))
         if held is None and report.free_slots is not None:
             held = max(0.0, self.most_free[kind] - report.free_slots)
@@ -471,6 +499,8 @@
         e, now, outcome = a.executor, self.port.now(), a.outcome
         if report is not None:
             self.take_report(e, report, now)
+        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL):
+            self.sign_ms[e] = now
         if outcome is Outcome.FULL:
             self.full[e] = True
         elif outcome is Outcome.COMPLETED:
@@ -489,6 +519,7 @@
         ratio = run / (self.run[kind] * self.kind_pace[self.kind[e]])
         self.seen[kind] = min(self.seen[kind] + 1.0, 50.0)
         self.run[kind] += (min(run, 5.0 * self.run[kind]) - self.run[kind]) / self.seen[kind]
+        self.mean_run += (min(run, 5.0 * self.run[kind]) - self.mean_run) / 50.0
         pace = min(run / self.run[kind], 5.0)
         self.kind_pace[self.kind[e]] += (pace - self.kind_pace[self.kind[e]]) / 50.0
         return max(-1.0, min((1.0 - 1.0 / SICK_SLOW) * ratio - log(SICK_SLOW), 1.5))
@@ -499,18 +530,25 @@
         if self.evidence[e] >= TRIP:
             self.suspend(e, "outcomes")
 
-    def standing(self, e: int) -> float:
-        """Return what the allocations still out say against an executor: no start, no progress, no end."""
-        now, total = self.port.now(), 0.0
+    def standing(self, e: int) -> bool:
+        """Return whether work stands at an executor: nothing heard of any of it though something was due.
+
+        Only silence counts, not slowness: under overload work waits long on executors in good health.
+        """
+        now, sign = self.port.now(), self.sign_ms[e]
         for wu, i in self.own[e]:
             a = wu.allocs[i]
-            mean = self.run[wu.work.type] * self.kind_pace[self.kind[e]]
-            if a.started_ms is None:
-                late = (now - a.sent_ms - a.wait_ms) / mean if self.set.tells_start else 0.0
-                total += max(0.0, min(late, CAP))
-            elif self.set.progress_ms:
-                total += max(0.0, min((now - a.sign_ms) / self.set.progress_ms - 1.5, CAP))
-        return total
+            quiet = now - max(sign, a.sent_ms)
+            if a.started_ms is not None:
+                if self.set.progress_ms and quiet > STANDS * self.set.progress_ms:
+                    return True
+            elif self.set.tells_start and quiet > 2.0 * self.fresh_ms and self.idle(e, a.sent_ms):
+                return True
+        return False
+
+    def idle(self, e: int, since: float) -> bool:
+        """Return whether an executor has reported, well after a time, that all its slots are free."""
+        return self.heard_ms[e] > since + self.fresh_ms and 0.0 < self.slots(e) <= self.room[e] + 0.5
 
     def suspend(self, e: int, why: str) -> None:
         """Let a sick executor rest, and see to what it holds."""
@@ -559,11 +597,11 @@
 
     def spend(self, e: int, wu: Handle) -> None:
         """Charge a cold executor's budget with a work unit, by its type's mean run."""
-        self.tokens[e] -= self.run[wu.work.type] * wu.work.slots / (sum(self.run) / len(self.run))
+        self.tokens[e] -= self.run[wu.work.type] * wu.work.slots / self.mean_run
 
     # Standing work.
 
-    def take(self, work: WorkUnit) -> Handle:
+    def take(self, work: Work) -> Handle:
         """Take a work unit; the handle hears of all that happens to it."""
         wu = Handle(self, work)
         self.port.after(work.expires_ms - self.port.now() - self.margin, wu.guard)
@@ -586,24 +624,26 @@
             self.rate[e] *= max(0.0, 1.0 - self.sweep_ms / (8.0 * self.rest_ms))
             until = self.out_until[e]
             if until is None:
-                if self.evidence[e] + self.standing(e) >= TRIP:
-                    self.suspend(e, "standing work")
+                if self.standing(e):
+                    self.suspend(e, "work stands")
             elif now >= until and self.silent[e] and self.set.may_probe:
                 self.out_until[e] = now + self.rest_ms
                 self.ask(e)
-            elif now >= until and self.own[e] and self.standing(e) >= CAP / 2.0:
+            elif now >= until and self.standing(e):
                 self.suspend(e, "trial stands")
         self.pump()
         self.port.after(self.sweep_ms, self.sweep)
 
     def pump(self) -> None:
         """Serve the lines: first allocations, then further ones; give up what has waited too long."""
-        now = self.port.now()
+        best = min(self.kind_pace)
         for line in self.lines:
             waiting, line[:] = list(line), []
             for wu in waiting:
                 wu.lined = False
-                if now > wu.taken + wu.type.promised_ms and not wu.allocs:
-                    wu.give_up_unless_out()
+                if wu.done:
+                    continue
+                if wu.slack(best) < 0.0 and not wu.out():
+                    wu.answer()
                 else:
                     wu.place()
