--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -22,6 +22,7 @@
 TRIP = 4.0  # log-likelihood ratio at which the sequential test calls an executor sick
 STANDS = 2.2  # silence of started work that counts as standing, in progress periods
 REST = 0.2  # first rest of a sick executor, in hard limits of the shortest project type
+CROSSING = 50.0  # how much likelier an executor nearby is drawn, for each point that a crossing costs
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
 
 
@@ -433,7 +434,8 @@
 
     def draw(self, executors: list[int]) -> int:
         """Draw an executor at random, each kind by its pace."""
-        weights = [1.0 / self.pace_of(e) for e in executors]
+        near = 1.0 + CROSSING * self.set.cross_price
+        weights = [(near if self.zone[e] == self.set.zone else 1.0) / self.pace_of(e) for e in executors]
         at = self.chance() * sum(weights)
         for e, weight in zip(executors, weights, strict=True):
             at -= weight
