Believe home's report for two urgent promises instead of half of one

With homes drawn nearby most of what stands there is our own and counted, so a fresher report buys little and costs a probe a work unit.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -14,7 +14,7 @@
 
 PROBES = 2  # the paper's probe limit
 ASK = 0.25  # how long a probe's answer is waited for, in promised turnarounds of the most urgent project type
-FRESH = 0.5  # how old home's report may be, likewise
+FRESH = 2.0  # how old home's report may be, likewise
 SWEEP = 0.5  # how often standing work is looked at, likewise
 FIRST_GUESS = 2.0  # the run of a project type not seen yet, in its promised turnarounds
 SICK_ERROR, WELL_ERROR = 0.5, 0.02  # error rates of a sick and of a healthy executor
