--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -23,6 +23,7 @@
 STANDS = 2.2  # silence of started work that counts as standing, in progress periods
 REST = 0.2  # first rest of a sick executor, in hard limits of the shortest project type
 CROSSING = 50.0  # how much likelier an executor nearby is drawn, for each point that a crossing costs
+SHORT = 0.3  # the run, in means of its type, that a wait must still leave in time
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
 
 
@@ -84,8 +85,9 @@
     def slack(self, pace: float) -> float:
         """Return how long the work unit may still wait at an executor of some pace and be in time."""
         run = self.work.hint_ms or self.node.run[self.work.type]
-        allowed = min(self.type.promised_ms + self.type.stretch * run, self.work.expires_ms - self.taken)
-        return self.taken + allowed - run * pace - self.node.port.now()
+        spare = self.type.promised_ms + max(0.0, self.type.stretch - pace) * SHORT * run
+        spare = min(spare, self.work.expires_ms - self.taken - run * pace)
+        return self.taken + spare - self.node.port.now()
 
     def may_defer(self) -> bool:
         """Return whether the client may be told that a retry does no harm."""
