Keep waiting work in the node's line, not in executors' queues

Change: nothing is sent into a wait of more than one urgent promise; a queue is reckoned in run times slots.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -24,6 +24,7 @@
 REST = 0.2  # first rest of a sick executor, in hard limits of the shortest project type
 CROSSING = 50.0  # how much likelier an executor nearby is drawn, for each point that a crossing costs
 SHORT = 0.3  # the run, in means of its type, that a wait must still leave in time
+QUEUE = 1.0  # the longest wait at an executor that work is sent into, in urgent promises
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
 
 
@@ -80,7 +81,7 @@
         Guards against collapse under overload: where every count grows, so does the mean that the threshold
         follows, and work queues up that will all be late.
         """
-        return self.node.wait(e) <= self.slack(self.node.pace_of(e))
+        return self.node.wait(e) <= min(self.slack(self.node.pace_of(e)), self.node.queue_ms)
 
     def slack(self, pace: float) -> float:
         """Return how long the work unit may still wait at an executor of some pace and be in time."""
@@ -282,11 +283,12 @@
         shortest = min((t.limit_ms for t in self.types), default=1000.0)
         self.ask_ms = max(ASK * urgent, 4.0 * settings.tick_ms)
         self.fresh_ms, self.sweep_ms, self.rest_ms = FRESH * urgent, SWEEP * urgent, REST * shortest
+        self.queue_ms = QUEUE * urgent
         self.margin = 2.0 * settings.tick_ms
         # By project type: mean run, how many were seen. By kind: pace (run over mean), most free slots.
         self.run = [FIRST_GUESS * t.promised_ms for t in self.types]
         self.seen = [2.0] * len(self.types)
-        self.mean_run = sum(self.run) / max(1, len(self.run))
+        self.mean_area = sum(self.run) / max(1, len(self.run))  # run times slots, over all types
         self.kind_pace = [1.0] * (settings.kinds + 1)
         self.most_free = [0.0] * (settings.kinds + 1)
         # By executor.
@@ -404,7 +406,7 @@
     def wait(self, e: int) -> float:
         """Return how long a work unit sent now should wait before it starts."""
         slots = self.slots(e) or 1.0
-        served = slots / (self.mean_run * self.pace_of(e))
+        served = slots / (self.mean_area * self.pace_of(e))
         now = self.port.now()
         age = now - self.heard_ms[e]
         if self.full[e] and age <= self.fresh_ms:
@@ -511,19 +513,20 @@
             self.rate[e] += 1.0
             weight = log((1.0 - SICK_ERROR) / (1.0 - WELL_ERROR))
             if a.started_ms is not None:
-                weight += self.learn(wu.work.type, e, now - a.started_ms)
+                weight += self.learn(wu.work, e, now - a.started_ms)
             self.testify(e, weight)
             if self.evidence[e] <= 0.0 and self.out_until[e] is not None:
                 self.out_until[e], self.rest[e] = None, self.rest_ms
         elif outcome in (Outcome.ERROR, Outcome.BROKEN, Outcome.UNREACHABLE):
             self.testify(e, log(SICK_ERROR / WELL_ERROR))
 
-    def learn(self, kind: int, e: int, run: float) -> float:
+    def learn(self, work: Work, e: int, run: float) -> float:
         """Learn from a run, and return what it says of the executor's slowness."""
+        kind = work.type
         ratio = run / (self.run[kind] * self.kind_pace[self.kind[e]])
         self.seen[kind] = min(self.seen[kind] + 1.0, 50.0)
         self.run[kind] += (min(run, 5.0 * self.run[kind]) - self.run[kind]) / self.seen[kind]
-        self.mean_run += (min(run, 5.0 * self.run[kind]) - self.mean_run) / 50.0
+        self.mean_area += (min(run, 5.0 * self.run[kind]) * work.slots - self.mean_area) / 50.0
         pace = min(run / self.run[kind], 5.0)
         self.kind_pace[self.kind[e]] += (pace - self.kind_pace[self.kind[e]]) / 50.0
         return max(-1.0, min((1.0 - 1.0 / SICK_SLOW) * ratio - log(SICK_SLOW), 1.5))
@@ -601,7 +604,7 @@
 
     def spend(self, e: int, wu: Handle) -> None:
         """Charge a cold executor's budget with a work unit, by its type's mean run."""
-        self.tokens[e] -= self.run[wu.work.type] * wu.work.slots / self.mean_run
+        self.tokens[e] -= self.run[wu.work.type] * wu.work.slots / self.mean_area
 
     # Standing work.
 
