--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -7,7 +7,7 @@
 
 import zlib
 from collections.abc import Callable
-from math import inf, log
+from math import ceil, inf, log
 
 from marlseam.interface import Alloc, Effect, Group, Listing, Member, Outcome, Port, Report, Settings, State
 from marlseam.interface import WorkUnit as Work
@@ -127,7 +127,7 @@
                 self.hold()
             return
         others = [e for e in node.ready() if e != self.home and self.fits(e)]
-        if not node.over(self.home, self.work):
+        if self.in_time(self.home) and not node.over(self.home, self.work):
             self.send(self.home)
             return
         if not others or not node.set.may_probe:
@@ -145,7 +145,7 @@
         node = self.node
         ready = node.ready()
         good = [e for e in self.asked if e in ready and not node.passed[e] and node.heard(e, self.round_ms)]
-        good = [e for e in good if not node.over(e, self.work)]
+        good = [e for e in good if self.in_time(e) and not node.over(e, self.work)]
         if good:
             to = good[int(node.chance() * len(good))]
             node.passed[to] = True
@@ -399,9 +399,9 @@
         return self.count(e) + 1.0 > self.threshold(self.kind[e]) + 1.0
 
     def threshold(self, kind: int) -> float:
-        """Return the mean count of a kind's ready executors, rounded to the nearest whole."""
+        """Return the mean count of a kind's ready executors, rounded up."""
         counts = [self.count(e) for e in self.ready() if self.kind[e] == kind]
-        return int(sum(counts) / len(counts) + 0.5) if counts else 0.0
+        return ceil(sum(counts) / len(counts)) if counts else 0.0
 
     def wait(self, e: int) -> float:
         """Return how long a work unit sent now should wait before it starts."""
