--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -145,7 +145,7 @@
         node = self.node
         ready = node.ready()
         good = [e for e in self.asked if e in ready and not node.passed[e] and node.heard(e, self.round_ms)]
-        good = [e for e in good if self.in_time(e) and not node.over(e, self.work)]
+        good = [e for e in good if self.in_time(e) and not node.over(e, self.work, 1.0)]
         if good:
             to = good[int(node.chance() * len(good))]
             node.passed[to] = True
@@ -391,12 +391,12 @@
             others = sum(known) / len(known) if known else 0.0
         return others + len(self.own[e])
 
-    def over(self, e: int, work: Work) -> bool:
-        """Return whether one more work unit would put an executor over its kind's threshold plus one."""
+    def over(self, e: int, work: Work, more: float = 0.0) -> bool:
+        """Return whether an executor is past its kind's threshold plus one, or cannot hold the work unit."""
         memory = self.free_memory[e]
         if self.full[e] or (memory is not None and memory < work.memory):
             return True
-        return self.count(e) + 1.0 > self.threshold(self.kind[e]) + 1.0
+        return self.count(e) + more > self.threshold(self.kind[e]) + 1.0
 
     def threshold(self, kind: int) -> float:
         """Return the mean count of a kind's ready executors, rounded up."""
