--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -18,13 +18,14 @@
 SWEEP = 0.5  # how often standing work is looked at, likewise
 FIRST_GUESS = 2.0  # the run of a project type not seen yet, in its promised turnarounds
 SICK_ERROR, WELL_ERROR = 0.5, 0.02  # error rates of a sick and of a healthy executor
-SICK_SLOW = 4.0  # how many times slower than its kind a sick executor is
+MEMORY = 50.0  # runs that a mean remembers
 TRIP = 4.0  # log-likelihood ratio at which the sequential test calls an executor sick
 STANDS = 2.2  # silence of started work that counts as standing, in progress periods
-REST = 0.2  # first rest of a sick executor, in hard limits of the shortest project type
+REST = 0.05  # first rest of a sick executor, in hard limits of the shortest project type
 CROSSING = 250.0  # how much likelier an executor nearby is drawn, for each point that a crossing costs
 SHORT = 0.3  # the run, in means of its type, that a wait must still leave in time
 QUEUE = 1.0  # the longest wait at an executor that work is sent into, in urgent promises
+DOUBT = 30.0  # how much a doubtful report counts less
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
 
 
@@ -240,9 +241,7 @@
     def started(self, alloc: int) -> None:
         """Note that an allocation began to run."""
         a = self.allocs[alloc]
-        node, now = self.node, self.node.port.now()
-        a.started_ms = a.sign_ms = node.sign_ms[a.executor] = node.waited_ms[a.executor] = now
-        node.waited[a.executor] = now - a.sent_ms
+        a.started_ms = a.sign_ms = self.node.sign_ms[a.executor] = self.node.port.now()
 
     def progress(self, alloc: int, share: float) -> None:
         """Note a sign of life of an allocation."""
@@ -301,8 +300,6 @@
         self.heard_ms: list[float] = []
         self.sign_ms: list[float] = []
         self.room: list[float] = []
-        self.waited: list[float] = []
-        self.waited_ms: list[float] = []
         self.free_memory: list[float | None] = []
         self.asked_ms: list[float | None] = []
         self.waiters: list[list[Callable[[int | None], None]]] = []
@@ -316,6 +313,7 @@
         self.tokens: list[float] = []
         self.token_ms: list[float] = []
         self.rate: list[float] = []
+        self.doubt = 0.0  # share of reports that were older than what this node knew
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
         self.subscribed = not settings.asked_roster
         self.next_ask = 0.0
@@ -359,7 +357,6 @@
         for array, value in (
             (self.state, State.GONE), (self.kind, -1), (self.zone, -1), (self.cell, -1), (self.born, None),
             (self.others, None), (self.heard_ms, -1e18), (self.sign_ms, -1e18), (self.room, 0.0),
-            (self.waited, 0.0), (self.waited_ms, 0.0),
             (self.free_memory, None), (self.asked_ms, None), (self.full, False), (self.passed, False),
             (self.evidence, 0.0), (self.out_until, None), (self.rest, self.rest_ms), (self.silent, False),
             (self.tokens, 0.0), (self.token_ms, 0.0), (self.rate, 0.0),
@@ -389,7 +386,7 @@
         if others is None:
             known = [o for x, o in enumerate(self.others) if o is not None and self.state[x] is State.READY]
             others = sum(known) / len(known) if known else 0.0
-        return others + len(self.own[e])
+        return max(0.0, others) + len(self.own[e])
 
     def over(self, e: int, work: Work, more: float = 0.0) -> bool:
         """Return whether an executor is past its kind's threshold plus one, or cannot hold the work unit."""
@@ -412,12 +409,7 @@
         if self.full[e] and age <= self.fresh_ms:
             return inf
         ahead = max(self.count(e) - age * served, float(len(self.own[e])))
-        queue = max(0.0, ahead + 1.0 - slots) / served
-        if not self.set.tells_start or (self.heard_ms[e] >= now - self.fresh_ms and self.room[e] >= 1.0):
-            return queue
-        # Guards against a queue that no report shows: what stands there has waited at least so long.
-        waits = [now - wu.allocs[i].sent_ms for wu, i in self.own[e] if wu.allocs[i].started_ms is None]
-        return max(queue, *waits, self.waited[e] - (now - self.waited_ms[e]))
+        return max(0.0, ahead + 1.0 - slots) / served
 
     def pace_of(self, e: int) -> float:
         """Return how long an executor takes over a work unit, against the mean of all."""
@@ -437,9 +429,9 @@
         return self.warm(e)
 
     def draw(self, executors: list[int]) -> int:
-        """Draw an executor at random, each kind by its pace."""
+        """Draw an executor at random, one of the own zone more often by the price of crossing."""
         near = 1.0 + CROSSING * self.set.cross_price
-        weights = [(near if self.zone[e] == self.set.zone else 1.0) / self.pace_of(e) for e in executors]
+        weights = [(near if self.zone[e] == self.set.zone else 1.0) for e in executors]
         at = self.chance() * sum(weights)
         for e, weight in zip(executors, weights, strict=True):
             at -= weight
@@ -496,7 +488,15 @@
             else:
                 mine = sum(a.started_ms is not None for a in allocs)
         if held is not None:
-            self.others[e] = max(0.0, held - mine)
+            # Guards against reports that come late: one that misses what has long been running here is old.
+            known = sum(
+                a.started_ms is not None and a.started_ms < sampled_ms - 2.0 * self.ask_ms for a in allocs
+            )
+            if known:
+                self.doubt += (float(held < 0.8 * known - 0.5) - self.doubt) / 10.0
+            old = self.others[e]
+            gain = 1.0 / (1.0 + DOUBT * self.doubt) if old is not None else 1.0
+            self.others[e] = (old or 0.0) + gain * (held - mine - (old or 0.0))
 
     # Health.
 
@@ -511,25 +511,22 @@
             self.full[e] = True
         elif outcome is Outcome.COMPLETED:
             self.rate[e] += 1.0
-            weight = log((1.0 - SICK_ERROR) / (1.0 - WELL_ERROR))
             if a.started_ms is not None:
-                weight += self.learn(wu.work, e, now - a.started_ms)
-            self.testify(e, weight)
+                self.learn(wu.work, e, now - a.started_ms)
+            self.testify(e, log((1.0 - SICK_ERROR) / (1.0 - WELL_ERROR)))
             if self.evidence[e] <= 0.0 and self.out_until[e] is not None:
                 self.out_until[e], self.rest[e] = None, self.rest_ms
-        elif outcome in (Outcome.ERROR, Outcome.BROKEN, Outcome.UNREACHABLE):
+        elif outcome in (Outcome.ERROR, Outcome.BROKEN):
             self.testify(e, log(SICK_ERROR / WELL_ERROR))
 
-    def learn(self, work: Work, e: int, run: float) -> float:
-        """Learn from a run, and return what it says of the executor's slowness."""
-        kind = work.type
-        ratio = run / (self.run[kind] * self.kind_pace[self.kind[e]])
-        self.seen[kind] = min(self.seen[kind] + 1.0, 50.0)
-        self.run[kind] += (min(run, 5.0 * self.run[kind]) - self.run[kind]) / self.seen[kind]
-        self.mean_area += (min(run, 5.0 * self.run[kind]) * work.slots - self.mean_area) / 50.0
-        pace = min(run / self.run[kind], 5.0)
-        self.kind_pace[self.kind[e]] += (pace - self.kind_pace[self.kind[e]]) / 50.0
-        return max(-1.0, min((1.0 - 1.0 / SICK_SLOW) * ratio - log(SICK_SLOW), 1.5))
+    def learn(self, work: Work, e: int, run: float) -> None:
+        """Learn the mean run of a project type and the pace of a kind from a run."""
+        t, kind = work.type, self.kind[e]
+        run = min(run, 5.0 * self.run[t])
+        self.seen[t] = min(self.seen[t] + 1.0, MEMORY)
+        self.run[t] += (run - self.run[t]) / self.seen[t]
+        self.mean_area += (run * work.slots - self.mean_area) / MEMORY
+        self.kind_pace[kind] += (run / self.run[t] - self.kind_pace[kind]) / MEMORY
 
     def testify(self, e: int, weight: float) -> None:
         """Add to the sequential test on an executor's outcomes."""
