Believe a fresh report in full when reckoning a wait

Other causes ruled out: no change of the list, no errors, late work spread over kinds and zones alike. Change: a report that is fresh counts in full; of a stale one only our own work, and home is then asked.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -404,11 +404,9 @@
         """Return how long a work unit sent now should wait before it starts."""
         slots = self.slots(e) or 1.0
         served = slots / (self.mean_area * self.pace_of(e))
-        now = self.port.now()
-        age = now - self.heard_ms[e]
-        if self.full[e] and age <= self.fresh_ms:
-            return inf
-        ahead = max(self.count(e) - age * served, float(len(self.own[e])))
+        ahead = inf if self.full[e] else self.count(e)
+        if self.stale(e):  # only a probe can tell
+            ahead = float(len(self.own[e]))
         return max(0.0, ahead + 1.0 - slots) / served
 
     def pace_of(self, e: int) -> float:
