--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -82,7 +82,7 @@
         Guards against collapse under overload: where every count grows, so does the mean that the threshold
         follows, and work queues up that will all be late.
         """
-        return self.node.wait(e) <= min(self.slack(self.node.pace_of(e)), self.node.queue_ms)
+        return self.node.wait(e, self.work) <= min(self.slack(self.node.pace_of(e)), self.node.queue_ms)
 
     def slack(self, pace: float) -> float:
         """Return how long the work unit may still wait at an executor of some pace and be in time."""
@@ -189,7 +189,7 @@
         if not self.may_send() or not self.fits(e):
             self.give_up_unless_out()
             return
-        self.allocs.append(Alloc(e, now, node.wait(e), sign_ms=now))
+        self.allocs.append(Alloc(e, now, node.wait(e, self.work), sign_ms=now))
         node.own[e].append((self, len(self.allocs) - 1))
         node.spend(e, self)
         node.port.send(self, e, self.work.expires_ms - now)
@@ -386,7 +386,11 @@
         if others is None:
             known = [o for x, o in enumerate(self.others) if o is not None and self.state[x] is State.READY]
             others = sum(known) / len(known) if known else 0.0
-        return max(0.0, others) + len(self.own[e])
+        return max(0.0, others) + self.ours(e)
+
+    def ours(self, e: int) -> float:
+        """Return what an executor has of ours; a wide work unit counts for each of its slots."""
+        return sum(wu.work.slots for wu, _ in self.own[e])
 
     def over(self, e: int, work: Work, more: float = 0.0) -> bool:
         """Return whether an executor is past its kind's threshold plus one, or cannot hold the work unit."""
@@ -400,14 +404,14 @@
         counts = [self.count(e) for e in self.ready() if self.kind[e] == kind]
         return ceil(sum(counts) / len(counts)) if counts else 0.0
 
-    def wait(self, e: int) -> float:
+    def wait(self, e: int, work: Work) -> float:
         """Return how long a work unit sent now should wait before it starts."""
         slots = self.slots(e) or 1.0
         served = slots / (self.mean_area * self.pace_of(e))
         ahead = inf if self.full[e] else self.count(e)
         if self.stale(e):  # only a probe can tell
-            ahead = float(len(self.own[e]))
-        return max(0.0, ahead + 1.0 - slots) / served
+            ahead = self.ours(e)
+        return max(0.0, ahead + work.slots - slots) / served
 
     def pace_of(self, e: int) -> float:
         """Return how long an executor takes over a work unit, against the mean of all."""
@@ -474,8 +478,9 @@
         self.full[e] = self.passed[e] = False
         self.free_memory[e] = report.free_memory
         held, kind = report.held, self.kind[e]
-        allocs = [wu.allocs[i] for wu, i in self.own[e]]
-        mine = sum(a.sent_ms < sampled_ms for a in allocs)
+        own = [(wu.work.slots, wu.allocs[i]) for wu, i in self.own[e]]
+        running = sum(slots for slots, a in own if a.started_ms is not None)
+        mine = running + sum(a.started_ms is None and a.sent_ms < sampled_ms for _, a in own)
         if report.free_slots is not None:
             self.room[e] = report.free_slots
             self.most_free[kind] = max(self.most_free[kind], float(round(report.free_slots)))
@@ -484,12 +489,11 @@
             if report.queued is not None:
                 held += report.queued
             else:
-                mine = sum(a.started_ms is not None for a in allocs)
+                mine = running
         if held is not None:
             # Guards against reports that come late: one that misses what has long been running here is old.
-            known = sum(
-                a.started_ms is not None and a.started_ms < sampled_ms - 2.0 * self.ask_ms for a in allocs
-            )
+            settled = sampled_ms - 2.0 * self.ask_ms
+            known = sum(slots for slots, a in own if a.started_ms is not None and a.started_ms < settled)
             if known:
                 self.doubt += (float(held < 0.8 * known - 0.5) - self.doubt) / 10.0
             old = self.others[e]
