--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -36,10 +36,9 @@
         self.node, self.work, self.type = node, work, node.types[work.type]
         self.taken = node.port.now()
         self.allocs: list[Alloc] = []
-        self.done = self.lined = False
+        self.done = self.lined = self.waited = False
         self.home = -1
         self.asked: list[int] = []
-        self.round = 0
 
     # What may be done, by the rules.
 
@@ -121,17 +120,14 @@
         """Home takes the work unit unless it is over its threshold; then others are probed."""
         node = self.node
         if self.home not in node.ready():
-            self.round += 1
-            if self.round < node.set.max_allocs:
-                self.place()
-            else:
-                self.hold()
+            self.hold()
             return
         others = [e for e in node.ready() if e != self.home and self.fits(e)]
         if self.in_time(self.home) and not node.over(self.home, self.work):
             self.send(self.home)
             return
-        if not others or not node.set.may_probe:
+        if not others or not node.set.may_probe or self.waited:
+            # Guards against a probe storm: under overload all in line would probe at every sweep.
             self.keep_home()
             return
         chosen = []
@@ -197,13 +193,12 @@
     def hold(self) -> None:
         """Wait in line for an executor: first allocations in one, further ones in another served after it."""
         if not self.lined:
-            self.lined = True
+            self.lined = self.waited = True
             self.node.lines[bool(self.allocs)].append(self)
 
     def again(self) -> None:
         """Seek a further allocation, or give up when none is allowed."""
         if self.may_send():
-            self.round = 0
             self.hold()
         else:
             self.give_up_unless_out()
