--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -590,7 +590,7 @@
         share = self.set.cold_share + (1.0 - self.set.cold_share) * (now - born) / (1.5 * self.set.warm_ms)
         peers = [x for x, s in enumerate(self.state) if s is State.READY and self.kind[x] == self.kind[e]]
         carried = max((self.rate[x] for x in peers if x != e), default=0.0) / (8.0 * self.rest_ms)
-        carried = max(carried, 0.1 / self.set.fall_ms)
+        carried = max(carried, 0.3 / (self.set.fall_ms * self.set.nodes))
         self.tokens[e] += (now - self.token_ms[e]) * carried * share * min(self.set.fall_multiple, 2.0)
         self.tokens[e] = min(self.tokens[e], 1.0)
         self.token_ms[e] = now
