--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -640,7 +640,7 @@
         best = min(self.kind_pace)
         for line in self.lines:
             waiting, line[:] = list(line), []
-            for wu in waiting:
+            for wu in sorted(waiting, key=lambda wu: wu.slack(best)):
                 wu.lined = False
                 if wu.done:
                     continue
