--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -265,6 +265,7 @@
             self.drop_rest()
         else:
             self.again()
+        node.pump()
 
 
 class Node:
