--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -153,8 +153,8 @@
     executor: int
     sent_ms: float
     wait_ms: float
+    sign_ms: float
     started_ms: float | None = None
-    sign_ms: float = 0.0
     share: float = 0.0
     outcome: Outcome | None = None
     cancelled: bool = False
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -16,6 +16,7 @@
 ASK = 0.25  # how long a probe's answer is waited for, in promised turnarounds of the most urgent project type
 FRESH = 2.0  # how old home's report may be, likewise
 SWEEP = 0.5  # how often standing work is looked at, likewise
+PUMP = 0.1  # least time between two servings of the lines, in sweeps
 FIRST_GUESS = 2.0  # the run of a project type not seen yet, in its promised turnarounds
 SICK_ERROR, WELL_ERROR = 0.5, 0.02  # error rates of a sick and of a healthy executor
 MEMORY = 50.0  # runs that a mean remembers
@@ -141,7 +142,9 @@
         """Pass the work unit to a random one of those under threshold; else home keeps it."""
         node = self.node
         ready = node.ready()
-        good = [e for e in self.asked if e in ready and not node.passed[e] and node.heard(e, self.round_ms)]
+        good = [
+            e for e in self.asked if e in ready and not node.passed[e] and node.heard_ms[e] >= self.round_ms
+        ]
         good = [e for e in good if self.in_time(e) and not node.over(e, self.work, 1.0)]
         if good:
             to = good[int(node.chance() * len(good))]
@@ -185,7 +188,7 @@
         if not self.may_send() or not self.fits(e):
             self.give_up_unless_out()
             return
-        self.allocs.append(Alloc(e, now, node.wait(e, self.work), sign_ms=now))
+        self.allocs.append(Alloc(e, now, node.wait(e, self.work), now))
         node.own[e].append((self, len(self.allocs) - 1))
         node.spend(e, self)
         node.port.send(self, e, self.work.expires_ms - now)
@@ -265,7 +268,8 @@
             self.drop_rest()
         else:
             self.again()
-        node.pump()
+        if node.port.now() - node.pumped_ms > PUMP * node.sweep_ms:
+            node.pump()
 
 
 class Node:
@@ -310,6 +314,7 @@
         self.token_ms: list[float] = []
         self.rate: list[float] = []
         self.doubt = 0.0  # share of reports that were older than what this node knew
+        self.pumped_ms = 0.0
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
         self.subscribed = not settings.asked_roster
         self.next_ask = 0.0
@@ -443,10 +448,6 @@
         """Return whether home must be asked before its count is believed."""
         return self.set.may_probe and self.port.now() - self.heard_ms[e] > self.fresh_ms
 
-    def heard(self, e: int, since: float) -> bool:
-        """Return whether an executor has answered since a time."""
-        return self.heard_ms[e] >= since
-
     def ask(self, e: int, then: Callable[[int | None], None] | None = None) -> None:
         """Probe an executor, or share the probe that is out."""
         if then is not None:
@@ -638,14 +639,19 @@
 
     def pump(self) -> None:
         """Serve the lines: first allocations, then further ones; give up what has waited too long."""
-        best = min(self.kind_pace)
+        best, hopeless = min(self.kind_pace), inf
+        self.pumped_ms = self.port.now()
         for line in self.lines:
             waiting, line[:] = list(line), []
             for wu in sorted(waiting, key=lambda wu: wu.slack(best)):
-                wu.lined = False
+                slots, slack, wu.lined = wu.work.slots, wu.slack(best), False
                 if wu.done:
                     continue
-                if wu.slack(best) < 0.0 and not wu.out():
+                if slack < 0.0 and not wu.out():
                     wu.answer()
+                elif slots >= hopeless and not wu.allocs:
+                    wu.hold()  # as wide as one that has just found no place
                 else:
                     wu.place()
+                    if wu.lined and slack >= self.queue_ms:
+                        hopeless = min(hopeless, slots)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -96,7 +96,7 @@
         now = node.port.now()
         wu = Handle(node, WorkUnit(f"w{type}", type, now + 5000.0, slots=slots))
         for executor, outcome in allocs:
-            wu.allocs.append(Alloc(executor, now, 0.0, sign_ms=now, outcome=outcome))
+            wu.allocs.append(Alloc(executor, now, 0.0, now, outcome=outcome))
             if outcome is None:
                 node.own[executor].append((wu, len(wu.allocs) - 1))
         return wu
