--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -446,7 +446,8 @@
 
     def stale(self, e: int) -> bool:
         """Return whether home must be asked before its count is believed."""
-        return self.set.may_probe and self.port.now() - self.heard_ms[e] > self.fresh_ms
+        age = self.port.now() - self.heard_ms[e]
+        return self.set.may_probe and age > self.fresh_ms * (1.0 + DOUBT * self.doubt)
 
     def ask(self, e: int, then: Callable[[int | None], None] | None = None) -> None:
         """Probe an executor, or share the probe that is out."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -296,6 +296,14 @@
     assert node.doubt > 0.0 and node.others[0] > -2.0
 
 
+def test_doubted_reports_are_renewed_less_often(make):
+    node = make(0.0)
+    node.port.clock += 1.5 * node.fresh_ms
+    assert node.stale(0)
+    node.doubt = 0.1
+    assert not node.stale(0)
+
+
 def test_own_zone_is_drawn_more_often(make):
     node = make(0.0, 0.0, cross_price=0.1)
     node.zone[1] = 1
