--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -268,7 +268,7 @@
             self.drop_rest()
         else:
             self.again()
-        if node.port.now() - node.pumped_ms > PUMP * node.sweep_ms:
+        if node.tells_queue and node.port.now() - node.pumped_ms > PUMP * node.sweep_ms:
             node.pump()
 
 
@@ -314,7 +314,7 @@
         self.token_ms: list[float] = []
         self.rate: list[float] = []
         self.doubt = 0.0  # share of reports that were older than what this node knew
-        self.pumped_ms = 0.0
+        self.pumped_ms, self.tells_queue = 0.0, False
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
         self.subscribed = not settings.asked_roster
         self.next_ask = 0.0
@@ -476,6 +476,7 @@
         self.full[e] = self.passed[e] = False
         self.free_memory[e] = report.free_memory
         held, kind = report.held, self.kind[e]
+        self.tells_queue = held is not None or report.queued is not None
         own = [(wu.work.slots, wu.allocs[i]) for wu, i in self.own[e]]
         running = sum(slots for slots, a in own if a.started_ms is not None)
         mine = running + sum(a.started_ms is None and a.sent_ms < sampled_ms for _, a in own)
