Share a cold executor's budget among the nodes, and keep heavy work from it

Change: the budget is reckoned from what the kind can do and divided by the number of nodes, begins in debt by chance, and holds back work too big for one window.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -27,6 +27,7 @@
 SHORT = 0.3  # the run, in means of its type, that a wait must still leave in time
 QUEUE = 1.0  # the longest wait at an executor that work is sent into, in urgent promises
 DOUBT = 30.0  # how much a doubtful report counts less
+COLD = 0.6  # part of a cold executor's budget that the nodes plan to use
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
 
 
@@ -69,6 +70,8 @@
         node, traces = self.node, self.traces()
         if self.type.kind not in (-1, node.kind[e]) or 0 < node.slots(e) < self.work.slots:
             return False
+        if node.cost(self.work) > node.allowance(e) * node.set.fall_ms:
+            return False  # guards against one heavy work unit that would push a cold executor over
         if any(a.executor == e and (a.outcome is None or len(traces) < node.set.max_allocs) for a in traces):
             return False
         if self.type.effect is not Effect.RECEIPTED or not traces or self.type.group is Group.ALL:
@@ -168,19 +171,14 @@
 
         def answered(e: int | None) -> None:
             nonlocal pending
-            if e is None:
-                pending = set()
-            elif e in pending:
-                pending.discard(e)
-            else:
-                return
-            if not pending and not self.done and self.asked is executors:
-                self.asked = list(executors)
-                then()
+            if pending and not self.done:
+                pending = pending - {e} if e is not None else set()
+                if not pending:
+                    then()
 
         for e in executors:
             node.ask(e, answered)
-        node.port.after(node.ask_ms, lambda: answered(None) if pending else None)
+        node.port.after(node.ask_ms, lambda: answered(None))
 
     def send(self, e: int) -> None:
         """Send the work unit to an executor."""
@@ -190,7 +188,7 @@
             return
         self.allocs.append(Alloc(e, now, node.wait(e, self.work), now))
         node.own[e].append((self, len(self.allocs) - 1))
-        node.spend(e, self)
+        node.tokens[e] -= node.cost(self.work)
         node.port.send(self, e, self.work.expires_ms - now)
 
     def hold(self) -> None:
@@ -210,11 +208,13 @@
 
     def give_up_unless_out(self) -> None:
         """Answer at once when nothing is out and nothing more may be sent."""
-        if not self.done and not self.out():
+        if not self.out():
             self.answer()
 
     def answer(self) -> None:
-        """Give the final answer: deferred where a retry is harmless, else aborted."""
+        """Give the one final answer: deferred where a retry is harmless, else aborted."""
+        if self.done:
+            return
         self.done = True
         if self.may_defer():
             self.node.port.defer(self, self.node.advice())
@@ -229,11 +229,6 @@
                 a.cancelled = True
                 self.node.port.cancel(self, i)
 
-    def guard(self) -> None:
-        """Answer before this try's hard limit, whatever is out."""
-        if not self.done:
-            self.answer()
-
     # What happens to it.
 
     def started(self, alloc: int) -> None:
@@ -312,7 +307,6 @@
         self.silent: list[bool] = []
         self.tokens: list[float] = []
         self.token_ms: list[float] = []
-        self.rate: list[float] = []
         self.doubt = 0.0  # share of reports that were older than what this node knew
         self.pumped_ms, self.tells_queue = 0.0, False
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
@@ -360,7 +354,7 @@
             (self.others, None), (self.heard_ms, -1e18), (self.sign_ms, -1e18), (self.room, 0.0),
             (self.free_memory, None), (self.asked_ms, None), (self.full, False), (self.passed, False),
             (self.evidence, 0.0), (self.out_until, None), (self.rest, self.rest_ms), (self.silent, False),
-            (self.tokens, 0.0), (self.token_ms, 0.0), (self.rate, 0.0),
+            (self.tokens, 0.0), (self.token_ms, 0.0),
         ):  # fmt: skip
             array.append(value)
         self.waiters.append([])
@@ -372,7 +366,7 @@
         self.born[e], self.others[e], self.heard_ms[e] = born, None, -1e18
         self.full[e] = self.passed[e] = self.silent[e] = False
         self.evidence[e], self.out_until[e], self.rest[e] = 0.0, None, self.rest_ms
-        self.tokens[e], self.token_ms[e] = self.chance(), now
+        self.tokens[e], self.token_ms[e] = -self.chance(), now  # so that the nodes do not all begin at once
         self.rescue(e, born)
 
     # What an executor's figures say.
@@ -511,7 +505,6 @@
         if outcome is Outcome.FULL:
             self.full[e] = True
         elif outcome is Outcome.COMPLETED:
-            self.rate[e] += 1.0
             if a.started_ms is not None:
                 self.learn(wu.work, e, now - a.started_ms)
             self.testify(e, log((1.0 - SICK_ERROR) / (1.0 - WELL_ERROR)))
@@ -586,30 +579,34 @@
 
     # Cold executors.
 
+    def allowance(self, e: int) -> float:
+        """Return how many mean work units a ms all nodes may send to an executor while it is cold."""
+        born, age = self.born[e], self.port.now() - (self.born[e] or 0.0)
+        if born is None or age > self.set.warm_ms:
+            return inf
+        share = self.set.cold_share + (1.0 - self.set.cold_share) * age / self.set.warm_ms
+        rate = (self.slots(e) or 1.0) / (self.mean_area * self.pace_of(e))
+        return COLD * self.set.fall_multiple * share * rate
+
+    def cost(self, work: Work) -> float:
+        """Return a work unit's size in mean work units."""
+        return self.run[work.type] * work.slots / self.mean_area
+
     def warm(self, e: int) -> bool:
-        """Return whether an executor's cold budget allows a work unit now."""
-        born, now = self.born[e], self.port.now()
-        if born is None or now > born + 1.5 * self.set.warm_ms:
-            return True
-        share = self.set.cold_share + (1.0 - self.set.cold_share) * (now - born) / (1.5 * self.set.warm_ms)
-        peers = [x for x, s in enumerate(self.state) if s is State.READY and self.kind[x] == self.kind[e]]
-        carried = max((self.rate[x] for x in peers if x != e), default=0.0) / (8.0 * self.rest_ms)
-        carried = max(carried, 0.3 / (self.set.fall_ms * self.set.nodes))
-        self.tokens[e] += (now - self.token_ms[e]) * carried * share * min(self.set.fall_multiple, 2.0)
-        self.tokens[e] = min(self.tokens[e], 1.0)
-        self.token_ms[e] = now
-        return self.tokens[e] > 0.0
-
-    def spend(self, e: int, wu: Handle) -> None:
-        """Charge a cold executor's budget with a work unit, by its type's mean run."""
-        self.tokens[e] -= self.run[wu.work.type] * wu.work.slots / self.mean_area
+        """Return whether this node's part of an executor's cold budget allows a work unit now."""
+        mine = self.allowance(e) / self.set.nodes
+        if mine < inf:
+            now = self.port.now()
+            earned = self.tokens[e] + (now - self.token_ms[e]) * mine
+            self.tokens[e], self.token_ms[e] = min(earned, mine * self.set.fall_ms), now
+        return mine == inf or self.tokens[e] > 0.0
 
     # Standing work.
 
     def take(self, work: Work) -> Handle:
-        """Take a work unit; the handle hears of all that happens to it."""
+        """Take a work unit, to be answered before this try's hard limit whatever is out by then."""
         wu = Handle(self, work)
-        self.port.after(work.expires_ms - self.port.now() - self.margin, wu.guard)
+        self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
         wu.place()
         return wu
 
@@ -626,7 +623,6 @@
         for e, state in enumerate(self.state):
             if state is not State.READY:
                 continue
-            self.rate[e] *= max(0.0, 1.0 - self.sweep_ms / (8.0 * self.rest_ms))
             until = self.out_until[e]
             if until is None:
                 if self.standing(e):
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -193,12 +193,31 @@
 # Rule 4.
 
 
-def test_cold_executor_gets_no_burst(make, unit):
+def test_cold_executor_gets_only_this_nodes_part(make, unit):
     node = make(0.0, 0.0)
     node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 1.0, 900.0)])
-    node.tokens[0] = 0.1
-    node.spend(0, unit(node))
     assert 0 not in node.ready()
+    node.port.clock += 3000.0
+    assert 0 in node.ready()
+    node.tokens[0] = 0.5
+    unit(node).send(0)
+    assert 0 not in node.ready()
+
+
+def test_nodes_do_not_begin_on_a_cold_executor_at_once(make):
+    node = make(0.0)
+    for born in (910.0, 920.0, 930.0):
+        node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 1.0, born)])
+        assert -1.0 < node.tokens[0] <= 0.0
+
+
+def test_heavy_work_is_kept_from_a_cold_executor(make, unit):
+    node = make(0.0)
+    node.run[0] = 100.0 * node.mean_area
+    wu = unit(node)
+    assert wu.fits(0)
+    node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 1.0, 900.0)])
+    assert not wu.fits(0)
 
 
 # Health.
