--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -58,19 +58,15 @@
 
 @dataclass(frozen=True)
 class ProjectType:
-    """What the settings say of one project type."""
+    """What the settings say of one project type, as far as the module reads it."""
 
-    name: str
     promised_ms: float
     stretch: float
     limit_ms: float
-    credit: float
-    late_credit: float
     effect: Effect
     group: Group
     memory_ms: float
     kind: int
-    streaming: bool = False
 
 
 @dataclass(frozen=True)
@@ -88,11 +84,8 @@
     second_copies: bool
     may_advise: bool
     max_advice_ms: float
-    connect_ms: float
     asked_roster: bool
     must_ask_ms: float
-    drain_grace_ms: float
-    slack_ms: float
     tells_start: bool
     progress_ms: float
     cold_share: float
@@ -100,12 +93,6 @@
     fall_multiple: float
     fall_ms: float
     cross_price: float
-    probe_price: float
-    waste_price: float
-    late_price: float
-    nominal_sizes: bool
-    tenant_rates: tuple[float, ...] = ()
-    over_share: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -117,7 +104,6 @@
     kind: int
     zone: int
     cell: int
-    size: float
     born_ms: float | None
 
 
@@ -129,7 +115,6 @@
     queued: float | None = None
     free_slots: float | None = None
     free_memory: float | None = None
-    errors_per_s: float | None = None
 
 
 @dataclass(frozen=True)
@@ -141,9 +126,7 @@
     expires_ms: float
     slots: float = 1.0
     memory: float = 0.0
-    tenant: int = -1
     hint_ms: float | None = None
-    resent: bool = False
 
 
 @dataclass(slots=True)
@@ -152,7 +135,6 @@
 
     executor: int
     sent_ms: float
-    wait_ms: float
     sign_ms: float
     started_ms: float | None = None
     share: float = 0.0
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -186,7 +186,7 @@
         if not self.may_send() or not self.fits(e):
             self.give_up_unless_out()
             return
-        self.allocs.append(Alloc(e, now, node.wait(e, self.work), now))
+        self.allocs.append(Alloc(e, now, now))
         node.own[e].append((self, len(self.allocs) - 1))
         node.tokens[e] -= node.cost(self.work)
         node.port.send(self, e, self.work.expires_ms - now)
--- a/marlseam/simhost/instance.py
+++ b/marlseam/simhost/instance.py
@@ -17,8 +17,7 @@
         self.read_report = wire.report_reader(options.get("familyInfo", {}))
         self.zones = {zone: i for i, zone in enumerate(options.get("dcs", []))}
         self.kinds = {kind: i for i, kind in enumerate(options.get("kinds", []))}
-        self.types = {t.name: i for i, t in enumerate(self.settings.types)}
-        self.tenants = {t.get("name"): i for i, t in enumerate(options.get("tenants", []))}
+        self.types = {row["name"]: i for i, row in enumerate(options.get("requestClasses", []))}
         self.index: dict[str, int] = {}
         self.address: list[str] = []
         self.open: dict[str, Handle] = {}
@@ -125,9 +124,7 @@
             expires_ms=wire.ms(values, "expiresUs") or self.clock + limit,
             slots=wire.number(values, "needs", 1.0) or 1.0,
             memory=wire.number(values, "memNeeded", 0.0),
-            tenant=self.tenants.get(values["userGroup"], -1),
             hint_ms=wire.ms(values, "workHintUs"),
-            resent=values["resent"] == "1",
         )
         wu = self.node.take(work)
         if not wu.done:
@@ -149,6 +146,5 @@
             kind=self.kinds.get(values["familyType"], -1),
             zone=self.zones.get(values["dc"], -1),
             cell=int(wire.number(values, "cohort", -1)),
-            size=wire.number(values, "weight", 1.0),
             born_ms=wire.ms(values, "bornUs"),
         )
--- a/marlseam/simhost/wire.py
+++ b/marlseam/simhost/wire.py
@@ -115,7 +115,7 @@
 
 def report_reader(info: dict[str, Any]) -> Callable[[str | None], Report | None]:
     """Make the function that reads this deployment's load reports, unknown pairs passed by."""
-    names = {"outstanding": "held", "backlog": "queued", "errors_per_s": "errors_per_s"}
+    names = {"outstanding": "held", "backlog": "queued"}
     for extra in ("X0", "X1"):
         meaning = str(info.get("report" + extra) or "")
         if "slot" in meaning:
@@ -154,17 +154,13 @@
         stretch = stretches[i] if i < len(stretches) else row.get("aimStretch", 0.0)
         types.append(
             ProjectType(
-                name=row["name"],
                 promised_ms=to_ms(row, "aimUs", 0.0),
                 stretch=float(stretch or 0.0),
                 limit_ms=to_ms(row, "deadlineUs", 0.0),
-                credit=float(row.get("worth", 1.0)),
-                late_credit=float(row.get("lateWorth", 0.0)),
                 effect=EFFECTS[row.get("semantics", "unsafe")],
                 group=Group(row.get("dedupScope") or "cell"),
                 memory_ms=to_ms(row, "memorySpanUs", 0.0),
                 kind=int(class_kinds[i]) if i < len(class_kinds) else -1,
-                streaming=bool(row.get("streaming", False)),
             )
         )
     return Settings(
@@ -179,11 +175,8 @@
         second_copies=bool(limits.get("secondCopies", False)),
         may_advise=bool(limits.get("retryAfter", False)),
         max_advice_ms=to_ms(limits, "maxRetryAfterUs", 0.0),
-        connect_ms=to_ms(limits, "connectTimeoutUs", 250.0),
         asked_roster=options.get("registryMode") == "subscribe",
         must_ask_ms=to_ms(rules, "mustAskInUs", 10000.0),
-        drain_grace_ms=to_ms(rules, "stopSendingWithinUs", 0.0),
-        slack_ms=to_ms(rules, "answerSlackUs", 0.0),
         tells_start=bool(info.get("tellsStart", False)),
         progress_ms=to_ms(info, "progressUs", 0.0),
         cold_share=float(rules.get("startCapacity", 0.1)),
@@ -191,12 +184,6 @@
         fall_multiple=float(rules.get("fallMultiple", 1.0)),
         fall_ms=to_ms(rules, "tipAfterUs", 1000.0),
         cross_price=float(prices.get("crossZone", 0.0)),
-        probe_price=float(prices.get("probe", 0.0)),
-        waste_price=float(prices.get("waste", 0.0)),
-        late_price=float(prices.get("lateFail", 0.0)),
-        nominal_sizes=options.get("weights") in ("nominal", "rough"),
-        tenant_rates=tuple(float(t.get("allowancePerS", 0.0)) for t in options.get("tenants", [])),
-        over_share=float(options.get("overShareWorth", 1.0)),
     )
 
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,15 +18,15 @@
 )
 from marlseam.logic import Handle, Node
 
-RERUNNABLE = ProjectType("quick", 200.0, 2.0, 5000.0, 1.0, 0.5, Effect.RERUNNABLE, Group.ALL, 5000.0, -1)
-RECEIPTED = replace(RERUNNABLE, name="posted", effect=Effect.RECEIPTED, group=Group.CELL, memory_ms=3000.0)
-EXCLUSIVE = replace(RERUNNABLE, name="once", effect=Effect.EXCLUSIVE)
+RERUNNABLE = ProjectType(200.0, 2.0, 5000.0, Effect.RERUNNABLE, Group.ALL, 5000.0, -1)
+RECEIPTED = replace(RERUNNABLE, effect=Effect.RECEIPTED, group=Group.CELL, memory_ms=3000.0)
+EXCLUSIVE = replace(RERUNNABLE, effect=Effect.EXCLUSIVE)
 SETTINGS = Settings(
     types=(RERUNNABLE, RECEIPTED, EXCLUSIVE), kinds=1, zone=0, nodes=2, tick_ms=4.0, max_allocs=4,
     may_probe=True, may_cancel=True, second_copies=False, may_advise=True, max_advice_ms=2000.0,
-    connect_ms=250.0, asked_roster=True, must_ask_ms=10000.0, drain_grace_ms=500.0, slack_ms=16.0,
+    asked_roster=True, must_ask_ms=10000.0,
     tells_start=True, progress_ms=1000.0, cold_share=0.3, warm_ms=8000.0, fall_multiple=3.0, fall_ms=1000.0,
-    cross_price=0.02, probe_price=0.01, waste_price=0.04, late_price=0.04, nominal_sizes=False,
+    cross_price=0.02,
 )  # fmt: skip
 
 
@@ -76,9 +76,7 @@
     def build(*counts: float, cells: tuple[int, ...] = (), **changes: object) -> Node:
         node = Node(replace(SETTINGS, **changes), 7, RecordingPort())
         cells = cells or (0,) * len(counts)
-        node.roster(
-            Listing.FULL, [Member(e, State.READY, 0, 0, cells[e], 1.0, None) for e in range(len(counts))]
-        )
+        node.roster(Listing.FULL, [Member(e, State.READY, 0, 0, cells[e], None) for e in range(len(counts))])
         node.most_free[0] = 4.0
         for e, count in enumerate(counts):
             node.others[e], node.heard_ms[e] = count, node.port.clock
@@ -96,7 +94,7 @@
         now = node.port.now()
         wu = Handle(node, WorkUnit(f"w{type}", type, now + 5000.0, slots=slots))
         for executor, outcome in allocs:
-            wu.allocs.append(Alloc(executor, now, 0.0, now, outcome=outcome))
+            wu.allocs.append(Alloc(executor, now, now, outcome=outcome))
             if outcome is None:
                 node.own[executor].append((wu, len(wu.allocs) - 1))
         return wu
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -168,13 +168,13 @@
 @pytest.mark.parametrize("state", [State.DRAINING, State.GONE])
 def test_draining_or_gone_executor_gets_nothing(make, state):
     node = make(0.0, 0.0)
-    node.roster(Listing.DELTA, [Member(0, state, 0, 0, 0, 1.0, None)])
+    node.roster(Listing.DELTA, [Member(0, state, 0, 0, 0, None)])
     assert node.ready() == [1]
 
 
 def test_absent_from_a_full_list_means_gone(make):
     node = make(0.0, 0.0)
-    node.roster(Listing.FULL, [Member(1, State.READY, 0, 0, 0, 1.0, None)])
+    node.roster(Listing.FULL, [Member(1, State.READY, 0, 0, 0, None)])
     assert node.state[0] is State.GONE
 
 
@@ -186,7 +186,7 @@
 
 def test_new_start_time_voids_old_counts(make):
     node = make(3.0, 1.0)
-    node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 1.0, 900.0)])
+    node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 900.0)])
     assert node.others[0] is None
 
 
@@ -195,7 +195,7 @@
 
 def test_cold_executor_gets_only_this_nodes_part(make, unit):
     node = make(0.0, 0.0)
-    node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 1.0, 900.0)])
+    node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 900.0)])
     assert 0 not in node.ready()
     node.port.clock += 3000.0
     assert 0 in node.ready()
@@ -207,7 +207,7 @@
 def test_nodes_do_not_begin_on_a_cold_executor_at_once(make):
     node = make(0.0)
     for born in (910.0, 920.0, 930.0):
-        node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 1.0, born)])
+        node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, born)])
         assert -1.0 < node.tokens[0] <= 0.0
 
 
@@ -216,7 +216,7 @@
     node.run[0] = 100.0 * node.mean_area
     wu = unit(node)
     assert wu.fits(0)
-    node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 1.0, 900.0)])
+    node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 900.0)])
     assert not wu.fits(0)
 
 
