--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -110,12 +110,10 @@
         if not self.may_send():
             self.give_up_unless_out()
             return
-        ready = [e for e in self.node.ready() if self.fits(e) and self.in_time(e)]
-        if not ready:
+        self.home = self.node.draw(lambda e: self.fits(e) and self.in_time(e))
+        if self.home < 0:
             self.hold()
-            return
-        self.home = self.node.draw(ready)
-        if self.node.stale(self.home):
+        elif self.node.stale(self.home):
             self.ask([self.home], self.at_home)
         else:
             self.at_home()
@@ -123,32 +121,29 @@
     def at_home(self) -> None:
         """Home takes the work unit unless it is over its threshold; then others are probed."""
         node = self.node
-        if self.home not in node.ready():
+        if not node.usable(self.home):
             self.hold()
             return
-        others = [e for e in node.ready() if e != self.home and self.fits(e)]
         if self.in_time(self.home) and not node.over(self.home, self.work):
             self.send(self.home)
             return
-        if not others or not node.set.may_probe or self.waited:
-            # Guards against a probe storm: under overload all in line would probe at every sweep.
-            self.keep_home()
-            return
-        chosen = []
-        for _ in range(min(PROBES, len(others))):
-            e = node.draw(others)
-            others.remove(e)
+        chosen: list[int] = []
+        # Guards against a probe storm: under overload all in line would probe at every sweep.
+        while node.set.may_probe and not self.waited and len(chosen) < PROBES:
+            e = node.draw(lambda e: e != self.home and e not in chosen and self.fits(e))
+            if e < 0:
+                break
             chosen.append(e)
-        self.ask(chosen, self.choose)
+        if chosen:
+            self.ask(chosen, self.choose)
+        else:
+            self.keep_home()
 
     def choose(self) -> None:
         """Pass the work unit to a random one of those under threshold; else home keeps it."""
         node = self.node
-        ready = node.ready()
-        good = [
-            e for e in self.asked if e in ready and not node.passed[e] and node.heard_ms[e] >= self.round_ms
-        ]
-        good = [e for e in good if self.in_time(e) and not node.over(e, self.work, 1.0)]
+        good = [e for e in self.asked if not node.passed[e] and node.heard_ms[e] >= self.round_ms]
+        good = [e for e in good if node.usable(e) and self.in_time(e) and not node.over(e, self.work, 1.0)]
         if good:
             to = good[int(node.chance() * len(good))]
             node.passed[to] = True
@@ -158,7 +153,7 @@
 
     def keep_home(self) -> None:
         """Home keeps the work unit, unless it would be late there: then it waits in line."""
-        if self.home in self.node.ready() and self.in_time(self.home):
+        if self.node.usable(self.home) and self.in_time(self.home):
             self.send(self.home)
         else:
             self.hold()
@@ -187,7 +182,7 @@
             self.give_up_unless_out()
             return
         self.allocs.append(Alloc(e, now, now))
-        node.own[e].append((self, len(self.allocs) - 1))
+        node.hold(e, self, len(self.allocs) - 1)
         node.tokens[e] -= node.cost(self.work)
         node.port.send(self, e, self.work.expires_ms - now)
 
@@ -196,6 +191,7 @@
         if not self.lined:
             self.lined = self.waited = True
             self.node.lines[bool(self.allocs)].append(self)
+            self.node.wake()
 
     def again(self) -> None:
         """Seek a further allocation, or give up when none is allowed."""
@@ -256,7 +252,7 @@
         """Take in how an allocation ended."""
         a, node = self.allocs[alloc], self.node
         a.outcome = outcome
-        node.own[a.executor].remove((self, alloc))
+        node.release(a.executor, self, alloc)
         node.ended(self, a, report)
         if final or self.done:
             self.done = True
@@ -279,12 +275,15 @@
         self.fresh_ms, self.sweep_ms, self.rest_ms = FRESH * urgent, SWEEP * urgent, REST * shortest
         self.queue_ms = QUEUE * urgent
         self.margin = 2.0 * settings.tick_ms
-        # By project type: mean run, how many were seen. By kind: pace (run over mean), most free slots.
+        # By project type: mean run, how many were seen. By kind: pace (run over mean), most free slots, and
+        # the sums over its healthy ready executors that the threshold is made of.
         self.run = [FIRST_GUESS * t.promised_ms for t in self.types]
         self.seen = [2.0] * len(self.types)
         self.mean_area = sum(self.run) / max(1, len(self.run))  # run times slots, over all types
         self.kind_pace = [1.0] * (settings.kinds + 1)
         self.most_free = [0.0] * (settings.kinds + 1)
+        self.members, self.known = [0] * (settings.kinds + 1), [0] * (settings.kinds + 1)
+        self.others_sum, self.ours_sum = [0.0] * (settings.kinds + 1), [0.0] * (settings.kinds + 1)
         # By executor.
         self.state: list[State] = []
         self.kind: list[int] = []
@@ -301,6 +300,7 @@
         self.full: list[bool] = []
         self.passed: list[bool] = []
         self.own: list[list[tuple[Handle, int]]] = []
+        self.ours: list[float] = []  # slots that our work takes there
         self.evidence: list[float] = []
         self.out_until: list[float | None] = []
         self.rest: list[float] = []
@@ -310,9 +310,13 @@
         self.doubt = 0.0  # share of reports that were older than what this node knew
         self.pumped_ms, self.tells_queue = 0.0, False
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
+        self.watched: dict[int, None] = {}  # executors that have work of ours or rest
+        self.near: list[int] = []
+        self.far: list[int] = []
         self.subscribed = not settings.asked_roster
         self.next_ask = 0.0
         self.backoff = 0.0
+        self.awake = False
         self.sweep()
 
     def chance(self) -> float:
@@ -329,21 +333,28 @@
             self.subscribed = not self.set.asked_roster
             self.backoff = min(2.0 * self.backoff or 0.02 * self.set.must_ask_ms, 0.2 * self.set.must_ask_ms)
             self.next_ask = now + self.backoff * (0.5 + self.chance())
+            self.wake()
             return
         if listing is not Listing.CACHED:
             self.subscribed, self.backoff = True, 0.0
         if listing is not Listing.DELTA:
             for e in set(range(len(self.state))) - {m.executor for m in members}:
+                self.tally(e, -1)
                 self.state[e] = State.GONE
         for m in members:
             while m.executor >= len(self.state):
                 self.add()
             e = m.executor
+            self.tally(e, -1)
             self.state[e], self.kind[e], self.zone[e], self.cell[e] = m.state, m.kind, m.zone, m.cell
+            self.tally(e, 1)
             if m.born_ms is not None and m.born_ms != self.born[e]:
                 self.reborn(e, m.born_ms)
-        for e, state in enumerate(self.state):
-            if state is State.GONE:
+        listed = [e for e, state in enumerate(self.state) if state is State.READY]
+        self.near = [e for e in listed if self.zone[e] == self.set.zone]
+        self.far = [e for e in listed if self.zone[e] != self.set.zone]
+        for e in list(self.watched):
+            if self.state[e] is State.GONE:
                 self.rescue(e)
         self.pump()
 
@@ -354,7 +365,7 @@
             (self.others, None), (self.heard_ms, -1e18), (self.sign_ms, -1e18), (self.room, 0.0),
             (self.free_memory, None), (self.asked_ms, None), (self.full, False), (self.passed, False),
             (self.evidence, 0.0), (self.out_until, None), (self.rest, self.rest_ms), (self.silent, False),
-            (self.tokens, 0.0), (self.token_ms, 0.0),
+            (self.tokens, 0.0), (self.token_ms, 0.0), (self.ours, 0.0),
         ):  # fmt: skip
             array.append(value)
         self.waiters.append([])
@@ -363,9 +374,11 @@
     def reborn(self, e: int, born: float) -> None:
         """Start afresh with an executor whose process has: it is cold and its old counts are void."""
         now = self.port.now()
+        self.tally(e, -1)
         self.born[e], self.others[e], self.heard_ms[e] = born, None, -1e18
         self.full[e] = self.passed[e] = self.silent[e] = False
         self.evidence[e], self.out_until[e], self.rest[e] = 0.0, None, self.rest_ms
+        self.tally(e, 1)
         self.tokens[e], self.token_ms[e] = -self.chance(), now  # so that the nodes do not all begin at once
         self.rescue(e, born)
 
@@ -375,17 +388,40 @@
         """Return how many slots an executor seems to have; 0 where nothing tells."""
         return self.most_free[self.kind[e]]
 
+    def tally(self, e: int, sign: int) -> None:
+        """Take an executor out of its kind's sums before a change of its figures, and put it back after."""
+        if self.state[e] is State.READY and self.out_until[e] is None:
+            kind, others = self.kind[e], self.others[e]
+            self.members[kind] += sign
+            self.ours_sum[kind] += sign * self.ours[e]
+            if others is not None:
+                self.known[kind] += sign
+                self.others_sum[kind] += sign * others
+
+    def hold(self, e: int, wu: Handle, alloc: int) -> None:
+        """Note that an executor has an allocation of ours; a wide work unit counts for each of its slots."""
+        self.tally(e, -1)
+        self.own[e].append((wu, alloc))
+        self.ours[e] += wu.work.slots
+        self.tally(e, 1)
+        self.watched[e] = None
+        self.wake()
+
+    def release(self, e: int, wu: Handle, alloc: int) -> None:
+        """Note that an allocation of ours has ended."""
+        self.tally(e, -1)
+        self.own[e].remove((wu, alloc))
+        self.ours[e] -= wu.work.slots
+        self.tally(e, 1)
+
     def count(self, e: int) -> float:
         """Return an executor's count: what the others had there at its last report, and what is ours now."""
         others = self.others[e]
-        if others is None:
-            known = [o for x, o in enumerate(self.others) if o is not None and self.state[x] is State.READY]
-            others = sum(known) / len(known) if known else 0.0
-        return max(0.0, others) + self.ours(e)
+        return (self.unheard() if others is None else others) + self.ours[e]
 
-    def ours(self, e: int) -> float:
-        """Return what an executor has of ours; a wide work unit counts for each of its slots."""
-        return sum(wu.work.slots for wu, _ in self.own[e])
+    def unheard(self) -> float:
+        """Return what the others are taken to have on an executor never heard from: their mean elsewhere."""
+        return sum(self.others_sum) / (sum(self.known) or 1)
 
     def over(self, e: int, work: Work, more: float = 0.0) -> bool:
         """Return whether an executor is past its kind's threshold plus one, or cannot hold the work unit."""
@@ -396,8 +432,10 @@
 
     def threshold(self, kind: int) -> float:
         """Return the mean count of a kind's ready executors, rounded up."""
-        counts = [self.count(e) for e in self.ready() if self.kind[e] == kind]
-        return ceil(sum(counts) / len(counts)) if counts else 0.0
+        members = self.members[kind]
+        guess = (members - self.known[kind]) * self.unheard()
+        total = self.others_sum[kind] + self.ours_sum[kind] + guess
+        return ceil(total / members - 1e-6) if members else 0.0  # running sums drift in the last digits
 
     def wait(self, e: int, work: Work) -> float:
         """Return how long a work unit sent now should wait before it starts."""
@@ -405,36 +443,40 @@
         served = slots / (self.mean_area * self.pace_of(e))
         ahead = inf if self.full[e] else self.count(e)
         if self.stale(e):  # only a probe can tell
-            ahead = self.ours(e)
+            ahead = self.ours[e]
         return max(0.0, ahead + work.slots - slots) / served
 
     def pace_of(self, e: int) -> float:
         """Return how long an executor takes over a work unit, against the mean of all."""
         return self.kind_pace[self.kind[e]]
 
-    def ready(self) -> list[int]:
-        """Return the executors that may get work now."""
-        return [e for e, state in enumerate(self.state) if state is State.READY and self.usable(e)]
-
     def usable(self, e: int) -> bool:
-        """Return whether a listed executor is in health, answers its probes and is warm enough."""
+        """Return whether an executor is listed as ready, in health, answers its probes and is warm enough."""
         now, asked, until = self.port.now(), self.asked_ms[e], self.out_until[e]
+        if self.state[e] is not State.READY:
+            return False
         if asked is not None and now - asked > self.ask_ms:
             return False  # a probe overdue: a cut link, a machine gone silent, a long pause
         if until is not None and (self.silent[e] or now < until or self.own[e]):
             return False  # a sick one rests, then gets one work unit at a time on trial
         return self.warm(e)
 
-    def draw(self, executors: list[int]) -> int:
-        """Draw an executor at random, one of the own zone more often by the price of crossing."""
-        near = 1.0 + CROSSING * self.set.cross_price
-        weights = [(near if self.zone[e] == self.set.zone else 1.0) for e in executors]
-        at = self.chance() * sum(weights)
-        for e, weight in zip(executors, weights, strict=True):
-            at -= weight
-            if at < 0.0:
+    def draw(self, test: Callable[[int], bool]) -> int:
+        """Draw a usable executor that passes a test; one of the own zone more often by the price of crossing.
+
+        Draws without putting back, so that a draw costs little where most pass; -1 where none does.
+        """
+        weight = 1.0 + CROSSING * self.set.cross_price
+        near, far = list(self.near), list(self.far)
+        while near or far:
+            at = self.chance() * (weight * len(near) + len(far))
+            pool, i = (near, at / weight) if at < weight * len(near) else (far, at - weight * len(near))
+            i = min(int(i), len(pool) - 1)
+            e, pool[i] = pool[i], pool[-1]
+            pool.pop()
+            if self.usable(e) and test(e):
                 return e
-        return executors[-1]
+        return -1
 
     # Probes.
 
@@ -491,7 +533,13 @@
                 self.doubt += (float(held < 0.8 * known - 0.5) - self.doubt) / 10.0
             old = self.others[e]
             gain = 1.0 / (1.0 + DOUBT * self.doubt) if old is not None else 1.0
-            self.others[e] = (old or 0.0) + gain * (held - mine - (old or 0.0))
+            self.hear(e, max(0.0, (old or 0.0) + gain * (held - mine - (old or 0.0))))
+
+    def hear(self, e: int, others: float | None) -> None:
+        """Note what the others have at an executor."""
+        self.tally(e, -1)
+        self.others[e] = others
+        self.tally(e, 1)
 
     # Health.
 
@@ -510,6 +558,7 @@
             self.testify(e, log((1.0 - SICK_ERROR) / (1.0 - WELL_ERROR)))
             if self.evidence[e] <= 0.0 and self.out_until[e] is not None:
                 self.out_until[e], self.rest[e] = None, self.rest_ms
+                self.tally(e, 1)
         elif outcome in (Outcome.ERROR, Outcome.BROKEN):
             self.testify(e, log(SICK_ERROR / WELL_ERROR))
 
@@ -554,7 +603,10 @@
         if self.out_until[e] is None or now >= self.out_until[e]:
             held = len(self.own[e])
             self.port.log(f"executor {e} rests {self.rest[e]:.0f} ms: {why}, holds {held} of ours")
+            self.tally(e, -1)
             self.out_until[e] = now + self.rest[e]
+            self.watched[e] = None
+            self.wake()
             self.rest[e] = min(2.0 * self.rest[e], 8.0 * self.rest_ms)
             self.evidence[e] = TRIP / 2.0
         self.rescue(e)
@@ -573,7 +625,7 @@
                 continue
             if self.set.second_copies:
                 wu.again()
-            elif self.set.may_cancel and any(x != e and wu.fits(x) for x in self.ready()):
+            elif self.set.may_cancel and self.draw(lambda x, e=e, wu=wu: x != e and wu.fits(x)) >= 0:
                 a.cancelled = True
                 self.port.cancel(wu, i)
 
@@ -614,17 +666,25 @@
         """Return when a deferred client should come back."""
         return min(self.rest_ms, self.set.max_advice_ms) if self.set.may_advise else 0.0
 
+    def wake(self) -> None:
+        """See to it that what stands is looked at; a node with nothing standing sleeps."""
+        if not self.awake:
+            self.awake = True
+            self.port.after(self.sweep_ms, self.sweep)
+
     def sweep(self) -> None:
-        """Look at what stands: the roster's call, sick executors, lines."""
-        now = self.port.now()
+        """Look at what stands: the roster's call, executors with work of ours and sick ones, lines."""
+        now, self.awake = self.port.now(), False
         if not self.subscribed and now >= self.next_ask:
             self.next_ask = now + 0.4 * self.set.must_ask_ms
             self.port.subscribe()
-        for e, state in enumerate(self.state):
-            if state is not State.READY:
-                continue
+        for e in list(self.watched):
             until = self.out_until[e]
-            if until is None:
+            if until is None and not self.own[e]:
+                del self.watched[e]
+            elif self.state[e] is not State.READY:
+                continue
+            elif until is None:
                 if self.standing(e):
                     self.suspend(e, "work stands")
             elif now >= until and self.silent[e] and self.set.may_probe:
@@ -633,7 +693,8 @@
             elif now >= until and self.standing(e):
                 self.suspend(e, "trial stands")
         self.pump()
-        self.port.after(self.sweep_ms, self.sweep)
+        if self.watched or any(self.lines) or not self.subscribed:
+            self.wake()
 
     def pump(self) -> None:
         """Serve the lines: first allocations, then further ones; give up what has waited too long."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -73,13 +73,14 @@
 def make() -> Callable[..., Node]:
     """Return a maker of nodes whose executors 0..n-1 are ready and have just reported these counts."""
 
-    def build(*counts: float, cells: tuple[int, ...] = (), **changes: object) -> Node:
+    def build(*counts: float | None, cells: tuple[int, ...] = (), **changes: object) -> Node:
         node = Node(replace(SETTINGS, **changes), 7, RecordingPort())
         cells = cells or (0,) * len(counts)
         node.roster(Listing.FULL, [Member(e, State.READY, 0, 0, cells[e], None) for e in range(len(counts))])
         node.most_free[0] = 4.0
         for e, count in enumerate(counts):
-            node.others[e], node.heard_ms[e] = count, node.port.clock
+            node.hear(e, count)
+            node.heard_ms[e] = node.port.clock
         node.port.acts.clear()
         return node
 
@@ -96,7 +97,7 @@
         for executor, outcome in allocs:
             wu.allocs.append(Alloc(executor, now, now, outcome=outcome))
             if outcome is None:
-                node.own[executor].append((wu, len(wu.allocs) - 1))
+                node.hold(executor, wu, len(wu.allocs) - 1)
         return wu
 
     return build
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -8,14 +8,17 @@
 NEVER = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
 
 
+def ready(node):
+    return [e for e in range(len(node.state)) if node.usable(e)]
+
+
 # The ordinary path.
 
 
 def test_home_takes_work_at_threshold_plus_one(make, unit):
-    node = make(1.0, 1.0)
+    node = make(2.0, 1.0)  # mean 1.5, threshold 2
     wu = unit(node)
     wu.home = 0
-    node.others[0] = 2.0  # mean 1.5, threshold 2
     wu.at_home()
     assert node.port.did("send") == [("send", "w0", 0)]
 
@@ -68,8 +71,7 @@
 
 
 def test_executor_never_heard_from_takes_the_others_mean(make):
-    node = make(2.0, 4.0, 0.0)
-    node.others[2] = None
+    node = make(2.0, 4.0, None)
     assert node.count(2) == 3.0
 
 
@@ -169,7 +171,7 @@
 def test_draining_or_gone_executor_gets_nothing(make, state):
     node = make(0.0, 0.0)
     node.roster(Listing.DELTA, [Member(0, state, 0, 0, 0, None)])
-    assert node.ready() == [1]
+    assert ready(node) == [1]
 
 
 def test_absent_from_a_full_list_means_gone(make):
@@ -196,12 +198,12 @@
 def test_cold_executor_gets_only_this_nodes_part(make, unit):
     node = make(0.0, 0.0)
     node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, 900.0)])
-    assert 0 not in node.ready()
+    assert 0 not in ready(node)
     node.port.clock += 3000.0
-    assert 0 in node.ready()
+    assert 0 in ready(node)
     node.tokens[0] = 0.5
     unit(node).send(0)
-    assert 0 not in node.ready()
+    assert 0 not in ready(node)
 
 
 def test_nodes_do_not_begin_on_a_cold_executor_at_once(make):
@@ -227,32 +229,32 @@
     node = make(0.0, 0.0)
     for _ in range(2):
         unit(node, allocs=((0, None),)).settled(0, Outcome.ERROR, False, None)
-    assert 0 not in node.ready()
+    assert 0 not in ready(node)
 
 
 def test_sick_executor_is_tried_again_with_one_work_unit(make, unit):
     node = make(0.0)
     node.suspend(0, "test")
     node.port.clock = node.out_until[0]
-    assert node.ready() == [0]
+    assert ready(node) == [0]
     unit(node, allocs=((0, None),))
-    assert node.ready() == []
+    assert ready(node) == []
 
 
 def test_silent_executor_waits_for_an_answered_probe(make):
     node = make(0.0)
     node.probed(0, Outcome.TIMED_OUT, 400.0, None)
     node.port.clock += 60000.0
-    assert node.ready() == []
+    assert ready(node) == []
     node.probed(0, Outcome.COMPLETED, 1.0, Report(held=0.0))
-    assert node.ready() == [0]
+    assert ready(node) == [0]
 
 
 def test_overdue_probe_takes_an_executor_out(make):
     node = make(0.0)
     node.ask(0)
     node.port.clock += 2.0 * node.ask_ms
-    assert node.ready() == []
+    assert ready(node) == []
 
 
 def test_started_work_without_progress_stands(make, unit):
@@ -324,7 +326,26 @@
 
 
 def test_own_zone_is_drawn_more_often(make):
-    node = make(0.0, 0.0, cross_price=0.1)
-    node.zone[1] = 1
-    drawn = [node.draw([0, 1]) for _ in range(200)]
-    assert drawn.count(1) < 30
+    node = make(0.0, cross_price=0.1)
+    node.roster(Listing.DELTA, [Member(1, State.READY, 0, 1, 0, None)])
+    drawn = [node.draw(lambda e: True) for _ in range(200)]
+    assert 0 < drawn.count(1) < 30
+
+
+# Size.
+
+
+def test_sums_of_a_kind_follow_every_change(make, unit):
+    node = make(2.0, 4.0, None)
+    wu = unit(node, allocs=((0, None), (1, None)))
+    wu.settled(1, Outcome.COMPLETED, False, None)
+    node.roster(Listing.DELTA, [Member(1, State.GONE, 0, 0, 0, None)])
+    node.suspend(2, "test")
+    assert node.threshold(0) == 3 and (node.members[0], node.others_sum[0], node.ours_sum[0]) == (1, 2.0, 1.0)
+
+
+def test_node_with_nothing_standing_sleeps(make):
+    node = make(0.0, asked_roster=False)
+    for _, timer in list(node.port.timers):
+        timer()
+    assert len(node.port.timers) == 1 and not node.awake
