A silent executor is asked by whoever draws it; figures and running sums in a file of their own

Cause: hundreds of nodes each renewed their probes of every silent executor twice a second. Now it rests longer at each failed probe and is asked when it is drawn as a home; an answer ends its rest. Counts are clamped at zero when read and not when stored: stored, late reports raised them on average.

--- /dev/null
+++ b/marlseam/figures.py
@@ -0,0 +1,78 @@
+"""What a node has on record of each executor: parallel arrays, and sums by kind. Nothing is decided here."""
+
+from collections.abc import Callable
+from typing import Any
+
+from marlseam.interface import State
+
+
+class Figures:
+    """Parallel arrays under a dense index, and what the threshold is made of, kept as it changes."""
+
+    def __init__(self, kinds: int, rest_ms: float) -> None:
+        self.rest_ms = rest_ms
+        # As listed.
+        self.state: list[State] = []
+        self.kind: list[int] = []
+        self.zone: list[int] = []
+        self.cell: list[int] = []
+        self.born: list[float | None] = []
+        # As heard: what the others have there, free slots and memory, when; the probe that is out.
+        self.others: list[float | None] = []
+        self.room: list[float] = []
+        self.free_memory: list[float | None] = []
+        self.heard_ms: list[float] = []
+        self.sign_ms: list[float] = []
+        self.asked_ms: list[float | None] = []
+        self.waiters: list[list[Callable[[int | None], None]]] = []
+        self.full: list[bool] = []
+        self.passed: list[bool] = []
+        # Our own: allocations (handle and number), the slots that they take.
+        self.own: list[list[tuple[Any, int]]] = []
+        self.ours: list[float] = []
+        # Health, and the cold executor's budget.
+        self.evidence: list[float] = []
+        self.out_until: list[float | None] = []
+        self.rest: list[float] = []
+        self.silent: list[bool] = []
+        self.tokens: list[float] = []
+        self.token_ms: list[float] = []
+        # By kind, over healthy ready executors: how many, how many heard from, sums of both parts of a count.
+        self.members, self.known = [0] * (kinds + 1), [0] * (kinds + 1)
+        self.others_sum, self.ours_sum = [0.0] * (kinds + 1), [0.0] * (kinds + 1)
+
+    def add(self) -> None:
+        """Make room for one more executor."""
+        for array, value in (
+            (self.state, State.GONE), (self.kind, -1), (self.zone, -1), (self.cell, -1), (self.born, None),
+            (self.others, None), (self.heard_ms, -1e18), (self.sign_ms, -1e18), (self.room, 0.0),
+            (self.free_memory, None), (self.asked_ms, None), (self.full, False), (self.passed, False),
+            (self.evidence, 0.0), (self.out_until, None), (self.rest, self.rest_ms), (self.silent, False),
+            (self.tokens, 0.0), (self.token_ms, 0.0), (self.ours, 0.0),
+        ):  # fmt: skip
+            array.append(value)
+        self.waiters.append([])
+        self.own.append([])
+
+    def tally(self, e: int, sign: int) -> None:
+        """Take an executor out of its kind's sums before a change of its figures, and put it back after."""
+        if self.state[e] is State.READY and self.out_until[e] is None:
+            kind, others = self.kind[e], self.others[e]
+            self.members[kind] += sign
+            self.ours_sum[kind] += sign * self.ours[e]
+            if others is not None:
+                self.known[kind] += sign
+                self.others_sum[kind] += sign * max(0.0, others)
+
+    def hear(self, e: int, others: float | None) -> None:
+        """Note what the others have at an executor."""
+        self.tally(e, -1)
+        self.others[e] = others
+        self.tally(e, 1)
+
+    def hold(self, e: int, wu: Any, alloc: int, slots: float) -> None:  # noqa: ANN401
+        """Note an allocation of ours at an executor, or with slots below zero that it has ended."""
+        self.tally(e, -1)
+        (self.own[e].append if slots > 0.0 else self.own[e].remove)((wu, alloc))
+        self.ours[e] += slots
+        self.tally(e, 1)
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from math import ceil, inf, log
 
+from marlseam.figures import Figures
 from marlseam.interface import Alloc, Effect, Group, Listing, Member, Outcome, Port, Report, Settings, State
 from marlseam.interface import WorkUnit as Work
 
@@ -182,7 +183,8 @@
             self.give_up_unless_out()
             return
         self.allocs.append(Alloc(e, now, now))
-        node.hold(e, self, len(self.allocs) - 1)
+        node.hold(e, self, len(self.allocs) - 1, self.work.slots)
+        node.watch(e)
         node.tokens[e] -= node.cost(self.work)
         node.port.send(self, e, self.work.expires_ms - now)
 
@@ -252,7 +254,7 @@
         """Take in how an allocation ended."""
         a, node = self.allocs[alloc], self.node
         a.outcome = outcome
-        node.release(a.executor, self, alloc)
+        node.hold(a.executor, self, alloc, -self.work.slots)
         node.ended(self, a, report)
         if final or self.done:
             self.done = True
@@ -263,59 +265,30 @@
             node.pump()
 
 
-class Node:
+class Node(Figures):
     """One dispatcher: executors in parallel arrays, what its own traffic has taught it, and its lines."""
 
     def __init__(self, settings: Settings, seed: int, port: Port) -> None:
+        super().__init__(settings.kinds, REST * min((t.limit_ms for t in settings.types), default=1000.0))
         self.set, self.seed, self.port, self.types = settings, seed, port, settings.types
         self.draws = 0
         urgent = min((t.promised_ms for t in self.types), default=100.0)
-        shortest = min((t.limit_ms for t in self.types), default=1000.0)
         self.ask_ms = max(ASK * urgent, 4.0 * settings.tick_ms)
-        self.fresh_ms, self.sweep_ms, self.rest_ms = FRESH * urgent, SWEEP * urgent, REST * shortest
+        self.fresh_ms, self.sweep_ms = FRESH * urgent, SWEEP * urgent
         self.queue_ms = QUEUE * urgent
         self.margin = 2.0 * settings.tick_ms
-        # By project type: mean run, how many were seen. By kind: pace (run over mean), most free slots, and
-        # the sums over its healthy ready executors that the threshold is made of.
+        # By project type: mean run, how many were seen. By kind: pace (run over mean), most free slots.
         self.run = [FIRST_GUESS * t.promised_ms for t in self.types]
         self.seen = [2.0] * len(self.types)
         self.mean_area = sum(self.run) / max(1, len(self.run))  # run times slots, over all types
         self.kind_pace = [1.0] * (settings.kinds + 1)
         self.most_free = [0.0] * (settings.kinds + 1)
-        self.members, self.known = [0] * (settings.kinds + 1), [0] * (settings.kinds + 1)
-        self.others_sum, self.ours_sum = [0.0] * (settings.kinds + 1), [0.0] * (settings.kinds + 1)
-        # By executor.
-        self.state: list[State] = []
-        self.kind: list[int] = []
-        self.zone: list[int] = []
-        self.cell: list[int] = []
-        self.born: list[float | None] = []
-        self.others: list[float | None] = []
-        self.heard_ms: list[float] = []
-        self.sign_ms: list[float] = []
-        self.room: list[float] = []
-        self.free_memory: list[float | None] = []
-        self.asked_ms: list[float | None] = []
-        self.waiters: list[list[Callable[[int | None], None]]] = []
-        self.full: list[bool] = []
-        self.passed: list[bool] = []
-        self.own: list[list[tuple[Handle, int]]] = []
-        self.ours: list[float] = []  # slots that our work takes there
-        self.evidence: list[float] = []
-        self.out_until: list[float | None] = []
-        self.rest: list[float] = []
-        self.silent: list[bool] = []
-        self.tokens: list[float] = []
-        self.token_ms: list[float] = []
         self.doubt = 0.0  # share of reports that were older than what this node knew
         self.pumped_ms, self.tells_queue = 0.0, False
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
         self.watched: dict[int, None] = {}  # executors that have work of ours or rest
-        self.near: list[int] = []
-        self.far: list[int] = []
-        self.subscribed = not settings.asked_roster
-        self.next_ask = 0.0
-        self.backoff = 0.0
+        self.near, self.far = [], []  # those listed as ready, in the own zone and elsewhere
+        self.subscribed, self.next_ask, self.backoff = not settings.asked_roster, 0.0, 0.0
         self.awake = False
         self.sweep()
 
@@ -358,19 +331,6 @@
                 self.rescue(e)
         self.pump()
 
-    def add(self) -> None:
-        """Make room for one more executor."""
-        for array, value in (
-            (self.state, State.GONE), (self.kind, -1), (self.zone, -1), (self.cell, -1), (self.born, None),
-            (self.others, None), (self.heard_ms, -1e18), (self.sign_ms, -1e18), (self.room, 0.0),
-            (self.free_memory, None), (self.asked_ms, None), (self.full, False), (self.passed, False),
-            (self.evidence, 0.0), (self.out_until, None), (self.rest, self.rest_ms), (self.silent, False),
-            (self.tokens, 0.0), (self.token_ms, 0.0), (self.ours, 0.0),
-        ):  # fmt: skip
-            array.append(value)
-        self.waiters.append([])
-        self.own.append([])
-
     def reborn(self, e: int, born: float) -> None:
         """Start afresh with an executor whose process has: it is cold and its old counts are void."""
         now = self.port.now()
@@ -388,36 +348,15 @@
         """Return how many slots an executor seems to have; 0 where nothing tells."""
         return self.most_free[self.kind[e]]
 
-    def tally(self, e: int, sign: int) -> None:
-        """Take an executor out of its kind's sums before a change of its figures, and put it back after."""
-        if self.state[e] is State.READY and self.out_until[e] is None:
-            kind, others = self.kind[e], self.others[e]
-            self.members[kind] += sign
-            self.ours_sum[kind] += sign * self.ours[e]
-            if others is not None:
-                self.known[kind] += sign
-                self.others_sum[kind] += sign * others
-
-    def hold(self, e: int, wu: Handle, alloc: int) -> None:
-        """Note that an executor has an allocation of ours; a wide work unit counts for each of its slots."""
-        self.tally(e, -1)
-        self.own[e].append((wu, alloc))
-        self.ours[e] += wu.work.slots
-        self.tally(e, 1)
+    def watch(self, e: int) -> None:
+        """See to it that an executor that has work of ours or rests is looked at."""
         self.watched[e] = None
         self.wake()
 
-    def release(self, e: int, wu: Handle, alloc: int) -> None:
-        """Note that an allocation of ours has ended."""
-        self.tally(e, -1)
-        self.own[e].remove((wu, alloc))
-        self.ours[e] -= wu.work.slots
-        self.tally(e, 1)
-
     def count(self, e: int) -> float:
         """Return an executor's count: what the others had there at its last report, and what is ours now."""
         others = self.others[e]
-        return (self.unheard() if others is None else others) + self.ours[e]
+        return (self.unheard() if others is None else max(0.0, others)) + self.ours[e]
 
     def unheard(self) -> float:
         """Return what the others are taken to have on an executor never heard from: their mean elsewhere."""
@@ -457,7 +396,7 @@
             return False
         if asked is not None and now - asked > self.ask_ms:
             return False  # a probe overdue: a cut link, a machine gone silent, a long pause
-        if until is not None and (self.silent[e] or now < until or self.own[e]):
+        if until is not None and (now < until or (self.own[e] and not self.silent[e])):
             return False  # a sick one rests, then gets one work unit at a time on trial
         return self.warm(e)
 
@@ -481,9 +420,13 @@
     # Probes.
 
     def stale(self, e: int) -> bool:
-        """Return whether home must be asked before its count is believed."""
+        """Return whether home must be asked before its count is believed.
+
+        A silent one is asked when it is drawn, by whoever draws it: hundreds of nodes that each renewed their
+        probes of the silent in their own time once paid more for these than for all others.
+        """
         age = self.port.now() - self.heard_ms[e]
-        return self.set.may_probe and age > self.fresh_ms * (1.0 + DOUBT * self.doubt)
+        return self.set.may_probe and (self.silent[e] or age > self.fresh_ms * (1.0 + DOUBT * self.doubt))
 
     def ask(self, e: int, then: Callable[[int | None], None] | None = None) -> None:
         """Probe an executor, or share the probe that is out."""
@@ -497,7 +440,10 @@
         """Take in a probe's answer."""
         self.asked_ms[e] = None
         if outcome is Outcome.COMPLETED:
-            self.heard_ms[e], self.silent[e] = self.port.now(), False
+            self.heard_ms[e] = self.port.now()
+            if self.silent[e]:
+                self.silent[e] = False
+                self.recover(e)
             if report is not None:
                 self.take_report(e, report, self.port.now() - lag_ms)
         elif outcome in (Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.BROKEN):
@@ -533,13 +479,7 @@
                 self.doubt += (float(held < 0.8 * known - 0.5) - self.doubt) / 10.0
             old = self.others[e]
             gain = 1.0 / (1.0 + DOUBT * self.doubt) if old is not None else 1.0
-            self.hear(e, max(0.0, (old or 0.0) + gain * (held - mine - (old or 0.0))))
-
-    def hear(self, e: int, others: float | None) -> None:
-        """Note what the others have at an executor."""
-        self.tally(e, -1)
-        self.others[e] = others
-        self.tally(e, 1)
+            self.hear(e, (old or 0.0) + gain * (held - mine - (old or 0.0)))
 
     # Health.
 
@@ -557,8 +497,7 @@
                 self.learn(wu.work, e, now - a.started_ms)
             self.testify(e, log((1.0 - SICK_ERROR) / (1.0 - WELL_ERROR)))
             if self.evidence[e] <= 0.0 and self.out_until[e] is not None:
-                self.out_until[e], self.rest[e] = None, self.rest_ms
-                self.tally(e, 1)
+                self.recover(e)
         elif outcome in (Outcome.ERROR, Outcome.BROKEN):
             self.testify(e, log(SICK_ERROR / WELL_ERROR))
 
@@ -605,12 +544,17 @@
             self.port.log(f"executor {e} rests {self.rest[e]:.0f} ms: {why}, holds {held} of ours")
             self.tally(e, -1)
             self.out_until[e] = now + self.rest[e]
-            self.watched[e] = None
-            self.wake()
+            self.watch(e)
             self.rest[e] = min(2.0 * self.rest[e], 8.0 * self.rest_ms)
             self.evidence[e] = TRIP / 2.0
         self.rescue(e)
 
+    def recover(self, e: int) -> None:
+        """End an executor's rest."""
+        self.tally(e, -1)
+        self.out_until[e], self.rest[e] = None, self.rest_ms
+        self.tally(e, 1)
+
     def rescue(self, e: int, born: float | None = None) -> None:
         """Seek another place for what an executor seems to have lost, as the rules allow."""
         now = self.port.now()
@@ -687,9 +631,6 @@
             elif until is None:
                 if self.standing(e):
                     self.suspend(e, "work stands")
-            elif now >= until and self.silent[e] and self.set.may_probe:
-                self.out_until[e] = now + self.rest_ms
-                self.ask(e)
             elif now >= until and self.standing(e):
                 self.suspend(e, "trial stands")
         self.pump()
