No free slot means busy before one was ever seen free; wide work goes where slots are not known

A node with one work unit a second had never seen a free slot of the kind, took its slots for zero, and so the count for zero.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -69,7 +69,7 @@
     def fits(self, e: int) -> bool:
         """Return whether an executor may get this work unit at all."""
         node, traces = self.node, self.traces()
-        if self.type.kind not in (-1, node.kind[e]) or 0 < node.slots(e) < self.work.slots:
+        if self.type.kind not in (-1, node.kind[e]) or node.slots(e) < self.work.slots and node.sure(e):
             return False
         if node.cost(self.work) > node.allowance(e) * node.set.fall_ms:
             return False  # guards against one heavy work unit that would push a cold executor over
@@ -282,7 +282,7 @@
         self.seen = [2.0] * len(self.types)
         self.mean_area = sum(self.run) / max(1, len(self.run))  # run times slots, over all types
         self.kind_pace = [1.0] * (settings.kinds + 1)
-        self.most_free = [0.0] * (settings.kinds + 1)
+        self.most_free, self.reports = [0.0] * (settings.kinds + 1), [0] * (settings.kinds + 1)
         self.doubt = 0.0  # share of reports that were older than what this node knew
         self.pumped_ms, self.tells_queue = 0.0, False
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
@@ -345,8 +345,15 @@
     # What an executor's figures say.
 
     def slots(self, e: int) -> float:
-        """Return how many slots an executor seems to have; 0 where nothing tells."""
-        return self.most_free[self.kind[e]]
+        """Return how many slots an executor seems to have at least."""
+        return max(1.0, self.most_free[self.kind[e]])
+
+    def sure(self, e: int) -> bool:
+        """Return whether enough was reported of an executor's kind to know its slots.
+
+        Guards against wide work left waiting on nodes that have not yet seen so many slots free at once.
+        """
+        return self.reports[self.kind[e]] >= MEMORY
 
     def watch(self, e: int) -> None:
         """See to it that an executor that has work of ours or rests is looked at."""
@@ -378,11 +385,11 @@
 
     def wait(self, e: int, work: Work) -> float:
         """Return how long a work unit sent now should wait before it starts."""
-        slots = self.slots(e) or 1.0
+        slots = self.slots(e)
         served = slots / (self.mean_area * self.pace_of(e))
         ahead = inf if self.full[e] else self.count(e)
         if self.stale(e):  # only a probe can tell
-            ahead = self.ours[e]
+            ahead, slots = self.ours[e], slots if self.sure(e) else max(slots, work.slots)
         return max(0.0, ahead + work.slots - slots) / served
 
     def pace_of(self, e: int) -> float:
@@ -464,9 +471,12 @@
         mine = running + sum(a.started_ms is None and a.sent_ms < sampled_ms for _, a in own)
         if report.free_slots is not None:
             self.room[e] = report.free_slots
+            self.reports[kind] += 1
             self.most_free[kind] = max(self.most_free[kind], float(round(report.free_slots)))
         if held is None and report.free_slots is not None:
-            held = max(0.0, self.most_free[kind] - report.free_slots)
+            # Guards against taking an executor without a free slot for idle: a node that sees little may
+            # not have seen a free one of this kind yet.
+            held = max(0.0, max(1.0, self.most_free[kind]) - report.free_slots)
             if report.queued is not None:
                 held += report.queued
             else:
@@ -581,7 +591,7 @@
         if born is None or age > self.set.warm_ms:
             return inf
         share = self.set.cold_share + (1.0 - self.set.cold_share) * age / self.set.warm_ms
-        rate = (self.slots(e) or 1.0) / (self.mean_area * self.pace_of(e))
+        rate = self.slots(e) / (self.mean_area * self.pace_of(e))
         return COLD * self.set.fall_multiple * share * rate
 
     def cost(self, work: Work) -> float:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -351,3 +351,19 @@
     assert not node.port.timers
     unit(node).send(0)
     assert node.awake and len(node.port.timers) == 1
+
+
+def test_no_free_slot_is_busy_though_none_was_ever_seen_free(make):
+    node = make(None)
+    node.most_free[0] = 0.0
+    node.take_report(0, Report(free_slots=0.0), node.port.now())
+    assert node.count(0) == 1.0
+
+
+def test_wide_work_may_go_where_the_slots_are_not_known_yet(make, unit):
+    node = make(None)
+    node.most_free[0] = 1.0
+    wide = unit(node, slots=4.0)
+    assert wide.fits(0) and wide.in_time(0)
+    node.reports[0] = 1000
+    assert not wide.fits(0)
