New work draws its own zone, waiting work all zones alike; learned means outgrow their guesses sooner

Cause 2: mean work and the kinds' paces moved by a fiftieth a run, so that a node with one run a second never left the guess.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -20,11 +20,12 @@
 PUMP = 0.1  # least time between two servings of the lines, in sweeps
 FIRST_GUESS = 2.0  # the run of a project type not seen yet, in its promised turnarounds
 SICK_ERROR, WELL_ERROR = 0.5, 0.02  # error rates of a sick and of a healthy executor
+GUESS_WEIGHT = 5.0  # runs that a guess counts for against those seen
 MEMORY = 50.0  # runs that a mean remembers
 TRIP = 4.0  # log-likelihood ratio at which the sequential test calls an executor sick
 STANDS = 2.2  # silence of started work that counts as standing, in progress periods
 REST = 0.05  # first rest of a sick executor, in hard limits of the shortest project type
-CROSSING = 250.0  # how much likelier an executor nearby is drawn, for each point that a crossing costs
+CROSSING = 1500.0  # how much likelier an executor nearby is drawn for new work, by the price of crossing
 SHORT = 0.3  # the run, in means of its type, that a wait must still leave in time
 QUEUE = 1.0  # the longest wait at an executor that work is sent into, in urgent promises
 DOUBT = 30.0  # how much a doubtful report counts less
@@ -86,7 +87,8 @@
         Guards against collapse under overload: where every count grows, so does the mean that the threshold
         follows, and work queues up that will all be late.
         """
-        return self.node.wait(e, self.work) <= min(self.slack(self.node.pace_of(e)), self.node.queue_ms)
+        node = self.node
+        return node.wait(e, self.work) <= min(self.slack(node.kind_pace[node.kind[e]]), node.queue_ms)
 
     def slack(self, pace: float) -> float:
         """Return how long the work unit may still wait at an executor of some pace and be in time."""
@@ -111,7 +113,7 @@
         if not self.may_send():
             self.give_up_unless_out()
             return
-        self.home = self.node.draw(lambda e: self.fits(e) and self.in_time(e))
+        self.home = self.node.draw(lambda e: self.fits(e) and self.in_time(e), self.waited)
         if self.home < 0:
             self.hold()
         elif self.node.stale(self.home):
@@ -215,7 +217,9 @@
             return
         self.done = True
         if self.may_defer():
-            self.node.port.defer(self, self.node.advice())
+            settings = self.node.set
+            advice = min(self.node.rest_ms, settings.max_advice_ms) if settings.may_advise else 0.0
+            self.node.port.defer(self, advice)
         else:
             self.node.port.abort(self)
         self.drop_rest()
@@ -279,9 +283,9 @@
         self.margin = 2.0 * settings.tick_ms
         # By project type: mean run, how many were seen. By kind: pace (run over mean), most free slots.
         self.run = [FIRST_GUESS * t.promised_ms for t in self.types]
-        self.seen = [2.0] * len(self.types)
+        self.seen = [GUESS_WEIGHT] * len(self.types)
         self.mean_area = sum(self.run) / max(1, len(self.run))  # run times slots, over all types
-        self.kind_pace = [1.0] * (settings.kinds + 1)
+        self.kind_pace, self.paced = [1.0] * (settings.kinds + 1), [GUESS_WEIGHT] * (settings.kinds + 1)
         self.most_free, self.reports = [0.0] * (settings.kinds + 1), [0] * (settings.kinds + 1)
         self.doubt = 0.0  # share of reports that were older than what this node knew
         self.pumped_ms, self.tells_queue = 0.0, False
@@ -386,16 +390,12 @@
     def wait(self, e: int, work: Work) -> float:
         """Return how long a work unit sent now should wait before it starts."""
         slots = self.slots(e)
-        served = slots / (self.mean_area * self.pace_of(e))
+        served = slots / (self.mean_area * self.kind_pace[self.kind[e]])
         ahead = inf if self.full[e] else self.count(e)
         if self.stale(e):  # only a probe can tell
             ahead, slots = self.ours[e], slots if self.sure(e) else max(slots, work.slots)
         return max(0.0, ahead + work.slots - slots) / served
 
-    def pace_of(self, e: int) -> float:
-        """Return how long an executor takes over a work unit, against the mean of all."""
-        return self.kind_pace[self.kind[e]]
-
     def usable(self, e: int) -> bool:
         """Return whether an executor is listed as ready, in health, answers its probes and is warm enough."""
         now, asked, until = self.port.now(), self.asked_ms[e], self.out_until[e]
@@ -407,12 +407,12 @@
             return False  # a sick one rests, then gets one work unit at a time on trial
         return self.warm(e)
 
-    def draw(self, test: Callable[[int], bool]) -> int:
-        """Draw a usable executor that passes a test; one of the own zone more often by the price of crossing.
+    def draw(self, test: Callable[[int], bool], waited: bool = False) -> int:
+        """Draw a usable executor that passes a test, or -1; new work draws the own zone more often.
 
-        Draws without putting back, so that a draw costs little where most pass; -1 where none does.
+        What has waited is drawn evenly: a zone may have more work than its own executors carry.
         """
-        weight = 1.0 + CROSSING * self.set.cross_price
+        weight = 1.0 if waited else 1.0 + CROSSING * self.set.cross_price
         near, far = list(self.near), list(self.far)
         while near or far:
             at = self.chance() * (weight * len(near) + len(far))
@@ -517,8 +517,9 @@
         run = min(run, 5.0 * self.run[t])
         self.seen[t] = min(self.seen[t] + 1.0, MEMORY)
         self.run[t] += (run - self.run[t]) / self.seen[t]
-        self.mean_area += (run * work.slots - self.mean_area) / MEMORY
-        self.kind_pace[kind] += (run / self.run[t] - self.kind_pace[kind]) / MEMORY
+        self.mean_area += (run * work.slots - self.mean_area) / min(sum(self.seen), MEMORY)
+        self.paced[kind] = min(self.paced[kind] + 1.0, MEMORY)
+        self.kind_pace[kind] += (run / self.run[t] - self.kind_pace[kind]) / self.paced[kind]
 
     def testify(self, e: int, weight: float) -> None:
         """Add to the sequential test on an executor's outcomes."""
@@ -532,20 +533,17 @@
         Only silence counts, not slowness: under overload work waits long on executors in good health.
         """
         now, sign = self.port.now(), self.sign_ms[e]
+        all_free = self.room[e] + 0.5 >= self.slots(e)
         for wu, i in self.own[e]:
             a = wu.allocs[i]
             quiet = now - max(sign, a.sent_ms)
-            if a.started_ms is not None:
-                if self.set.progress_ms and quiet > STANDS * self.set.progress_ms:
-                    return True
-            elif self.set.tells_start and quiet > 2.0 * self.fresh_ms and self.idle(e, a.sent_ms):
+            idle = self.set.tells_start and all_free and self.heard_ms[e] > a.sent_ms + self.fresh_ms
+            unstarted = 2.0 * self.fresh_ms if idle else 0.0
+            due = unstarted if a.started_ms is None else STANDS * self.set.progress_ms
+            if 0.0 < due < quiet:
                 return True
         return False
 
-    def idle(self, e: int, since: float) -> bool:
-        """Return whether an executor has reported, well after a time, that all its slots are free."""
-        return self.heard_ms[e] > since + self.fresh_ms and 0.0 < self.slots(e) <= self.room[e] + 0.5
-
     def suspend(self, e: int, why: str) -> None:
         """Let a sick executor rest, and see to what it holds."""
         now = self.port.now()
@@ -591,7 +589,7 @@
         if born is None or age > self.set.warm_ms:
             return inf
         share = self.set.cold_share + (1.0 - self.set.cold_share) * age / self.set.warm_ms
-        rate = self.slots(e) / (self.mean_area * self.pace_of(e))
+        rate = self.slots(e) / (self.mean_area * self.kind_pace[self.kind[e]])
         return COLD * self.set.fall_multiple * share * rate
 
     def cost(self, work: Work) -> float:
@@ -616,10 +614,6 @@
         wu.place()
         return wu
 
-    def advice(self) -> float:
-        """Return when a deferred client should come back."""
-        return min(self.rest_ms, self.set.max_advice_ms) if self.set.may_advise else 0.0
-
     def wake(self) -> None:
         """See to it that what stands is looked at; a node with nothing standing sleeps."""
         if not self.awake:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -363,7 +363,23 @@
 def test_wide_work_may_go_where_the_slots_are_not_known_yet(make, unit):
     node = make(None)
     node.most_free[0] = 1.0
+    node.port.clock += 2.0 * node.fresh_ms
     wide = unit(node, slots=4.0)
     assert wide.fits(0) and wide.in_time(0)
     node.reports[0] = 1000
     assert not wide.fits(0)
+
+
+def test_what_has_waited_is_drawn_evenly(make):
+    node = make(0.0, cross_price=0.1)
+    node.roster(Listing.DELTA, [Member(1, State.READY, 0, 1, 0, None)])
+    drawn = [node.draw(lambda e: True, waited=True) for _ in range(200)]
+    assert 70 < drawn.count(1) < 130
+
+
+def test_first_runs_seen_soon_outweigh_the_guess(make, unit):
+    node = make(0.0)
+    guess = node.mean_area
+    for _ in range(20):
+        node.learn(unit(node).work, 0, 3.0 * guess)
+    assert node.mean_area > 2.0 * guess
