One look from the line at a time; an unseen wait is learned where a free slot stands beside little memory

Cause, from the recorded events: executors with 16 to 30 units outstanding reported one free slot at each look, because the head of their queue waited for memory; of 5,400 sends to one free slot 15% started promptly, but 77 to 90% of those with as much memory free as the largest work unit needs. Told apart from late reports (30 ms old) and from sickness (what started, ran).

--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from marlseam.interface import State
+from marlseam.interface import Member, State
 
 
 class Figures:
@@ -39,6 +39,7 @@
         self.token_ms: list[float] = []
         # By kind, over healthy ready executors: how many, how many heard from, sums of both parts of a count.
         self.members, self.known = [0] * (kinds + 1), [0] * (kinds + 1)
+        self.most_free = [0.0] * (kinds + 1)  # most slots ever reported free
         self.others_sum, self.ours_sum = [0.0] * (kinds + 1), [0.0] * (kinds + 1)
 
     def add(self) -> None:
@@ -54,6 +55,26 @@
         self.waiters.append([])
         self.own.append([])
 
+    def enter(self, m: Member) -> None:
+        """Note an entry of the roster."""
+        e = m.executor
+        while e >= len(self.state):
+            self.add()
+        self.tally(e, -1)
+        self.state[e], self.kind[e], self.zone[e], self.cell[e] = m.state, m.kind, m.zone, m.cell
+        self.tally(e, 1)
+
+    def leave(self, executors: set[int]) -> None:
+        """Note that executors are gone."""
+        for e in executors:
+            self.tally(e, -1)
+            self.state[e] = State.GONE
+
+    def by_zone(self, zone: int) -> tuple[list[int], list[int]]:
+        """Return the executors listed as ready, those of a zone apart from the others."""
+        ready = [e for e, state in enumerate(self.state) if state is State.READY]
+        return [e for e in ready if self.zone[e] == zone], [e for e in ready if self.zone[e] != zone]
+
     def tally(self, e: int, sign: int) -> None:
         """Take an executor out of its kind's sums before a change of its figures, and put it back after."""
         if self.state[e] is State.READY and self.out_until[e] is None:
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -82,7 +82,6 @@
     may_probe: bool
     may_cancel: bool
     second_copies: bool
-    may_advise: bool
     max_advice_ms: float
     asked_roster: bool
     must_ask_ms: float
@@ -140,6 +139,7 @@
     share: float = 0.0
     outcome: Outcome | None = None
     cancelled: bool = False
+    tight: bool = False
 
 
 class Handle(Protocol):
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -17,7 +17,6 @@
 ASK = 0.25  # how long a probe's answer is waited for, in promised turnarounds of the most urgent project type
 FRESH = 2.0  # how old home's report may be, likewise
 SWEEP = 0.5  # how often standing work is looked at, likewise
-PUMP = 0.1  # least time between two servings of the lines, in sweeps
 FIRST_GUESS = 2.0  # the run of a project type not seen yet, in its promised turnarounds
 SICK_ERROR, WELL_ERROR = 0.5, 0.02  # error rates of a sick and of a healthy executor
 GUESS_WEIGHT = 5.0  # runs that a guess counts for against those seen
@@ -70,7 +69,7 @@
     def fits(self, e: int) -> bool:
         """Return whether an executor may get this work unit at all."""
         node, traces = self.node, self.traces()
-        if self.type.kind not in (-1, node.kind[e]) or node.slots(e) < self.work.slots and node.sure(e):
+        if self.type.kind not in (-1, node.kind[e]):
             return False
         if node.cost(self.work) > node.allowance(e) * node.set.fall_ms:
             return False  # guards against one heavy work unit that would push a cold executor over
@@ -111,13 +110,13 @@
         if self.done:
             return
         if not self.may_send():
-            self.give_up_unless_out()
+            self.again()
             return
         self.home = self.node.draw(lambda e: self.fits(e) and self.in_time(e), self.waited)
         if self.home < 0:
             self.hold()
         elif self.node.stale(self.home):
-            self.ask([self.home], self.at_home)
+            self.ask([self.home], self.looked)
         else:
             self.at_home()
 
@@ -142,6 +141,13 @@
         else:
             self.keep_home()
 
+    def looked(self) -> None:
+        """Go on at a home that was asked; a work unit from the line lets the next one look."""
+        self.at_home()
+        if self.node.looking is self:
+            self.node.looking = None
+            self.node.pump(self.work.slots if self.lined else inf)
+
     def choose(self) -> None:
         """Pass the work unit to a random one of those under threshold; else home keeps it."""
         node = self.node
@@ -182,11 +188,11 @@
         """Send the work unit to an executor."""
         node, now = self.node, self.node.port.now()
         if not self.may_send() or not self.fits(e):
-            self.give_up_unless_out()
+            self.again()
             return
-        self.allocs.append(Alloc(e, now, now))
+        self.allocs.append(Alloc(e, now, now, tight=node.tight(e)))
         node.hold(e, self, len(self.allocs) - 1, self.work.slots)
-        node.watch(e)
+        node.wake(e)
         node.tokens[e] -= node.cost(self.work)
         node.port.send(self, e, self.work.expires_ms - now)
 
@@ -198,38 +204,24 @@
             self.node.wake()
 
     def again(self) -> None:
-        """Seek a further allocation, or give up when none is allowed."""
+        """Seek a further allocation; answer at once when none is allowed and nothing is out."""
         if self.may_send():
             self.hold()
-        else:
-            self.give_up_unless_out()
+        elif not self.out():
+            self.answer()
 
     # Final answers.
 
-    def give_up_unless_out(self) -> None:
-        """Answer at once when nothing is out and nothing more may be sent."""
-        if not self.out():
-            self.answer()
-
     def answer(self) -> None:
         """Give the one final answer: deferred where a retry is harmless, else aborted."""
         if self.done:
             return
         self.done = True
         if self.may_defer():
-            settings = self.node.set
-            advice = min(self.node.rest_ms, settings.max_advice_ms) if settings.may_advise else 0.0
-            self.node.port.defer(self, advice)
+            self.node.port.defer(self, min(self.node.rest_ms, self.node.set.max_advice_ms))
         else:
             self.node.port.abort(self)
-        self.drop_rest()
-
-    def drop_rest(self) -> None:
-        """Stop what is still out for a work unit that has its answer."""
-        for i, a in enumerate(self.allocs):
-            if a.outcome is None and not a.cancelled and self.node.set.may_cancel:
-                a.cancelled = True
-                self.node.port.cancel(self, i)
+        self.left()
 
     # What happens to it.
 
@@ -237,6 +229,7 @@
         """Note that an allocation began to run."""
         a = self.allocs[alloc]
         a.started_ms = a.sign_ms = self.node.sign_ms[a.executor] = self.node.port.now()
+        self.node.waited(a, a.started_ms - a.sent_ms)
 
     def progress(self, alloc: int, share: float) -> None:
         """Note a sign of life of an allocation."""
@@ -250,9 +243,12 @@
         self.done = True
 
     def left(self) -> None:
-        """Forget a work unit whose client has gone."""
+        """Stop all for a work unit that has its answer, or whose client has gone."""
         self.done = True
-        self.drop_rest()
+        for i, a in enumerate(self.allocs):
+            if a.outcome is None and not a.cancelled and self.node.set.may_cancel:
+                a.cancelled = True
+                self.node.port.cancel(self, i)
 
     def settled(self, alloc: int, outcome: Outcome, final: bool, report: Report | None) -> None:
         """Take in how an allocation ended."""
@@ -261,11 +257,10 @@
         node.hold(a.executor, self, alloc, -self.work.slots)
         node.ended(self, a, report)
         if final or self.done:
-            self.done = True
-            self.drop_rest()
+            self.left()
         else:
             self.again()
-        if node.tells_queue and node.port.now() - node.pumped_ms > PUMP * node.sweep_ms:
+        if node.tells_queue:
             node.pump()
 
 
@@ -274,26 +269,24 @@
 
     def __init__(self, settings: Settings, seed: int, port: Port) -> None:
         super().__init__(settings.kinds, REST * min((t.limit_ms for t in settings.types), default=1000.0))
-        self.set, self.seed, self.port, self.types = settings, seed, port, settings.types
-        self.draws = 0
+        self.set, self.port, self.types, self.seed, self.draws = settings, port, settings.types, seed, 0
         urgent = min((t.promised_ms for t in self.types), default=100.0)
         self.ask_ms = max(ASK * urgent, 4.0 * settings.tick_ms)
         self.fresh_ms, self.sweep_ms = FRESH * urgent, SWEEP * urgent
-        self.queue_ms = QUEUE * urgent
-        self.margin = 2.0 * settings.tick_ms
-        # By project type: mean run, how many were seen. By kind: pace (run over mean), most free slots.
+        self.queue_ms, self.margin = QUEUE * urgent, 2.0 * settings.tick_ms
+        # By project type: mean run, how many were seen. By kind: pace (run over mean).
         self.run = [FIRST_GUESS * t.promised_ms for t in self.types]
         self.seen = [GUESS_WEIGHT] * len(self.types)
         self.mean_area = sum(self.run) / max(1, len(self.run))  # run times slots, over all types
         self.kind_pace, self.paced = [1.0] * (settings.kinds + 1), [GUESS_WEIGHT] * (settings.kinds + 1)
-        self.most_free, self.reports = [0.0] * (settings.kinds + 1), [0] * (settings.kinds + 1)
-        self.doubt = 0.0  # share of reports that were older than what this node knew
-        self.pumped_ms, self.tells_queue = 0.0, False
+        # Most memory needed so far; the unseen wait where less is free; share of reports found to be late.
+        self.widest, self.hidden, self.doubt = 0.0, 0.0, 0.0
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
         self.watched: dict[int, None] = {}  # executors that have work of ours or rest
         self.near, self.far = [], []  # those listed as ready, in the own zone and elsewhere
         self.subscribed, self.next_ask, self.backoff = not settings.asked_roster, 0.0, 0.0
-        self.awake = False
+        self.tells_queue = self.awake = False
+        self.looking: Handle | None = None  # of those in line, whose home is being asked
         self.sweep()
 
     def chance(self) -> float:
@@ -315,21 +308,12 @@
         if listing is not Listing.CACHED:
             self.subscribed, self.backoff = True, 0.0
         if listing is not Listing.DELTA:
-            for e in set(range(len(self.state))) - {m.executor for m in members}:
-                self.tally(e, -1)
-                self.state[e] = State.GONE
+            self.leave(set(range(len(self.state))) - {m.executor for m in members})
         for m in members:
-            while m.executor >= len(self.state):
-                self.add()
-            e = m.executor
-            self.tally(e, -1)
-            self.state[e], self.kind[e], self.zone[e], self.cell[e] = m.state, m.kind, m.zone, m.cell
-            self.tally(e, 1)
-            if m.born_ms is not None and m.born_ms != self.born[e]:
-                self.reborn(e, m.born_ms)
-        listed = [e for e, state in enumerate(self.state) if state is State.READY]
-        self.near = [e for e in listed if self.zone[e] == self.set.zone]
-        self.far = [e for e in listed if self.zone[e] != self.set.zone]
+            self.enter(m)
+            if m.born_ms is not None and m.born_ms != self.born[m.executor]:
+                self.reborn(m.executor, m.born_ms)
+        self.near, self.far = self.by_zone(self.set.zone)
         for e in list(self.watched):
             if self.state[e] is State.GONE:
                 self.rescue(e)
@@ -352,18 +336,6 @@
         """Return how many slots an executor seems to have at least."""
         return max(1.0, self.most_free[self.kind[e]])
 
-    def sure(self, e: int) -> bool:
-        """Return whether enough was reported of an executor's kind to know its slots.
-
-        Guards against wide work left waiting on nodes that have not yet seen so many slots free at once.
-        """
-        return self.reports[self.kind[e]] >= MEMORY
-
-    def watch(self, e: int) -> None:
-        """See to it that an executor that has work of ours or rests is looked at."""
-        self.watched[e] = None
-        self.wake()
-
     def count(self, e: int) -> float:
         """Return an executor's count: what the others had there at its last report, and what is ours now."""
         others = self.others[e]
@@ -392,9 +364,28 @@
         slots = self.slots(e)
         served = slots / (self.mean_area * self.kind_pace[self.kind[e]])
         ahead = inf if self.full[e] else self.count(e)
-        if self.stale(e):  # only a probe can tell
-            ahead, slots = self.ours[e], slots if self.sure(e) else max(slots, work.slots)
-        return max(0.0, ahead + work.slots - slots) / served
+        memory = self.free_memory[e]
+        if self.stale(e):
+            # Only a probe can tell. Guards against wide work kept waiting until so many slots were seen.
+            ahead, slots = self.ours[e], max(slots, work.slots)
+        elif memory is not None and memory < work.memory:
+            ahead = max(ahead, slots)
+        return max(0.0, ahead + work.slots - slots) / served + (self.hidden if self.tight(e) else 0.0)
+
+    def tight(self, e: int) -> bool:
+        """Return whether work may wait for memory beside a free slot, where no report shows a queue.
+
+        Guards against executors that report a free slot at each look while the head of their queue waits for
+        memory: under overload they soak up work until they are full.
+        """
+        memory = self.free_memory[e]
+        return memory is not None and not self.tells_queue and memory < self.widest and not self.stale(e)
+
+    def waited(self, a: Alloc, wait: float) -> None:
+        """Learn from one of ours how long work waits, unseen, where memory is tight."""
+        if a.tight:
+            a.tight = False
+            self.hidden += (min(wait, 4.0 * self.queue_ms) - self.hidden) / 5.0
 
     def usable(self, e: int) -> bool:
         """Return whether an executor is listed as ready, in health, answers its probes and is warm enough."""
@@ -464,6 +455,7 @@
         """Turn a report into a count of what the others have there."""
         self.full[e] = self.passed[e] = False
         self.free_memory[e] = report.free_memory
+        self.hidden *= 1.0 - 1.0 / MEMORY
         held, kind = report.held, self.kind[e]
         self.tells_queue = held is not None or report.queued is not None
         own = [(wu.work.slots, wu.allocs[i]) for wu, i in self.own[e]]
@@ -471,7 +463,6 @@
         mine = running + sum(a.started_ms is None and a.sent_ms < sampled_ms for _, a in own)
         if report.free_slots is not None:
             self.room[e] = report.free_slots
-            self.reports[kind] += 1
             self.most_free[kind] = max(self.most_free[kind], float(round(report.free_slots)))
         if held is None and report.free_slots is not None:
             # Guards against taking an executor without a free slot for idle: a node that sees little may
@@ -502,6 +493,7 @@
             self.sign_ms[e] = now
         if outcome is Outcome.FULL:
             self.full[e] = True
+            self.waited(a, inf)
         elif outcome is Outcome.COMPLETED:
             if a.started_ms is not None:
                 self.learn(wu.work, e, now - a.started_ms)
@@ -537,6 +529,8 @@
         for wu, i in self.own[e]:
             a = wu.allocs[i]
             quiet = now - max(sign, a.sent_ms)
+            if a.started_ms is None and now - a.sent_ms > 4.0 * self.queue_ms:
+                self.waited(a, inf)
             idle = self.set.tells_start and all_free and self.heard_ms[e] > a.sent_ms + self.fresh_ms
             unstarted = 2.0 * self.fresh_ms if idle else 0.0
             due = unstarted if a.started_ms is None else STANDS * self.set.progress_ms
@@ -552,7 +546,7 @@
             self.port.log(f"executor {e} rests {self.rest[e]:.0f} ms: {why}, holds {held} of ours")
             self.tally(e, -1)
             self.out_until[e] = now + self.rest[e]
-            self.watch(e)
+            self.wake(e)
             self.rest[e] = min(2.0 * self.rest[e], 8.0 * self.rest_ms)
             self.evidence[e] = TRIP / 2.0
         self.rescue(e)
@@ -609,13 +603,16 @@
 
     def take(self, work: Work) -> Handle:
         """Take a work unit, to be answered before this try's hard limit whatever is out by then."""
+        self.widest = max(self.widest, work.memory)
         wu = Handle(self, work)
         self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
         wu.place()
         return wu
 
-    def wake(self) -> None:
-        """See to it that what stands is looked at; a node with nothing standing sleeps."""
+    def wake(self, e: int | None = None) -> None:
+        """See to it that what stands, maybe at an executor, is looked at; else a node sleeps."""
+        if e is not None:
+            self.watched[e] = None
         if not self.awake:
             self.awake = True
             self.port.after(self.sweep_ms, self.sweep)
@@ -641,21 +638,24 @@
         if self.watched or any(self.lines) or not self.subscribed:
             self.wake()
 
-    def pump(self) -> None:
-        """Serve the lines: first allocations, then further ones; give up what has waited too long."""
-        best, hopeless = min(self.kind_pace), inf
-        self.pumped_ms = self.port.now()
+    def pump(self, hopeless: float = inf) -> None:
+        """Serve the lines: first allocations, then further ones; give up what has waited too long.
+
+        One looks at a time, and after one in vain only narrower work, until the next sweep. Guards against a
+        probe storm: on a node with little traffic every home must be asked, and all in line would ask theirs.
+        """
+        best = min(self.kind_pace)
         for line in self.lines:
-            waiting, line[:] = list(line), []
-            for wu in sorted(waiting, key=lambda wu: wu.slack(best)):
-                slots, slack, wu.lined = wu.work.slots, wu.slack(best), False
-                if wu.done:
-                    continue
-                if slack < 0.0 and not wu.out():
+            for wu in sorted(line, key=lambda wu: wu.slack(best)):
+                slack = wu.slack(best)
+                if slack < 0.0 and not wu.out() and not wu.done:
                     wu.answer()
-                elif slots >= hopeless and not wu.allocs:
-                    wu.hold()  # as wide as one that has just found no place
-                else:
+                if wu.done:
+                    line.remove(wu)
+                elif (wu.work.slots < hopeless or wu.allocs) and (self.looking is None or self.looking.done):
+                    line.remove(wu)
                     wu.place()
                     if wu.lined and slack >= self.queue_ms:
-                        hopeless = min(hopeless, slots)
+                        hopeless = min(hopeless, wu.work.slots)
+                    elif not (wu.lined or wu.done or wu.out()):
+                        self.looking = wu
