--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -139,7 +139,7 @@
     share: float = 0.0
     outcome: Outcome | None = None
     cancelled: bool = False
-    tight: bool = False
+    free: bool = False
 
 
 class Handle(Protocol):
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -40,7 +40,7 @@
         self.taken = node.port.now()
         self.allocs: list[Alloc] = []
         self.done = self.lined = self.waited = False
-        self.home = -1
+        self.home, self.round_ms = -1, 0.0
         self.asked: list[int] = []
 
     # What may be done, by the rules.
@@ -107,8 +107,6 @@
     def place(self) -> None:
         """Draw a home and, where its report is old, ask it first."""
         self.lined = False
-        if self.done:
-            return
         if not self.may_send():
             self.again()
             return
@@ -190,7 +188,8 @@
         if not self.may_send() or not self.fits(e):
             self.again()
             return
-        self.allocs.append(Alloc(e, now, now, tight=node.tight(e)))
+        free = node.tight(e) if not node.tells_queue else not node.stale(e) and node.wait(e, self.work) == 0.0
+        self.allocs.append(Alloc(e, now, now, free=free))
         node.hold(e, self, len(self.allocs) - 1, self.work.slots)
         node.wake(e)
         node.tokens[e] -= node.cost(self.work)
@@ -298,11 +297,10 @@
 
     def roster(self, listing: Listing, members: list[Member]) -> None:
         """Take in the roster's news."""
-        now = self.port.now()
         if listing is Listing.FAILED:
             self.subscribed = not self.set.asked_roster
             self.backoff = min(2.0 * self.backoff or 0.02 * self.set.must_ask_ms, 0.2 * self.set.must_ask_ms)
-            self.next_ask = now + self.backoff * (0.5 + self.chance())
+            self.next_ask = self.port.now() + self.backoff * (0.5 + self.chance())
             self.wake()
             return
         if listing is not Listing.CACHED:
@@ -382,10 +380,14 @@
         return memory is not None and not self.tells_queue and memory < self.widest and not self.stale(e)
 
     def waited(self, a: Alloc, wait: float) -> None:
-        """Learn from one of ours how long work waits, unseen, where memory is tight."""
-        if a.tight:
-            a.tight = False
-            self.hidden += (min(wait, 4.0 * self.queue_ms) - self.hidden) / 5.0
+        """Learn from one of ours that was sent to a reported free slot how long it waited all the same."""
+        far = 4.0 * self.queue_ms
+        if a.free and self.tells_queue:
+            # Guards against reports that come late, on nodes with too little work to see it in the reports.
+            self.doubt += (float(wait > far) - self.doubt) / 10.0
+        elif a.free:
+            self.hidden += (min(wait, far) - self.hidden) / 5.0
+        a.free = False
 
     def usable(self, e: int) -> bool:
         """Return whether an executor is listed as ready, in health, answers its probes and is warm enough."""
@@ -426,10 +428,9 @@
         age = self.port.now() - self.heard_ms[e]
         return self.set.may_probe and (self.silent[e] or age > self.fresh_ms * (1.0 + DOUBT * self.doubt))
 
-    def ask(self, e: int, then: Callable[[int | None], None] | None = None) -> None:
+    def ask(self, e: int, then: Callable[[int | None], None]) -> None:
         """Probe an executor, or share the probe that is out."""
-        if then is not None:
-            self.waiters[e].append(then)
+        self.waiters[e].append(then)
         if self.asked_ms[e] is None:
             self.asked_ms[e] = self.port.now()
             self.port.probe(e)
@@ -440,7 +441,6 @@
         if outcome is Outcome.COMPLETED:
             self.heard_ms[e] = self.port.now()
             if self.silent[e]:
-                self.silent[e] = False
                 self.recover(e)
             if report is not None:
                 self.take_report(e, report, self.port.now() - lag_ms)
@@ -554,7 +554,7 @@
     def recover(self, e: int) -> None:
         """End an executor's rest."""
         self.tally(e, -1)
-        self.out_until[e], self.rest[e] = None, self.rest_ms
+        self.out_until[e], self.rest[e], self.silent[e] = None, self.rest_ms, False
         self.tally(e, 1)
 
     def rescue(self, e: int, born: float | None = None) -> None:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -254,7 +254,7 @@
 
 def test_overdue_probe_takes_an_executor_out(make):
     node = make(0.0)
-    node.ask(0)
+    node.ask(0, lambda e: None)
     node.port.clock += 2.0 * node.ask_ms
     assert ready(node) == []
 
@@ -410,7 +410,7 @@
     node.widest = 2.0
     for _ in range(8):
         node.take_report(0, Report(free_slots=4.0, free_memory=1.0), node.port.now())
-        node.waited(Alloc(0, 0.0, 0.0, tight=node.tight(0)), 9000.0)
+        node.waited(Alloc(0, 0.0, 0.0, free=node.tight(0)), 9000.0)
     assert not unit(node).in_time(0)
     node.take_report(0, Report(free_slots=4.0, free_memory=2.5), node.port.now())
     assert unit(node).in_time(0)
@@ -422,3 +422,13 @@
     wu = unit(node)
     assert node.wait(0, wu.work) == 0.0
     assert node.wait(0, WorkUnit("m", 0, 9e9, memory=0.6)) > 0.0
+
+
+def test_work_that_waits_behind_a_reported_free_slot_casts_doubt_on_reports(make, unit):
+    node = make(0.0)
+    node.tells_queue = True
+    wu = unit(node)
+    wu.send(0)
+    node.port.clock += 5.0 * node.queue_ms
+    wu.started(0)
+    assert node.doubt > 0.0
