--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -121,10 +121,7 @@
     def at_home(self) -> None:
         """Home takes the work unit unless it is over its threshold; then others are probed."""
         node = self.node
-        if not node.usable(self.home):
-            self.hold()
-            return
-        if self.in_time(self.home) and not node.over(self.home, self.work):
+        if node.usable(self.home) and self.in_time(self.home) and not node.over(self.home, self.work):
             self.send(self.home)
             return
         chosen: list[int] = []
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -432,3 +432,12 @@
     node.port.clock += 5.0 * node.queue_ms
     wu.started(0)
     assert node.doubt > 0.0
+
+
+def test_home_out_of_use_lets_others_be_probed(make, unit):
+    node = make(0.0, 0.0, 0.0)
+    wu = unit(node)
+    wu.home = 0
+    node.suspend(0, "test")
+    wu.at_home()
+    assert len(node.port.did("probe")) == 2
