Fewer are asked where asking seldom finds room

Now the share of answers that lead to a send is learned; below a quarter, fewer others are probed and lines look less often (never under a tenth).

--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -37,6 +37,9 @@
         self.silent: list[bool] = []
         self.tokens: list[float] = []
         self.token_ms: list[float] = []
+        self.watched: dict[int, None] = {}  # those that have work of ours or rest
+        self.near, self.far = [], []  # those listed as ready, in the own zone and elsewhere
+        self.luck = 1.0  # share of the latest probes that found room
         # By kind, over healthy ready executors: how many, how many heard from, sums of both parts of a count.
         self.members, self.known = [0] * (kinds + 1), [0] * (kinds + 1)
         self.most_free = [0.0] * (kinds + 1)  # most slots ever reported free
@@ -97,3 +100,7 @@
         (self.own[e].append if slots > 0.0 else self.own[e].remove)((wu, alloc))
         self.ours[e] += slots
         self.tally(e, 1)
+
+    def found(self, room: bool) -> None:
+        """Learn how often asking finds room: under overload it seldom does, and each probe has its price."""
+        self.luck += (float(room) - self.luck) / 20.0
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -14,6 +14,7 @@
 from marlseam.interface import WorkUnit as Work
 
 PROBES = 2  # the paper's probe limit
+LUCK = 4.0  # below the inverse of this share of answers that led to a send, fewer are asked
 ASK = 0.25  # how long a probe's answer is waited for, in promised turnarounds of the most urgent project type
 FRESH = 2.0  # how old home's report may be, likewise
 SWEEP = 0.5  # how often standing work is looked at, likewise
@@ -125,8 +126,9 @@
             self.send(self.home)
             return
         chosen: list[int] = []
-        # Guards against a probe storm: under overload all in line would probe at every sweep.
-        while node.set.may_probe and not self.waited and len(chosen) < PROBES:
+        # Guards against a probe storm under overload: what waits probes no others, and new work fewer.
+        most = round(PROBES * min(1.0, LUCK * node.luck)) if node.set.may_probe and not self.waited else 0
+        while len(chosen) < most:
             e = node.draw(lambda e: e != self.home and e not in chosen and self.fits(e))
             if e < 0:
                 break
@@ -138,7 +140,9 @@
 
     def looked(self) -> None:
         """Go on at a home that was asked; a work unit from the line lets the next one look."""
+        sent = len(self.allocs)
         self.at_home()
+        self.node.found(len(self.allocs) > sent)
         if self.node.looking is self:
             self.node.looking = None
             self.node.pump(self.work.slots if self.lined else inf)
@@ -148,6 +152,7 @@
         node = self.node
         good = [e for e in self.asked if not node.passed[e] and node.heard_ms[e] >= self.round_ms]
         good = [e for e in good if node.usable(e) and self.in_time(e) and not node.over(e, self.work, 1.0)]
+        node.found(bool(good))
         if good:
             to = good[int(node.chance() * len(good))]
             node.passed[to] = True
@@ -278,8 +283,6 @@
         # Most memory needed so far; the unseen wait where less is free; share of reports found to be late.
         self.widest, self.hidden, self.doubt = 0.0, 0.0, 0.0
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
-        self.watched: dict[int, None] = {}  # executors that have work of ours or rest
-        self.near, self.far = [], []  # those listed as ready, in the own zone and elsewhere
         self.subscribed, self.next_ask, self.backoff = not settings.asked_roster, 0.0, 0.0
         self.tells_queue = self.awake = False
         self.looking: Handle | None = None  # of those in line, whose home is being asked
@@ -631,7 +634,7 @@
                     self.suspend(e, "work stands")
             elif now >= until and self.standing(e):
                 self.suspend(e, "trial stands")
-        self.pump()
+        self.pump(inf if self.chance() < max(0.1, LUCK * self.luck) else 0.0)
         if self.watched or any(self.lines) or not self.subscribed:
             self.wake()
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -441,3 +441,13 @@
     node.suspend(0, "test")
     wu.at_home()
     assert len(node.port.did("probe")) == 2
+
+
+def test_fewer_are_probed_where_probes_seldom_find_room(make, unit):
+    node = make(9.0, 9.0, 9.0)
+    for _ in range(60):
+        node.found(False)
+    wu = unit(node)
+    wu.home = 0
+    wu.at_home()
+    assert not node.port.did("probe") and len(node.lines[0]) == 1
