--- /dev/null
+++ b/marlseam/__main__.py
@@ -0,0 +1,57 @@
+"""The command line of marlseam."""
+
+import gc
+import sys
+from importlib import metadata
+
+import click
+
+from marlseam import __version__
+from marlseam import config as configuration
+from marlseam.net.node import Node
+
+
+def load(path: str | None) -> configuration.Config:
+    """Read the configuration, or end with what is wrong with it."""
+    try:
+        return configuration.load(path)
+    except configuration.ConfigError as error:
+        print(f"marlseam: {error}", file=sys.stderr)
+        sys.exit(2)
+
+
+CONFIG = click.option("--config", "path", help="Configuration file; else the one that EDGE_CONFIG names.")
+
+
+@click.group()
+def main() -> None:
+    """Push jobs to workers by forward probing."""
+
+
+@main.command()
+@CONFIG
+def serve(path: str | None) -> None:
+    """Run one node until SIGTERM."""
+    node = Node(load(path))
+    gc.freeze()
+    node.run()
+
+
+@main.command()
+@CONFIG
+def check(path: str | None) -> None:
+    """Read a configuration and say what it holds."""
+    config = load(path)
+    deployment = config.deployment
+    print(f"{config.name} listens on {config.listen[0]}:{config.listen[1]}", end=", ")
+    print(f"{len(deployment.types)} project types, {len(deployment.kinds)} kinds: good")
+
+
+@main.command()
+def version() -> None:
+    """Print the version."""
+    print(f"marlseam {__version__}, click {metadata.version('click')}, h11 {metadata.version('h11')}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/marlseam/config.py
@@ -0,0 +1,242 @@
+"""The one place where configuration is read, checked and given its defaults; errors name the key.
+
+A deployment's settings reach both adapters in one form: in the simulator's first message and in a real node's
+configuration file, which holds the node's own address, limits and first list too.
+"""
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from math import isfinite
+from pathlib import Path
+from typing import Any
+
+from marlseam.interface import Effect, Group, ProjectType, Settings
+
+EFFECTS = {"safe": Effect.RERUNNABLE, "keyed": Effect.RECEIPTED, "unsafe": Effect.EXCLUSIVE}
+REPORT_NAMES = {"outstanding": "held", "inflight": "held", "backlog": "queued", "queue": "queued"}
+NAME, LISTEN, DISCOVERY, FILE = "EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "EDGE_CONFIG"
+REQUIRED = object()
+
+
+class ConfigError(Exception):
+    """A configuration that cannot be used."""
+
+    def __init__(self, key: str, value: object, expected: str) -> None:
+        shown = "missing" if value is REQUIRED else f"{value!r}"[:80]
+        super().__init__(f"{key}: {shown}, expected {expected}")
+        self.key = key
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """A deployment's settings: the module's part, and what the adapters read of them."""
+
+    settings: Settings
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    types: dict[str, int]
+    report_names: dict[str, str]
+    keepalive_ms: float
+    connect_ms: float
+
+
+@dataclass(frozen=True)
+class Config:
+    """A real node's configuration."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    memory_mb: float
+    sockets: int
+    known: dict[str, Any]
+    deployment: Deployment
+
+
+class Table:
+    """One object of a configuration, which knows its own key."""
+
+    def __init__(self, values: object, key: str) -> None:
+        if not isinstance(values, Mapping):
+            raise ConfigError(key or "configuration", values, "an object")
+        self.values, self.key = values, key
+
+    def path(self, name: str) -> str:
+        """Return an entry's full key."""
+        return f"{self.key}.{name}" if self.key else name
+
+    def get(self, name: str, default: object) -> Any:  # noqa: ANN401
+        """Return an entry, or its default where it is absent."""
+        value = self.values.get(name)
+        return default if value is None else value
+
+    def table(self, name: str, default: object = REQUIRED) -> "Table":
+        """Return an entry that is an object."""
+        return Table(self.get(name, default), self.path(name))
+
+    def tables(self, name: str) -> list["Table"]:
+        """Return an entry that is a list of objects."""
+        rows = self.get(name, [])
+        if not isinstance(rows, list):
+            raise ConfigError(self.path(name), rows, "a list")
+        return [Table(row, f"{self.path(name)}[{i}]") for i, row in enumerate(rows)]
+
+    def number(self, name: str, default: object = REQUIRED, least: float = 0.0) -> float:
+        """Return an entry that is a finite number of at least some size."""
+        value = self.get(name, default)
+        fits = isinstance(value, int | float) and not isinstance(value, bool)
+        if not fits or not isfinite(value) or value < least:
+            raise ConfigError(self.path(name), value, f"a number of at least {least:g}")
+        return float(value)
+
+    def ms(self, name: str, default_ms: float) -> float:
+        """Return an entry in microseconds as milliseconds."""
+        return self.number(name, default_ms * 1000.0) / 1000.0
+
+    def flag(self, name: str) -> bool:
+        """Return an entry that is true or false; an absent one counts as false."""
+        value = self.get(name, False)
+        if not isinstance(value, bool):
+            raise ConfigError(self.path(name), value, "true or false")
+        return value
+
+    def text(self, name: str, default: object = REQUIRED) -> str:
+        """Return an entry that is a text and not empty."""
+        value = self.get(name, default)
+        if not isinstance(value, str) or not value:
+            raise ConfigError(self.path(name), value, "a text")
+        return value
+
+    def word(self, name: str, table: Mapping[str, Any] | type[Enum], default: str) -> Any:  # noqa: ANN401
+        """Return what a word stands for."""
+        words = table if isinstance(table, Mapping) else {str(row.value): row for row in table}
+        value = self.get(name, default) or default
+        if not isinstance(value, str) or value not in words:
+            raise ConfigError(self.path(name), value, "one of " + ", ".join(words))
+        return words[value]
+
+    def names(self, name: str) -> dict[str, int]:
+        """Return a list of names as their places in it."""
+        rows = self.get(name, [])
+        if not isinstance(rows, list) or not all(isinstance(row, str) for row in rows):
+            raise ConfigError(self.path(name), rows, "a list of names")
+        return {row: i for i, row in enumerate(rows)}
+
+    def numbers(self, name: str) -> list[float]:
+        """Return a list of numbers."""
+        rows = self.get(name, [])
+        if not isinstance(rows, list) or not all(isinstance(row, int | float) for row in rows):
+            raise ConfigError(self.path(name), rows, "a list of numbers")
+        return [float(row) for row in rows]
+
+
+def deployment_from(options: object, key: str = "settings") -> Deployment:
+    """Turn a deployment's settings into ours; what is missing means what is least generous."""
+    top = Table(options, key)
+    limits, rules = top.table("ceilings", {}), top.table("guarantees", {})
+    prices, info = top.table("penalties", {}), top.table("familyInfo", {})
+    zones, kinds = top.names("dcs"), top.names("kinds")
+    stretches, class_kinds = info.numbers("classStretch"), info.numbers("classKind")
+    rows = top.tables("requestClasses")
+    types = []
+    for i, row in enumerate(rows):
+        stretch = stretches[i] if i < len(stretches) else row.number("aimStretch", 0.0)
+        types.append(
+            ProjectType(
+                promised_ms=row.ms("aimUs", 0.0),
+                stretch=stretch,
+                limit_ms=row.ms("deadlineUs", 0.0),
+                effect=row.word("semantics", EFFECTS, "unsafe"),
+                group=row.word("dedupScope", Group, "cell"),
+                memory_ms=row.ms("memorySpanUs", 0.0),
+                kind=int(class_kinds[i]) if i < len(class_kinds) else -1,
+            )
+        )
+    settings = Settings(
+        types=tuple(types),
+        kinds=len(kinds),
+        zone=zones.get(top.get("zone", ""), -1),
+        nodes=max(1, int(top.number("fleetSize", 1))),
+        tick_ms=top.ms("tickUs", 1.0),
+        max_allocs=int(limits.number("sendCap", 1)),
+        may_probe=limits.flag("mayProbe"),
+        may_cancel=limits.flag("cancel"),
+        second_copies=limits.flag("secondCopies"),
+        max_advice_ms=limits.ms("maxRetryAfterUs", 0.0) if limits.flag("retryAfter") else 0.0,
+        asked_roster=top.get("registryMode", "") == "subscribe",
+        must_ask_ms=rules.ms("mustAskInUs", 10000.0),
+        tells_start=info.flag("tellsStart"),
+        progress_ms=info.ms("progressUs", 0.0),
+        cold_share=rules.number("startCapacity", 0.1),
+        warm_ms=rules.ms("warmWithinUs", 30000.0),
+        fall_multiple=rules.number("fallMultiple", 1.0),
+        fall_ms=rules.ms("tipAfterUs", 1000.0),
+        cross_price=prices.number("crossZone", 0.0),
+    )
+    return Deployment(
+        settings=settings,
+        zones=zones,
+        kinds=kinds,
+        types={row.text("name"): i for i, row in enumerate(rows)},
+        report_names=report_names(info),
+        keepalive_ms=limits.ms("keepaliveUs", 10000.0),
+        connect_ms=limits.ms("connectTimeoutUs", 250.0),
+    )
+
+
+def report_names(info: Table) -> dict[str, str]:
+    """Return which of a load report's names mean which of our figures."""
+    names = dict(REPORT_NAMES)
+    for extra in ("X0", "X1"):
+        meaning = str(info.get("report" + extra, ""))
+        if "slot" in meaning:
+            names[extra.lower()] = "free_slots"
+        elif "memory" in meaning:
+            names[extra.lower()] = "free_memory"
+    return names
+
+
+def address(table: Table, name: str, env: Mapping[str, str], variable: str) -> tuple[str, int]:
+    """Take a host and port apart, from the environment or else from the file."""
+    value = env.get(variable) or table.get(name, REQUIRED)
+    if isinstance(value, str):
+        host, _, port = value.rpartition(":")
+        if host and port.isascii() and port.isdigit() and int(port) < 65536:
+            return host.strip("[]"), int(port)
+    key = variable if env.get(variable) else name
+    raise ConfigError(key, value, "an address and port, as 127.0.0.1:8443")
+
+
+def load(path: str | None, env: Mapping[str, str] = os.environ) -> Config:
+    """Read a node's configuration from its file; the environment's own variables go before it."""
+    path = path or env.get(FILE)
+    if not path:
+        raise ConfigError(FILE, REQUIRED, "the configuration file's path, here or as an option")
+    try:
+        values = json.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise ConfigError(FILE, path, f"a readable JSON file ({error})") from None
+    top = Table(values, "")
+    limits = top.table("limits", {})
+    seed = top.text("seed", "0")
+    try:
+        number = int(seed, 16)
+    except ValueError:
+        raise ConfigError("seed", seed, "a hexadecimal number") from None
+    settings = top.table("settings")
+    if not settings.tables("requestClasses"):
+        raise ConfigError("settings.requestClasses", [], "one project type at least")
+    return Config(
+        name=env.get(NAME) or top.text("name", "node"),
+        listen=address(top, "listen", env, LISTEN),
+        discovery=address(top, "discovery", env, DISCOVERY),
+        seed=number,
+        memory_mb=limits.number("memory_mb", 192.0, least=32.0),
+        sockets=int(limits.number("sockets", 1024.0, least=64.0)),
+        known=dict(top.table("known", {}).values),
+        deployment=deployment_from(settings.values),
+    )
--- /dev/null
+++ b/marlseam/core.py
@@ -0,0 +1,326 @@
+"""The one reducer of marlseam: each event changes the node's state and gives the effects that are asked for.
+
+Pure of I/O and clocks: an adapter hands in events with the time at which they happen, and carries out the
+effects. It holds the decision module's node, the names behind its dense indices, open work units and timers.
+"""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from marlseam.interface import Listing, Member, Outcome, Report, Settings, State, WorkUnit
+from marlseam.logic import Handle, Node
+
+
+class Entry(NamedTuple):
+    """One executor as the roster lists it, under its name."""
+
+    executor: str
+    state: State
+    kind: int
+    zone: int
+    cell: int
+    born_ms: float | None
+
+
+# Events.
+
+
+class Begin(NamedTuple):
+    """The node starts, with its settings and its seed for chance."""
+
+    settings: Settings
+    seed: int
+
+
+class Roster(NamedTuple):
+    """The roster's news."""
+
+    listing: Listing
+    entries: list[Entry]
+
+
+class Arrival(NamedTuple):
+    """A client has handed in a work unit."""
+
+    work: WorkUnit
+
+
+class Settled(NamedTuple):
+    """An allocation has ended; final where the work unit has had its answer by then or through it."""
+
+    ref: str
+    alloc: int
+    outcome: Outcome
+    final: bool
+    report: Report | None
+    result: bytes = b""
+
+
+class Started(NamedTuple):
+    """An allocation has begun to run."""
+
+    ref: str
+    alloc: int
+
+
+class Progress(NamedTuple):
+    """An allocation has come some share of its way."""
+
+    ref: str
+    alloc: int
+    share: float
+
+
+class Streaming(NamedTuple):
+    """An allocation's answer is on its way to the client."""
+
+    ref: str
+    alloc: int
+
+
+class Left(NamedTuple):
+    """A work unit's client has gone."""
+
+    ref: str
+
+
+class Probed(NamedTuple):
+    """A probe has ended."""
+
+    executor: str
+    outcome: Outcome
+    lag_ms: float
+    report: Report | None
+
+
+class Due(NamedTuple):
+    """A timer has come due."""
+
+    mark: int
+
+
+class Closing(NamedTuple):
+    """The node must have answered all that it took once so much time has passed."""
+
+    left_ms: float
+
+
+Event = Begin | Roster | Arrival | Settled | Started | Progress | Streaming | Left | Probed | Due | Closing
+
+
+# Effects.
+
+
+class Send(NamedTuple):
+    """Send a work unit's next allocation to an executor."""
+
+    ref: str
+    alloc: int
+    executor: str
+    limit_ms: float
+
+
+class Cancel(NamedTuple):
+    """Stop waiting for an allocation."""
+
+    ref: str
+    alloc: int
+
+
+class Complete(NamedTuple):
+    """Give the final answer `completed` with what an allocation brought."""
+
+    ref: str
+    result: bytes
+
+
+class Defer(NamedTuple):
+    """Give the final answer `deferred`, with advice on when to come back; 0 for none."""
+
+    ref: str
+    advice_ms: float
+
+
+class Abort(NamedTuple):
+    """Give the final answer `aborted`."""
+
+    ref: str
+
+
+class Probe(NamedTuple):
+    """Ask an executor for its report."""
+
+    executor: str
+
+
+class Timer(NamedTuple):
+    """Bring back a mark once a delay has passed."""
+
+    mark: int
+    delay_ms: float
+
+
+class Watch(NamedTuple):
+    """Ask the roster for its list and its changes."""
+
+
+class Log(NamedTuple):
+    """Write a line for staff."""
+
+    text: str
+
+
+Effect = Send | Cancel | Complete | Defer | Abort | Probe | Timer | Watch | Log
+
+
+class Core:
+    """What one node knows, and the decision module's port."""
+
+    node: Node
+
+    def __init__(self) -> None:
+        self.clock, self.marks = 0.0, 0
+        self.effects: list[Effect] = []
+        self.index: dict[str, int] = {}
+        self.names: list[str] = []
+        self.open: dict[str, Handle] = {}
+        self.timers: dict[int, Callable[[], None]] = {}
+
+    def reduce(self, clock: float, event: Event) -> list[Effect]:
+        """Take in one event and return the effects that it asks for, in order."""
+        self.clock = clock
+        STEPS[type(event)](self, event)
+        effects, self.effects = self.effects, []
+        return effects
+
+    # The module's port.
+
+    def now(self) -> float:
+        """Return the time of the event in hand."""
+        return self.clock
+
+    def send(self, wu: Handle, executor: int, limit_ms: float) -> None:
+        """Send a work unit to an executor."""
+        self.effects.append(Send(wu.work.ref, len(wu.allocs) - 1, self.names[executor], limit_ms))
+
+    def cancel(self, wu: Handle, alloc: int) -> None:
+        """Stop waiting for an allocation."""
+        self.effects.append(Cancel(wu.work.ref, alloc))
+
+    def defer(self, wu: Handle, advice_ms: float) -> None:
+        """Give the final answer `deferred`."""
+        self.effects.append(Defer(wu.work.ref, advice_ms))
+
+    def abort(self, wu: Handle) -> None:
+        """Give the final answer `aborted`."""
+        self.effects.append(Abort(wu.work.ref))
+
+    def probe(self, executor: int) -> None:
+        """Ask an executor for its report."""
+        self.effects.append(Probe(self.names[executor]))
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        """Call back once the delay has passed."""
+        self.marks += 1
+        self.timers[self.marks] = call
+        self.effects.append(Timer(self.marks, delay_ms))
+
+    def subscribe(self) -> None:
+        """Ask the roster for its changes."""
+        self.effects.append(Watch())
+
+    def log(self, text: str) -> None:
+        """Write a line for staff."""
+        self.effects.append(Log(text))
+
+    # The events.
+
+    def begin(self, event: Begin) -> None:
+        """Make the module's node."""
+        self.node = Node(event.settings, event.seed, self)
+
+    def roster(self, event: Roster) -> None:
+        """Hand the roster's news on under dense indices."""
+        self.node.roster(event.listing, [Member(self.executor(e[0]), *e[1:]) for e in event.entries])
+
+    def arrival(self, event: Arrival) -> None:
+        """Take a work unit."""
+        wu = self.node.take(event.work)
+        if not wu.done:
+            self.open[event.work.ref] = wu
+
+    def due(self, event: Due) -> None:
+        """Call back what waits for a mark."""
+        call = self.timers.pop(event.mark, None)
+        if call is not None:
+            call()
+
+    def probed(self, event: Probed) -> None:
+        """Hand a probe's end on."""
+        self.node.probed(self.executor(event.executor), event.outcome, event.lag_ms, event.report)
+
+    def settled(self, event: Settled) -> None:
+        """Hand an allocation's end on, and its result to the client that still waits for it."""
+        wu = self.open.get(event.ref)
+        if wu is None:
+            return
+        if event.outcome is Outcome.COMPLETED and not wu.done:
+            self.effects.append(Complete(event.ref, event.result))
+        wu.settled(event.alloc, event.outcome, event.final, event.report)
+        self.forget(event.ref, wu)
+
+    def sign(self, event: Started | Progress | Streaming) -> None:
+        """Hand a sign of life on."""
+        wu = self.open.get(event.ref)
+        if wu is None:
+            return
+        if type(event) is Started:
+            wu.started(event.alloc)
+        elif type(event) is Progress:
+            wu.progress(event.alloc, event.share)
+        else:
+            wu.streaming(event.alloc)
+
+    def left(self, event: Left) -> None:
+        """Stop all for a work unit whose client has gone."""
+        wu = self.open.get(event.ref)
+        if wu is not None:
+            wu.left()
+            self.forget(event.ref, wu)
+
+    def forget(self, ref: str, wu: Handle) -> None:
+        """Drop a work unit that has its answer and nothing out."""
+        if wu.done and all(a.outcome is not None for a in wu.allocs):
+            del self.open[ref]
+
+    def closing(self, event: Closing) -> None:
+        """Answer by the rules, once the time is up, all that is still open."""
+
+        def answer() -> None:
+            for wu in list(self.open.values()):
+                wu.answer()
+
+        self.after(event.left_ms, answer)
+
+    def executor(self, name: str) -> int:
+        """Return an executor's index, a new one for a name not seen before."""
+        found = self.index.get(name)
+        if found is None:
+            found = self.index[name] = len(self.names)
+            self.names.append(name)
+        return found
+
+
+STEPS: dict[type, Callable] = {
+    Begin: Core.begin,
+    Roster: Core.roster,
+    Arrival: Core.arrival,
+    Due: Core.due,
+    Probed: Core.probed,
+    Settled: Core.settled,
+    Started: Core.sign,
+    Progress: Core.sign,
+    Streaming: Core.sign,
+    Left: Core.left,
+    Closing: Core.closing,
+}
--- /dev/null
+++ b/marlseam/net/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter between the decision module and real sockets."""
--- /dev/null
+++ b/marlseam/net/connection.py
@@ -0,0 +1,175 @@
+"""One HTTP connection of either role: its socket, its one buffer, h11 to parse, and the line it leaves."""
+
+import errno
+import socket
+from collections.abc import Generator, Iterable
+from math import inf
+from typing import Any
+
+import h11
+
+from marlseam.net.buffer import Buffer
+from marlseam.net.log import Log, Reason
+from marlseam.net.loop import LATE, READ, WRITE, Cancelled, Loop, Wait
+
+BITE = 16384  # bytes handed to the parser at a time
+HEAD_MOST = 16384  # bytes of a message's head
+AHEAD_MOST = 65536  # bytes kept of what a peer sends ahead of its turn
+Headers = list[tuple[str, str]]
+Steps = Generator[Wait, str, Any]
+
+
+class Ended(Exception):
+    """The connection cannot go on."""
+
+    def __init__(self, reason: Reason, status: int = 0) -> None:
+        super().__init__(reason.value)
+        self.reason, self.status = reason, status
+
+
+class Connection:
+    """Reads and writes messages; whoever holds it closes it once, with a reason."""
+
+    def __init__(self, loop: Loop, log: Log, sock: socket.socket, role: type, what: str) -> None:
+        self.loop, self.log, self.sock, self.what = loop, log, sock, what
+        self.http = h11.Connection(role, max_incomplete_event_size=HEAD_MOST)
+        self.buffer = Buffer()
+        self.served, self.closed, self.eof = 0, False, False
+        self.used_ms = loop.now()
+        self.address: tuple[str, int] | None = None  # of the server, on our side of a call
+
+    # Reading.
+
+    def fill(self) -> bool:
+        """Read what is there without waiting; return whether anything came, the end included."""
+        try:
+            count = self.sock.recv_into(self.buffer.space())
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            raise Ended(Reason.PEER_RESET) from None
+        self.buffer.added(count)
+        self.eof = self.eof or not count
+        return True
+
+    def event(self, until_ms: float) -> Steps:
+        """Return the next part of a message, waiting for it until some time."""
+        while True:
+            try:
+                event = self.http.next_event()
+            except h11.RemoteProtocolError as error:
+                reason = Reason.PEER_CLOSED if self.eof and not len(self.buffer) else Reason.BAD_MESSAGE
+                raise Ended(reason, error.error_status_hint) from None
+            if event is not h11.NEED_DATA:
+                return event
+            if self.http.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                yield from self.write(self.http.send(go_on), until_ms)
+            while not len(self.buffer) and not self.eof:
+                if not self.fill() and (yield (self.sock.fileno(), READ, until_ms)) == LATE:
+                    raise Ended(Reason.TIMED_OUT)
+            # h11 takes no bytes for the end of the stream
+            self.http.receive_data(self.buffer.take(BITE) if len(self.buffer) else b"")
+
+    def body(self, most: int, until_ms: float) -> Steps:
+        """Return the rest of a message as one, up to some size."""
+        parts, size = [], 0
+        while True:
+            event = yield from self.event(until_ms)
+            if type(event) is h11.Data:
+                size += len(event.data)
+                if size > most:
+                    raise Ended(Reason.TOO_LARGE, 413)
+                parts.append(bytes(event.data))
+            elif type(event) is h11.EndOfMessage:
+                return b"".join(parts)
+            else:
+                raise Ended(Reason.PEER_CLOSED)
+
+    def quiet(self) -> bool:
+        """Return whether an unused connection is still open with nothing said on it."""
+        try:
+            return not len(self.buffer) and not self.eof and not self.fill()
+        except Ended:
+            return False
+
+    def waits(self) -> Wait:
+        """Return the wait for a peer's end while its message is worked on; what it sends ahead is kept."""
+        read = not self.eof and len(self.buffer) < AHEAD_MOST
+        return (self.sock.fileno(), READ, inf) if read else (-1, 0, inf)
+
+    # Writing.
+
+    def write(self, data: bytes, until_ms: float) -> Steps:
+        """Write all of some bytes."""
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self.sock.send(view) :]
+            except (BlockingIOError, InterruptedError):
+                if (yield (self.sock.fileno(), WRITE, until_ms)) == LATE:
+                    raise Ended(Reason.TIMED_OUT) from None
+            except OSError:
+                raise Ended(Reason.PEER_RESET) from None
+
+    def message(self, head: h11.Request | h11.Response, body: bytes, until_ms: float) -> Steps:
+        """Write a whole message."""
+        data = self.http.send(head)
+        if body:
+            data += self.http.send(h11.Data(data=body))
+        data += self.http.send(h11.EndOfMessage())
+        yield from self.write(data, until_ms)
+        self.used_ms = self.loop.now()
+
+    def again(self) -> bool:
+        """Make ready for another message, where both sides may go on."""
+        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.http.start_next_cycle()
+            self.served += 1
+            self.used_ms = self.loop.now()
+            return True
+        return False
+
+    def close(self, reason: Reason, detail: str = "") -> None:
+        """Close, and leave the one line."""
+        if not self.closed:
+            self.closed = True
+            self.loop.close(self.sock)
+            self.log.ended(self.what, reason, self.served, detail)
+
+
+def header(headers: Iterable[tuple[bytes, bytes]], name: str) -> str | None:
+    """Return a header's value, or None."""
+    wanted = name.lower().encode()
+    return next((value.decode("latin-1") for key, value in headers if key == wanted), None)
+
+
+def connect(loop: Loop, log: Log, address: tuple[str, int], what: str, until_ms: float) -> Steps:
+    """Open a connection to a server."""
+    try:
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    except OSError:
+        log.ended(what, Reason.NO_SOCKETS, 0)
+        raise Ended(Reason.NO_SOCKETS) from None
+    connection = Connection(loop, log, sock, h11.CLIENT, what)
+    connection.address = address
+    reason: Reason | None = Reason.REFUSED
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        error = sock.connect_ex(address)
+        if error == errno.EINPROGRESS:
+            if (yield (sock.fileno(), WRITE, until_ms)) == LATE:
+                reason = Reason.NO_CONNECT
+                raise Ended(reason)
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise Ended(reason)
+        reason = None
+        return connection
+    except Cancelled:
+        reason = Reason.WITHDRAWN
+        raise
+    finally:
+        if reason is not None:
+            connection.close(reason)
--- /dev/null
+++ b/marlseam/net/discovery.py
@@ -0,0 +1,102 @@
+"""The roster: the list that the node was given, then the whole list and a watch on its changes."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import h11
+
+from marlseam.config import Config
+from marlseam.core import Event, Roster
+from marlseam.interface import Listing, State
+from marlseam.net import protocol
+from marlseam.net.connection import Connection, Ended, Steps, connect
+from marlseam.net.executors import Executors
+from marlseam.net.log import Log, Reason
+from marlseam.net.loop import Coroutine, Loop, Task
+from marlseam.net.protocol import Malformed
+
+CALL_SHARE = 0.3  # how long an answer that need not wait may take, in times after which one must ask
+WATCH_MS = 20000.0  # how long discovery may hold a watch
+
+
+class Discovery:
+    """Follows the roster while it can; a failure is told to the reducer, which says when to ask again."""
+
+    def __init__(
+        self, loop: Loop, log: Log, config: Config, executors: Executors, post: Callable[[Event], None]
+    ) -> None:
+        self.loop, self.log, self.config, self.executors, self.post = loop, log, config, executors, post
+        self.call_ms = CALL_SHARE * config.deployment.settings.must_ask_ms
+        self.version, self.holds_list = -1, False
+        self.task: Task | None = None
+
+    def begin(self) -> None:
+        """Take in the list that the configuration holds."""
+        try:
+            self.take(self.config.known, cached=True)
+        except Malformed as error:
+            self.log.line(f"the list in the configuration: {error}")
+
+    def watch(self) -> None:
+        """Ask for the list and follow its changes, unless that is under way."""
+        if self.task is None or self.task.done:
+            self.task = self.loop.spawn(self.follow())
+
+    def follow(self) -> Coroutine:
+        """Fetch the whole list, then watch back to back until a call fails."""
+        connection: Connection | None = None
+        reason = Reason.FAULT
+        try:
+            until = self.loop.now() + self.call_ms
+            connection = yield from connect(self.loop, self.log, self.config.discovery, "discovery", until)
+            yield from self.call(connection, protocol.LIST_PATH, until)
+            while True:
+                until = self.loop.now() + WATCH_MS + self.call_ms
+                target = protocol.watch_target(self.version, WATCH_MS)
+                if not (yield from self.call(connection, target, until)):
+                    until = self.loop.now() + self.call_ms
+                    yield from self.call(connection, protocol.LIST_PATH, until)
+        except Ended as ended:
+            reason = ended.reason
+        except Malformed as error:
+            self.log.line(f"discovery: {error}")
+            reason = Reason.BAD_MESSAGE
+        finally:
+            if connection is not None:
+                connection.close(reason)
+            self.task = None
+            self.post(Roster(Listing.FAILED, []))
+
+    def call(self, connection: Connection, target: str, until: float) -> Steps:
+        """Make one call, take in what it says, and return whether that follows on what is held."""
+        host = f"{self.config.discovery[0]}:{self.config.discovery[1]}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
+        yield from connection.message(request, b"", until)
+        answer = yield from connection.event(until)
+        if type(answer) is not h11.Response:
+            raise Ended(Reason.PEER_CLOSED)
+        body = yield from connection.body(protocol.LIST_MOST, until)
+        if answer.status_code != 200:
+            raise Malformed(f"answered {answer.status_code}")
+        if not connection.again():
+            raise Ended(Reason.DONE)
+        try:
+            value = json.loads(body)
+        except ValueError:
+            raise Malformed("the answer is no JSON") from None
+        return self.take(value)
+
+    def take(self, value: Any, cached: bool = False) -> bool:  # noqa: ANN401
+        """Take in an answer; a change that is older than what is held does not fit, and is left."""
+        news = protocol.news_from(value, self.config.deployment, self.loop.clock.unix_zero_ms)
+        for odd in news.odd:
+            self.log.line(f"discovery: entry left out: {odd}")
+        if news.listing is Listing.DELTA and news.version < self.version:
+            return False
+        self.version = news.version
+        self.holds_list = True
+        gone = {entry.executor for entry in news.entries if entry.state is State.GONE}
+        self.executors.listed(news.listing is Listing.FULL, news.addresses, gone)
+        self.post(Roster(Listing.CACHED if cached else news.listing, news.entries))
+        return True
--- /dev/null
+++ b/marlseam/net/executors.py
@@ -0,0 +1,256 @@
+"""Connections to executors: the pool, allocations as streams of lines, and probes."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import h11
+
+from marlseam.config import Deployment
+from marlseam.core import Event, Probed, Progress, Settled, Started
+from marlseam.interface import Outcome, Report
+from marlseam.net import protocol
+from marlseam.net.connection import Connection, Ended, Steps, connect
+from marlseam.net.log import Log, Reason
+from marlseam.net.loop import READ, READY, Cancelled, Coroutine, Loop, Task
+from marlseam.net.protocol import Head, Job, Malformed
+
+IDLE_SHARE = 0.7  # of the settings' time, after which an unused connection is closed
+PROBE_SHARE = 2.0  # how long a probe may take, in promised turnarounds of the most urgent project type
+END_SHARE = 1.0  # how long the end of an answer may take after its last line, likewise
+PROBE_PLACES = 4  # connections to an executor that probes may open beyond those of allocations
+
+
+@dataclass
+class Peer:
+    """One executor: where it is, the connections to it, and those that stand unused."""
+
+    name: str
+    address: tuple[str, int] | None = None
+    listed: bool = True
+    count: int = 0
+    idle: list[tuple[Connection, Task]] = field(default_factory=list)
+
+
+class Executors:
+    """Carries out sends, cancels and probes, and hands what comes of them to the reducer."""
+
+    def __init__(
+        self, loop: Loop, log: Log, deployment: Deployment, places: int, post: Callable[[Event], None]
+    ) -> None:
+        self.loop, self.log, self.deployment, self.places, self.post = loop, log, deployment, places, post
+        urgent = min(t.promised_ms for t in deployment.settings.types) or deployment.connect_ms
+        self.idle_ms = IDLE_SHARE * deployment.keepalive_ms
+        self.probe_ms, self.end_ms = PROBE_SHARE * urgent, END_SHARE * urgent
+        self.peers: dict[str, Peer] = {}
+        self.out: dict[tuple[str, int], Task] = {}
+
+    # The list.
+
+    def listed(self, whole: bool, addresses: dict[str, tuple[str, int]], gone: set[str]) -> None:
+        """Take in executors' addresses and departures."""
+        for name, address in addresses.items():
+            peer = self.peers.setdefault(name, Peer(name))
+            if peer.address not in (None, address):
+                self.empty(peer)
+            peer.address, peer.listed = address, True
+        if whole:
+            gone = gone | (set(self.peers) - set(addresses))
+        for name in gone & set(self.peers):
+            peer = self.peers[name]
+            peer.listed = False
+            self.empty(peer)
+            self.forget(peer)
+
+    def empty(self, peer: Peer) -> None:
+        """Close the unused connections to an executor."""
+        while peer.idle:
+            self.end(peer, self.checked_out(peer), Reason.FORGOTTEN)
+
+    def forget(self, peer: Peer) -> None:
+        """Forget an executor that has left once no connection to it is left."""
+        if not peer.listed and not peer.count and self.peers.get(peer.name) is peer:
+            del self.peers[peer.name]
+
+    # The pool.
+
+    def open(self) -> int:
+        """Return how many connections to executors there are."""
+        return sum(peer.count for peer in self.peers.values())
+
+    def limit(self) -> int:
+        """Return how many connections one executor may get for allocations."""
+        return max(PROBE_PLACES, self.places // max(1, len(self.peers)) - PROBE_PLACES)
+
+    def checked_out(self, peer: Peer) -> Connection:
+        """Take the unused connection that was used last."""
+        connection, watch = peer.idle.pop()
+        watch.cancel()
+        return connection
+
+    def acquire(self, peer: Peer, places: int, until_ms: float) -> Steps:
+        """Return a connection: one that is unused and still open, else a new one."""
+        while peer.idle:
+            connection = self.checked_out(peer)
+            if connection.quiet():
+                return connection
+            self.end(peer, connection, Reason.PEER_CLOSED)
+        if peer.address is None or peer.count >= places:
+            raise Ended(Reason.NO_SOCKETS)
+        peer.count += 1
+        try:
+            until = min(until_ms, self.loop.now() + self.deployment.connect_ms)
+            return (yield from connect(self.loop, self.log, peer.address, f"executor {peer.name}", until))
+        except BaseException:
+            peer.count -= 1
+            raise
+
+    def release(self, peer: Peer, connection: Connection) -> None:
+        """Keep a connection for later, where both sides may go on."""
+        if peer.listed and connection.address == peer.address and connection.again():
+            watch = self.loop.spawn(self.watch(peer, connection))
+            peer.idle.append((connection, watch))
+        else:
+            self.end(peer, connection, Reason.DONE)
+
+    def watch(self, peer: Peer, connection: Connection) -> Coroutine:
+        """Close an unused connection once its time is over or anything comes on it."""
+        came = yield (connection.sock.fileno(), READ, self.loop.now() + self.idle_ms)
+        peer.idle = [pair for pair in peer.idle if pair[0] is not connection]
+        self.end(peer, connection, Reason.PEER_CLOSED if came == READY else Reason.IDLE)
+
+    def end(self, peer: Peer, connection: Connection, reason: Reason) -> None:
+        """Close a connection."""
+        connection.close(reason)
+        peer.count -= 1
+        self.forget(peer)
+
+    # Allocations.
+
+    def send(self, ref: str, alloc: int, name: str, job: Job, until_ms: float, expires_ms: float) -> None:
+        """Send a work unit's allocation."""
+        task = self.loop.spawn(self.allocation(ref, alloc, name, job, until_ms, expires_ms))
+        if not task.done:
+            self.out[ref, alloc] = task
+
+    def cancel(self, ref: str, alloc: int) -> None:
+        """Give up an allocation."""
+        task = self.out.get((ref, alloc))
+        if task is not None:
+            task.cancel()
+
+    def allocation(
+        self, ref: str, alloc: int, name: str, job: Job, until_ms: float, expires_ms: float
+    ) -> Coroutine:
+        """Carry one allocation from its sending to its outcome, which is told exactly once."""
+        peer = self.peers.get(name) or Peer(name, listed=False)
+        connection, written, told = None, False, False
+
+        def tell(outcome: Outcome, report: Report | None = None, result: bytes = b"") -> None:
+            nonlocal told
+            if not told:
+                told = True
+                self.out.pop((ref, alloc), None)
+                self.post(Settled(ref, alloc, outcome, outcome is Outcome.COMPLETED, report, result))
+
+        reason = Reason.FAULT
+        try:
+            connection = yield from self.acquire(peer, self.limit(), until_ms)
+            host = f"{peer.address[0]}:{peer.address[1]}" if peer.address else name
+            headers = protocol.job_headers(job, host, expires_ms - self.loop.now())
+            request = h11.Request(method="POST", target=job.target, headers=headers)
+            yield from connection.message(request, job.body, until_ms)
+            written = True
+            answer = yield from connection.event(until_ms)
+            while type(answer) is h11.InformationalResponse:
+                answer = yield from connection.event(until_ms)
+            if type(answer) is not h11.Response:
+                raise Ended(Reason.PEER_CLOSED)
+            head = Head(answer.headers)
+            if answer.status_code == 200:
+                yield from self.lines(connection, ref, alloc, peer, job, until_ms, tell)
+            else:
+                report = protocol.report_from(head.get(protocol.LOAD), self.deployment.report_names)
+                tell(protocol.refusal(answer.status_code, head), report)
+            end = self.loop.now() + self.end_ms
+            yield from connection.body(protocol.BODY_MOST, end)
+            self.release(peer, connection)
+            connection = None
+        except Ended as ended:
+            reason = ended.reason
+            if not written:
+                tell(Outcome.UNREACHABLE)
+            else:
+                tell(Outcome.TIMED_OUT if reason is Reason.TIMED_OUT else Outcome.BROKEN)
+        except Malformed:
+            reason = Reason.BAD_MESSAGE
+            tell(Outcome.BROKEN)
+        except Cancelled:
+            reason = Reason.WITHDRAWN
+            tell(Outcome.WITHDRAWN if written else Outcome.VOID)
+            raise
+        finally:
+            if connection is not None:
+                self.end(peer, connection, reason)
+            self.forget(peer)
+            tell(Outcome.BROKEN if written else Outcome.VOID)
+
+    def lines(
+        self,
+        connection: Connection,
+        ref: str,
+        alloc: int,
+        peer: Peer,
+        job: Job,
+        until_ms: float,
+        tell: Callable[..., None],
+    ) -> Steps:
+        """Read an answer's lines up to the last one."""
+        lines = protocol.Lines()
+        while True:
+            event = yield from connection.event(until_ms)
+            if type(event) is not h11.Data:
+                raise Ended(Reason.PEER_CLOSED)
+            for raw in lines.feed(bytes(event.data)):
+                line = protocol.line_from(raw, job.id, peer.name, self.deployment.report_names)
+                if line.end is not None:
+                    tell(line.end, line.report, line.result)
+                    return
+                if line.started:
+                    self.post(Started(ref, alloc))
+                elif line.share is not None:
+                    self.post(Progress(ref, alloc, line.share))
+
+    # Probes.
+
+    def probe(self, name: str) -> None:
+        """Ask an executor for its report."""
+        self.loop.spawn(self.asking(name))
+
+    def asking(self, name: str) -> Coroutine:
+        """Carry one probe to its end."""
+        peer = self.peers.get(name) or Peer(name, listed=False)
+        began, connection, report = self.loop.now(), None, None
+        outcome, reason, until = Outcome.BROKEN, Reason.FAULT, self.loop.now() + self.probe_ms
+        try:
+            connection = yield from self.acquire(peer, self.limit() + PROBE_PLACES, until)
+            request = h11.Request(method="GET", target=protocol.LOAD_PATH, headers=[("Host", name)])
+            yield from connection.message(request, b"", until)
+            answer = yield from connection.event(until)
+            if type(answer) is not h11.Response:
+                raise Ended(Reason.PEER_CLOSED)
+            body = yield from connection.body(protocol.BODY_MOST, until)
+            report = protocol.load_from(body, Head(answer.headers), self.deployment.report_names)
+            outcome = {200: Outcome.COMPLETED, 503: Outcome.FULL}.get(answer.status_code, Outcome.ERROR)
+            self.release(peer, connection)
+            connection = None
+        except Ended as ended:
+            reason = ended.reason
+            if connection is None:
+                outcome = Outcome.UNREACHABLE
+            elif reason is Reason.TIMED_OUT:
+                outcome = Outcome.TIMED_OUT
+        finally:
+            if connection is not None:
+                self.end(peer, connection, reason)
+            self.forget(peer)
+            self.post(Probed(name, outcome, self.loop.now() - began, report))
--- /dev/null
+++ b/marlseam/net/loop.py
@@ -0,0 +1,221 @@
+"""The event loop: select.epoll, generators as coroutines, timers, and the one place where clocks are joined.
+
+A coroutine yields what it waits for, `(fd, mask, until_ms)`, and is resumed with READY, LATE or WOKEN; an fd
+below 0 waits for time or a wake alone. `task.cancel()` raises Cancelled where the coroutine stands.
+"""
+
+import contextlib
+import heapq
+import select
+import signal
+import socket
+import time
+import traceback
+from collections import deque
+from collections.abc import Callable, Generator
+from math import inf
+
+READ, WRITE = select.EPOLLIN, select.EPOLLOUT
+READY, LATE, WOKEN = "ready", "late", "woken"
+Wait = tuple[int, int, float]
+Coroutine = Generator[Wait, str, None]
+
+
+class Cancelled(BaseException):
+    """Raised in a coroutine whose task is cancelled."""
+
+
+class Clock:
+    """Milliseconds since the start by the monotonic clock, and Unix time brought onto that scale."""
+
+    def __init__(self) -> None:
+        self.zero = time.monotonic()
+        self.unix_zero_ms = time.time() * 1000.0
+
+    def now(self) -> float:
+        """Return the time."""
+        return (time.monotonic() - self.zero) * 1000.0
+
+    def from_unix(self, unix_ms: float) -> float:
+        """Return a Unix time on this clock; the offset never changes, so that equal times stay equal."""
+        return unix_ms - self.unix_zero_ms
+
+
+class Timer:
+    """A call that is due at some time unless cancelled."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        """Drop the call."""
+        self.call = None
+
+
+class Task:
+    """One coroutine and what it waits for."""
+
+    def __init__(self, loop: "Loop", coroutine: Coroutine) -> None:
+        self.loop, self.coroutine = loop, coroutine
+        self.fd, self.timer = -1, None
+        self.done = self.running = self.woken = False
+
+    def step(self, value: str | None, error: BaseException | None = None) -> None:
+        """Run the coroutine up to its next wait."""
+        if self.done or self.running:
+            return
+        self.rest()
+        outer, self.loop.current = self.loop.current, self
+        self.running, self.woken = True, False
+        try:
+            wait = self.coroutine.throw(error) if error is not None else self.coroutine.send(value)
+        except (StopIteration, Cancelled):
+            self.done = True
+            return
+        except Exception:
+            # Guards the process: whatever goes wrong on one connection ends that one alone.
+            self.done = True
+            self.loop.fault(traceback.format_exc())
+            return
+        finally:
+            self.running, self.loop.current = False, outer
+        if self.woken:
+            self.loop.soon(lambda: self.step(WOKEN))
+            return
+        fd, mask, until = wait
+        if fd >= 0:
+            self.fd = fd
+            self.loop.arm(fd, mask, self)
+        if until < inf:
+            self.timer = self.loop.at(until, lambda: self.step(LATE))
+
+    def rest(self) -> None:
+        """Forget what the coroutine waited for."""
+        if self.fd >= 0:
+            self.loop.waiting.pop(self.fd, None)
+            self.fd = -1
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def wake(self) -> None:
+        """Resume the coroutine with WOKEN, from its next wait on if it runs now."""
+        if not self.woken:
+            self.woken = True
+            if not self.running:
+                self.loop.soon(lambda: self.step(WOKEN) if self.woken else None)
+
+    def cancel(self) -> None:
+        """End the coroutine where it stands."""
+        if not self.running:
+            self.step(None, Cancelled())
+
+
+class Loop:
+    """Waits for sockets and timers, and runs what is due."""
+
+    def __init__(self, fault: Callable[[str], None]) -> None:
+        self.clock, self.fault = Clock(), fault
+        self.now = self.clock.now
+        self.poll = select.epoll()
+        self.known: set[int] = set()
+        self.waiting: dict[int, Task] = {}
+        self.timers: list[tuple[float, int, Timer]] = []
+        self.calls: deque[Callable[[], None]] = deque()
+        self.current: Task | None = None
+        self.count = 0
+        self.stopped = False
+        self.late_ms = 0.0  # the longest that a timer came late
+
+    def spawn(self, coroutine: Coroutine) -> Task:
+        """Start a coroutine; it runs up to its first wait at once."""
+        task = Task(self, coroutine)
+        task.step(None)
+        return task
+
+    def soon(self, call: Callable[[], None]) -> None:
+        """Call before the next wait."""
+        self.calls.append(call)
+
+    def at(self, due_ms: float, call: Callable[[], None]) -> Timer:
+        """Call at a time."""
+        timer = Timer(call)
+        self.count += 1
+        heapq.heappush(self.timers, (due_ms, self.count, timer))
+        return timer
+
+    def arm(self, fd: int, mask: int, task: Task) -> None:
+        """Have a task resumed once when a socket is ready."""
+        self.waiting[fd] = task
+        if fd in self.known:
+            self.poll.modify(fd, mask | select.EPOLLONESHOT)
+        else:
+            self.poll.register(fd, mask | select.EPOLLONESHOT)
+            self.known.add(fd)
+
+    def close(self, sock: socket.socket) -> None:
+        """Close a socket that the loop may know."""
+        fd = sock.fileno()
+        self.waiting.pop(fd, None)
+        if fd in self.known:
+            self.known.discard(fd)
+            with contextlib.suppress(OSError):
+                self.poll.unregister(fd)
+        sock.close()
+
+    def run(self) -> None:
+        """Run until stopped."""
+        while not self.stopped:
+            self.turn()
+
+    def turn(self) -> None:
+        """Wait once, and run what is due by then."""
+        for fd, _ in self.poll.poll(self.pause_s()):
+            task = self.waiting.get(fd)
+            if task is not None:
+                task.step(READY)
+        self.run_calls()
+        now = self.now()
+        while self.timers and self.timers[0][0] <= now:
+            due, _, timer = heapq.heappop(self.timers)
+            if timer.call is not None:
+                self.late_ms = max(self.late_ms, now - due)
+                timer.call()
+                self.run_calls()
+
+    def run_calls(self) -> None:
+        """Run what is to be called before the next wait."""
+        while self.calls:
+            self.calls.popleft()()
+
+    def pause_s(self) -> float:
+        """Return how long nothing is due; -1 for ever."""
+        while self.timers and self.timers[0][2].call is None:
+            heapq.heappop(self.timers)
+        if self.calls:
+            return 0.0
+        return max(0.0, (self.timers[0][0] - self.now()) / 1000.0) if self.timers else -1.0
+
+    def on_signal(self, number: int, call: Callable[[], None]) -> None:
+        """Call from within the loop when a signal comes."""
+        ours, theirs = socket.socketpair()
+        ours.setblocking(False)
+        theirs.setblocking(False)
+        signal.signal(number, lambda *_: None)
+        signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
+
+        def listen() -> Coroutine:
+            while True:
+                yield (ours.fileno(), READ, inf)
+                with contextlib.suppress(BlockingIOError):
+                    if ours.recv(64) and theirs:
+                        call()
+
+        self.spawn(listen())
+
+
+def sleep(until_ms: float) -> Generator[Wait, str, str]:
+    """Wait until a time or a wake."""
+    return (yield (-1, 0, until_ms))
--- /dev/null
+++ b/marlseam/net/node.py
@@ -0,0 +1,137 @@
+"""One real node: hands what happens on its sockets to the reducer and carries out the effects it asks for."""
+
+import resource
+import signal
+from collections import deque
+from collections.abc import Callable
+
+from marlseam import core
+from marlseam.config import Config
+from marlseam.core import Core, Effect, Event
+from marlseam.interface import WorkUnit
+from marlseam.net import protocol
+from marlseam.net.discovery import Discovery
+from marlseam.net.executors import Executors
+from marlseam.net.log import Log
+from marlseam.net.loop import Loop
+from marlseam.net.server import Pending, Server
+
+OWN_SOCKETS = 32  # descriptors for the listener, epoll, signals, discovery, logs and the interpreter
+CLIENT_SHARE = 0.5  # of the other descriptors, for clients
+LISTEN_MS = 600.0  # how long new connections may still come after SIGTERM
+CLOSE_MS = 3300.0  # by when after SIGTERM all is answered
+EXIT_MS = 3500.0  # when after SIGTERM the node ends at the latest
+LOOK_MS = 20.0  # how often it looks whether it may end
+
+
+class Node:
+    """Joins the loop, the server, the executors, discovery and the reducer."""
+
+    def __init__(self, config: Config) -> None:
+        self.config = config
+        self.loop = Loop(lambda text: self.log.line(text.strip().replace("\n", " | ")))
+        self.log = Log(config.name, self.loop.now)
+        places = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS
+        clients = int(CLIENT_SHARE * places)
+        self.core = Core()
+        self.pending: dict[str, Pending] = {}
+        self.refs, self.events, self.busy = 0, deque[Event](), False
+        self.executors = Executors(self.loop, self.log, config.deployment, places - clients, self.post)
+        self.discovery = Discovery(self.loop, self.log, config, self.executors, self.post)
+        self.post(core.Begin(config.deployment.settings, config.seed))
+        self.discovery.begin()
+        self.server = Server(self.loop, self.log, config, clients, self.ready, self.take, self.left)
+        self.loop.on_signal(signal.SIGTERM, self.close)
+
+    def run(self) -> None:
+        """Serve until told to end."""
+        self.log.line(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
+        self.loop.run()
+
+    def ready(self) -> bool:
+        """Return whether clients should come."""
+        return self.discovery.holds_list and not self.server.closing
+
+    # Events.
+
+    def post(self, event: Event) -> None:
+        """Hand an event to the reducer, after those before it, and carry out what it asks for."""
+        self.events.append(event)
+        if self.busy:
+            return
+        self.busy = True
+        try:
+            while self.events:
+                for effect in self.core.reduce(self.loop.now(), self.events.popleft()):
+                    EFFECTS[type(effect)](self, effect)
+        finally:
+            self.busy = False
+
+    def take(self, pending: Pending) -> str:
+        """Take a client's work unit under a name of our own, as clients may send one name twice."""
+        self.refs += 1
+        ref, job = str(self.refs), pending.job
+        self.pending[ref] = pending
+        work = WorkUnit(ref, job.type, pending.expires_ms, job.slots, job.memory, job.hint_ms)
+        self.post(core.Arrival(work))
+        return ref
+
+    def left(self, ref: str) -> None:
+        """Tell that a client has gone."""
+        self.pending.pop(ref, None)
+        self.post(core.Left(ref))
+
+    # Effects.
+
+    def send(self, effect: core.Send) -> None:
+        """Send an allocation."""
+        now = self.loop.now()
+        pending = self.pending[effect.ref]
+        self.executors.send(
+            effect.ref, effect.alloc, effect.executor, pending.job, now + effect.limit_ms, pending.expires_ms
+        )
+
+    def answer(self, ref: str, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
+        """Give a client its one answer, if it is still there."""
+        pending = self.pending.pop(ref, None)
+        if pending is not None:
+            pending.give(status, headers, body)
+
+    def timer(self, effect: core.Timer) -> None:
+        """Bring back a mark later."""
+        self.loop.at(self.loop.now() + effect.delay_ms, lambda: self.post(core.Due(effect.mark)))
+
+    # The end.
+
+    def close(self) -> None:
+        """Begin to end after SIGTERM: answer what is taken, take what still comes, then go."""
+        if self.server.closing:
+            return
+        self.server.closing = True
+        began = self.loop.now()
+        self.log.line(f"told to end with {len(self.pending)} work units open")
+        self.post(core.Closing(CLOSE_MS))
+        self.loop.at(began + LISTEN_MS, self.server.stop_listening)
+        self.loop.at(began + LISTEN_MS, lambda: self.end(began + EXIT_MS))
+
+    def end(self, at_ms: float) -> None:
+        """Stop once no client waits any more, or the time is over."""
+        self.server.close_idle()
+        if not self.server.tasks or self.loop.now() >= at_ms:
+            self.log.line(f"ends with {len(self.pending)} work units open")
+            self.loop.stopped = True
+        else:
+            self.loop.at(self.loop.now() + LOOK_MS, lambda: self.end(at_ms))
+
+
+EFFECTS: dict[type[Effect], Callable[[Node, Effect], None]] = {
+    core.Send: Node.send,
+    core.Cancel: lambda node, effect: node.executors.cancel(effect.ref, effect.alloc),
+    core.Complete: lambda node, effect: node.answer(effect.ref, 200, [], effect.result),
+    core.Defer: lambda node, effect: node.answer(effect.ref, 503, protocol.advice(effect.advice_ms), b""),
+    core.Abort: lambda node, effect: node.answer(effect.ref, 500, [], b""),
+    core.Probe: lambda node, effect: node.executors.probe(effect.executor),
+    core.Timer: Node.timer,
+    core.Watch: lambda node, effect: node.discovery.watch(),
+    core.Log: lambda node, effect: node.log.line(effect.text),
+}
--- /dev/null
+++ b/marlseam/net/protocol.py
@@ -0,0 +1,306 @@
+"""The protocol's names, and its messages turned into ours and back; no I/O. Its names end in this package."""
+
+import json
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from math import inf, isfinite
+from typing import Any
+
+from marlseam.config import Deployment
+from marlseam.core import Entry
+from marlseam.interface import Listing, Outcome, Report, State
+
+READY_PATH, LOAD_PATH, LIST_PATH = "/-/ready", "/-/load", "/api/targets"
+ID, TYPE, TIME_LEFT, RECEIPT = "X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key"
+HINT, FACTS, LOAD, NEVER_RAN = "X-Weight-Hint", "X-Facts", "X-Backend-Load", "X-Unprocessed"
+BODY_MOST = 65536  # bytes of a request's body, and of an executor's answer
+LINE_MOST = 2 * BODY_MOST  # bytes of one line, which is a body in JSON
+LIST_MOST = 1 << 24  # bytes of a whole list
+ID_MOST = 256
+HEALTH = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+ENDS = {
+    "done": Outcome.COMPLETED,
+    "failed": Outcome.ERROR,
+    "returned": Outcome.FULL,
+    "lost": Outcome.BROKEN,
+}
+
+
+class Malformed(Exception):
+    """Something that the protocol does not allow; for a client with the status that it is told."""
+
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A work unit as its client wrote it: what goes on to executors unchanged, and what we read of it."""
+
+    id: str
+    target: str
+    receipt: str | None
+    body: bytes
+    type: int
+    type_name: str
+    left_ms: float
+    slots: float
+    memory: float
+    hint_ms: float | None
+
+
+class Head(Mapping[str, str]):
+    """A message's headers by name, in any case of letters."""
+
+    def __init__(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        self.values_by_name = {key.decode("latin-1"): value.decode("latin-1") for key, value in headers}
+
+    def __getitem__(self, name: str) -> str:
+        return self.values_by_name[name.lower()]
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self.values_by_name)
+
+    def __len__(self) -> int:
+        return len(self.values_by_name)
+
+
+def number(text: str, what: str) -> float:
+    """Read a finite number that is not below zero."""
+    try:
+        value = float(text)
+    except ValueError:
+        raise Malformed(f"{what} is no number") from None
+    if not isfinite(value) or value < 0.0:
+        raise Malformed(f"{what} is out of range")
+    return value
+
+
+def pairs(text: str) -> dict[str, str]:
+    """Read `name=value,name=value`."""
+    return {
+        name.strip(): value.strip()
+        for name, separator, value in (pair.partition("=") for pair in text.split(","))
+        if separator
+    }
+
+
+# Clients.
+
+
+def route(method: str, target: str, types: Mapping[str, int]) -> str:
+    """Return the path that a client asks for, where such a request exists."""
+    path = target.partition("?")[0]
+    if path == READY_PATH:
+        allowed = "GET"
+    elif path.strip("/").partition("/")[0] in types:
+        allowed = "POST"
+    else:
+        raise Malformed("no such path", 404)
+    if method != allowed:
+        raise Malformed(f"only {allowed} is possible here", 405)
+    return path
+
+
+def job_from(target: str, head: Head, body: bytes, deployment: Deployment) -> Job:
+    """Read a work unit out of a client's request."""
+    id = head.get(ID, "")
+    if not id or len(id) > ID_MOST or not id.isascii() or not id.isprintable() or " " in id:
+        raise Malformed(f"{ID} is missing or bad")
+    name = head.get(TYPE, "")
+    if name not in deployment.types or target.partition("?")[0].strip("/").partition("/")[0] != name:
+        raise Malformed(f"{TYPE} is missing, unknown or another than the path's")
+    left_ms = 1000.0 * number(head.get(TIME_LEFT, ""), TIME_LEFT)
+    type = deployment.types[name]
+    facts = pairs(head.get(FACTS, ""))
+    hint = head.get(HINT)
+    return Job(
+        id=id,
+        target=target,
+        receipt=head.get(RECEIPT),
+        body=body,
+        type=type,
+        type_name=name,
+        left_ms=min(left_ms, deployment.settings.types[type].limit_ms or inf),
+        slots=number(facts.get("slots", facts.get("needs", "1")), FACTS) or 1.0,
+        memory=number(facts.get("memory", facts.get("memNeeded", "0")), FACTS),
+        hint_ms=number(hint, HINT) if hint else None,
+    )
+
+
+def advice(advice_ms: float) -> list[tuple[str, str]]:
+    """Return the headers that tell a client when to come back."""
+    return [("Retry-After", f"{advice_ms / 1000.0:.3f}")] if advice_ms > 0.0 else []
+
+
+# Executors.
+
+
+def job_headers(job: Job, host: str, left_ms: float) -> list[tuple[str, str]]:
+    """Return the headers under which a work unit goes to an executor."""
+    headers = [
+        ("Host", host),
+        (ID, job.id),
+        (TYPE, job.type_name),
+        (TIME_LEFT, f"{max(0.0, left_ms) / 1000.0:.3f}"),
+        ("Content-Length", str(len(job.body))),
+    ]
+    if job.receipt is not None:
+        headers.append((RECEIPT, job.receipt))
+    return headers
+
+
+def refusal(status: int, head: Head) -> Outcome:
+    """Return what an executor's answer means that is no stream of lines."""
+    return Outcome.FULL if status in (503, 504) and head.get(NEVER_RAN) == "1" else Outcome.ERROR
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    """One line of an executor's answer: a start, a share of progress, or an end."""
+
+    started: bool = False
+    share: float | None = None
+    end: Outcome | None = None
+    result: bytes = b""
+    report: Report | None = None
+
+
+def line_from(raw: bytes, id: str, executor: str, names: Mapping[str, str]) -> Line:
+    """Read one line of an executor's answer."""
+    try:
+        row = json.loads(raw)
+    except ValueError:
+        raise Malformed("a line is no JSON") from None
+    if not isinstance(row, dict) or row.get("id") != id or row.get("from") != executor:
+        raise Malformed("a line is not from this executor on this work unit")
+    state, share, result = row.get("state"), row.get("share"), row.get("result")
+    report = report_from(row.get("load"), names)
+    if state == "started":
+        return Line(started=True)
+    if state == "running" and isinstance(share, int | float):
+        return Line(share=float(share))
+    if state not in ENDS or (state == "done" and not isinstance(result, str)):
+        raise Malformed("a line tells no known state")
+    return Line(end=ENDS[state], result=result.encode() if state == "done" else b"", report=report)
+
+
+class Lines:
+    """Cuts a streamed answer into its lines."""
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Take in some bytes and return the lines that they end."""
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        if len(self.rest) > LINE_MOST or any(len(line) > LINE_MOST for line in lines):
+            raise Malformed("a line is too long")
+        return [line for line in lines if line.strip()]
+
+
+def report_from(value: object, names: Mapping[str, str]) -> Report | None:
+    """Read a load report, as an object or as the text of a header; what is odd in it is passed by."""
+    if isinstance(value, str):
+        value = pairs(value.strip().removeprefix("TEXT").removeprefix("JSON"))
+    if not isinstance(value, dict):
+        return None
+    found = {}
+    for name, figure in value.items():
+        if name in names:
+            try:
+                figure = float(figure)
+            except (TypeError, ValueError):
+                continue
+            if isfinite(figure):
+                found[names[name]] = figure
+    return Report(**found)
+
+
+def load_from(body: bytes, head: Head, names: Mapping[str, str]) -> Report | None:
+    """Read the load report that a probe's answer holds as its body or in its header."""
+    text = body.decode("latin-1").strip()
+    if text.startswith("{"):
+        try:
+            return report_from(json.loads(text), names)
+        except ValueError:
+            return None
+    return report_from(text or head.get(LOAD), names)
+
+
+# Discovery.
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """One answer of discovery: what changed, or the whole list, with each executor's address."""
+
+    version: int
+    listing: Listing
+    entries: list[Entry]
+    addresses: dict[str, tuple[str, int]]
+    odd: list[str]
+
+
+def watch_target(version: int, wait_ms: float) -> str:
+    """Return the call that waits for what is newer than a version."""
+    return f"{LIST_PATH}?since={version}&timeout_ms={wait_ms:.0f}"
+
+
+def news_from(value: object, deployment: Deployment, unix_zero_ms: float) -> News:
+    """Read discovery's answer; an odd entry is left out and told of."""
+    if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
+        raise Malformed("the answer holds no list")
+    version = value.get("seq")
+    if not isinstance(version, int) or isinstance(version, bool):
+        raise Malformed("the answer holds no version")
+    news = News(version, Listing.FULL if value.get("whole") else Listing.DELTA, [], {}, [])
+    for row in value["hosts"]:
+        try:
+            entry, address = entry_from(row, deployment, unix_zero_ms)
+        except Malformed as error:
+            news.odd.append(f"{str(row)[:80]}: {error}")
+            continue
+        news.entries.append(entry)
+        if address is not None:
+            news.addresses[entry.executor] = address
+    return news
+
+
+def entry_from(
+    row: object, deployment: Deployment, unix_zero_ms: float
+) -> tuple[Entry, tuple[str, int] | None]:
+    """Read one entry of the list; one that has left needs no address."""
+    if not isinstance(row, dict):
+        raise Malformed("no object")
+    name, state, block, born = row.get("host"), row.get("health"), row.get("block"), row.get("born_ms")
+    if not isinstance(name, str) or not name:
+        raise Malformed("no host")
+    if state not in HEALTH:
+        raise Malformed("unknown health")
+    if born is not None and (not isinstance(born, int | float) or not isfinite(born)):
+        raise Malformed("born_ms is no number")
+    entry = Entry(
+        executor=name,
+        state=HEALTH[state],
+        kind=known(row.get("class"), deployment.kinds),
+        zone=known(row.get("site"), deployment.zones),
+        cell=block if isinstance(block, int) else -1,
+        born_ms=born - unix_zero_ms if born else None,
+    )
+    return entry, None if entry.state is State.GONE else address_from(row.get("dial"))
+
+
+def known(value: Any, names: Mapping[str, int]) -> int:  # noqa: ANN401
+    """Return a name's index; -1 for what is not among the names."""
+    return names.get(value, -1) if isinstance(value, str) else -1
+
+
+def address_from(value: object) -> tuple[str, int]:
+    """Read an address and port; there is no DNS, so the address must be one in figures."""
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    host = host.strip("[]")
+    if not host or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise Malformed("dial is no address and port")
+    return host, int(port)
--- /dev/null
+++ b/marlseam/net/server.py
@@ -0,0 +1,210 @@
+"""The node's own door: accepts clients, reads their work units and writes their answers."""
+
+import errno
+import socket
+from collections.abc import Callable
+from math import inf
+
+import h11
+
+from marlseam.config import Config, Deployment
+from marlseam.net import protocol
+from marlseam.net.connection import Connection, Ended, Headers, Steps
+from marlseam.net.log import Log, Reason
+from marlseam.net.loop import LATE, READ, READY, Coroutine, Loop, Task, sleep
+from marlseam.net.protocol import Head, Job, Malformed
+
+IDLE_MS = 300000.0  # how long a client may keep an unused connection
+READ_MS = 10000.0  # how long a request may take to come, from its first byte
+WRITE_MS = 10000.0  # how long a client may take to read its answer
+PAUSE_MS = 100.0  # how long nothing is accepted when no descriptor is left
+BACKLOG = 512
+
+
+class Pending:
+    """A work unit that is out for its client, and the answer once there is one."""
+
+    def __init__(self, job: Job, taken_ms: float, task: Task | None) -> None:
+        self.job, self.task = job, task
+        self.expires_ms = taken_ms + job.left_ms
+        self.answer: tuple[int, Headers, bytes] | None = None
+
+    def give(self, status: int, headers: Headers, body: bytes) -> None:
+        """Give the answer to the client's coroutine."""
+        self.answer = (status, headers, body)
+        if self.task is not None:
+            self.task.wake()
+
+
+class Server:
+    """Accepts connections and serves each by a coroutine; `take` and `left` tell the node of work units."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        log: Log,
+        config: Config,
+        places: int,
+        ready: Callable[[], bool],
+        take: Callable[[Pending], str],
+        left: Callable[[str], None],
+    ) -> None:
+        self.loop, self.log, self.places = loop, log, places
+        self.deployment: Deployment = config.deployment
+        self.ready, self.take, self.left = ready, take, left
+        self.idle: dict[Connection, Task] = {}  # those between requests, the longest unused first
+        self.tasks: dict[Connection, Task | None] = {}
+        self.closing = False
+        family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
+        self.sock = socket.socket(family, socket.SOCK_STREAM)
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(config.listen)
+        self.sock.listen(BACKLOG)
+        self.sock.setblocking(False)
+        self.accepting = loop.spawn(self.accept())
+
+    # Connections.
+
+    def accept(self) -> Coroutine:
+        """Accept connections for as long as the node listens."""
+        while True:
+            yield (self.sock.fileno(), READ, inf)
+            while True:
+                try:
+                    sock, _ = self.sock.accept()
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                        # Guards against a busy loop: the listener stays readable while nothing can be taken.
+                        self.make_room()
+                        yield from sleep(self.loop.now() + PAUSE_MS)
+                        break
+                    continue
+                if len(self.tasks) >= self.places:
+                    self.make_room()
+                sock.setblocking(False)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                connection = Connection(self.loop, self.log, sock, h11.SERVER, "client")
+                if len(self.tasks) >= self.places:
+                    connection.close(Reason.CROWDED)
+                    continue
+                self.tasks[connection] = None
+                task = self.loop.spawn(self.serve(connection))
+                if connection in self.tasks:
+                    self.tasks[connection] = task
+
+    def make_room(self) -> None:
+        """Close the connection that has stood unused for longest."""
+        if self.idle:
+            self.drop(next(iter(self.idle)), Reason.CROWDED)
+
+    def drop(self, connection: Connection, reason: Reason) -> None:
+        """Close a connection on which no request is being read or worked on."""
+        task = self.idle.pop(connection)
+        connection.close(reason)
+        self.tasks.pop(connection, None)
+        task.cancel()
+
+    def close_idle(self) -> None:
+        """Close all connections on which nothing is under way."""
+        for connection in list(self.idle):
+            if connection.quiet():
+                self.drop(connection, Reason.DRAINING)
+
+    def stop_listening(self) -> None:
+        """Take no more connections."""
+        self.accepting.cancel()
+        self.loop.close(self.sock)
+
+    # One connection.
+
+    def serve(self, connection: Connection) -> Coroutine:
+        """Serve a client's requests one after the other."""
+        reason = Reason.FAULT
+        try:
+            while (yield from self.request(connection)):
+                pass
+            reason = Reason.DRAINING if self.closing else Reason.DONE
+        except Ended as ended:
+            reason = ended.reason
+            if ended.status:
+                yield from self.complain(connection, ended.status, ended.reason.value)
+        finally:
+            self.idle.pop(connection, None)
+            self.tasks.pop(connection, None)
+            connection.close(reason)
+
+    def first_byte(self, connection: Connection) -> Steps:
+        """Wait for a request to begin; meanwhile the connection may be closed to make room."""
+        until = self.loop.now() + IDLE_MS
+        while not len(connection.buffer) and not connection.eof:
+            if connection.fill():
+                continue
+            self.idle[connection] = self.loop.current
+            came = yield (connection.sock.fileno(), READ, until)
+            self.idle.pop(connection, None)
+            if came == LATE:
+                raise Ended(Reason.IDLE)
+        if not len(connection.buffer):
+            raise Ended(Reason.PEER_CLOSED)
+
+    def request(self, connection: Connection) -> Steps:
+        """Serve one request; return whether another may follow."""
+        yield from self.first_byte(connection)
+        began = self.loop.now()
+        until = began + READ_MS
+        try:
+            request = yield from connection.event(until)
+            if type(request) is not h11.Request:
+                raise Ended(Reason.PEER_CLOSED)
+            head, target = Head(request.headers), request.target.decode("latin-1")
+            path = protocol.route(request.method.decode("latin-1"), target, self.deployment.types)
+            length = head.get("Content-Length", "0")
+            if len(length) > 9 or int(length) > protocol.BODY_MOST:
+                raise Ended(Reason.TOO_LARGE, 413)
+            body = yield from connection.body(protocol.BODY_MOST, until)
+            if path == protocol.READY_PATH:
+                status, headers, body = (200 if self.ready() else 503), [], b""
+            else:
+                job = protocol.job_from(target, head, body, self.deployment)
+                status, headers, body = yield from self.work_unit(connection, Pending(job, began, None))
+        except Malformed as error:
+            yield from self.complain(connection, error.status, str(error))
+            raise Ended(Reason.BAD_MESSAGE) from None
+        if self.closing:
+            headers = [*headers, ("Connection", "close")]
+        yield from self.answer(connection, status, headers, body)
+        return connection.again()
+
+    def work_unit(self, connection: Connection, pending: Pending) -> Steps:
+        """Hand a work unit to the node and wait for its answer, or for the client to go."""
+        pending.task = self.loop.current
+        ref = self.take(pending)
+        while pending.answer is None:
+            came = yield connection.waits()
+            if came == READY and pending.answer is None:
+                try:
+                    connection.fill()
+                except Ended:
+                    connection.eof = True
+                if connection.eof:
+                    self.left(ref)
+                    raise Ended(Reason.PEER_CLOSED)
+        pending.task = None
+        return pending.answer
+
+    def answer(self, connection: Connection, status: int, headers: Headers, body: bytes) -> Steps:
+        """Write an answer."""
+        head = h11.Response(status_code=status, headers=[*headers, ("Content-Length", str(len(body)))])
+        yield from connection.message(head, body, self.loop.now() + WRITE_MS)
+
+    def complain(self, connection: Connection, status: int, text: str) -> Steps:
+        """Tell a client what is wrong with its request, if its connection still allows it."""
+        headers = [("Connection", "close")]
+        if status == 405:
+            headers.append(("Allow", "GET" if "GET" in text else "POST"))
+        try:
+            yield from self.answer(connection, status, headers, text.encode() + b"\n")
+        except (Ended, h11.LocalProtocolError):
+            return
--- a/marlseam/simhost/wire.py
+++ b/marlseam/simhost/wire.py
@@ -1,19 +1,10 @@
 """The simulator's wire: its lines taken apart, its words turned into ours, and our actions into its lines."""
 
 import json
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from typing import Any
 
-from marlseam.interface import (
-    Effect,
-    Group,
-    Listing,
-    Outcome,
-    ProjectType,
-    Report,
-    Settings,
-    State,
-)
+from marlseam.interface import Listing, Outcome, Report, State
 
 BEGIN, END, ACK, ENTRY = "begin_batch", "eof_batch", "ack", "m"
 
@@ -48,7 +39,6 @@
 }
 LISTINGS = {"0": Listing.DELTA, "1": Listing.FULL, "2": Listing.CACHED, "3": Listing.FAILED}
 STATES = {"0": State.GONE, "1": State.READY, "2": State.DRAINING}
-EFFECTS = {"safe": Effect.RERUNNABLE, "keyed": Effect.RECEIPTED, "unsafe": Effect.EXCLUSIVE}
 
 
 class Malformed(Exception):
@@ -113,77 +103,19 @@
     return value / 1000.0 if value else None
 
 
-def report_reader(info: dict[str, Any]) -> Callable[[str | None], Report | None]:
-    """Make the function that reads this deployment's load reports, unknown pairs passed by."""
-    names = {"outstanding": "held", "backlog": "queued"}
-    for extra in ("X0", "X1"):
-        meaning = str(info.get("report" + extra) or "")
-        if "slot" in meaning:
-            names[extra.lower()] = "free_slots"
-        elif "memory" in meaning:
-            names[extra.lower()] = "free_memory"
-
-    def read(text: str | None) -> Report | None:
-        if text is None:
-            return None
-        found: dict[str, float] = {}
-        for pair in text.split(","):
-            name, _, value = pair.partition(":")
-            if name in names:
-                try:
-                    found[names[name]] = float(value)
-                except ValueError:
-                    raise Malformed(f"the load report holds no number: {pair!r}") from None
-        return Report(**found)
-
-    return read
-
-
-def settings_from(options: dict[str, Any]) -> Settings:
-    """Turn the first message's settings into ours; what is missing means what is least generous."""
-    limits, rules = options.get("ceilings", {}), options.get("guarantees", {})
-    prices, info = options.get("penalties", {}), options.get("familyInfo", {})
-    zones, kinds = options.get("dcs", []), options.get("kinds", [])
-    stretches, class_kinds = info.get("classStretch", []), info.get("classKind", [])
-
-    def to_ms(table: dict[str, Any], key: str, default: float) -> float:
-        return float(table.get(key, default * 1000.0)) / 1000.0
-
-    types = []
-    for i, row in enumerate(options.get("requestClasses", [])):
-        stretch = stretches[i] if i < len(stretches) else row.get("aimStretch", 0.0)
-        types.append(
-            ProjectType(
-                promised_ms=to_ms(row, "aimUs", 0.0),
-                stretch=float(stretch or 0.0),
-                limit_ms=to_ms(row, "deadlineUs", 0.0),
-                effect=EFFECTS[row.get("semantics", "unsafe")],
-                group=Group(row.get("dedupScope") or "cell"),
-                memory_ms=to_ms(row, "memorySpanUs", 0.0),
-                kind=int(class_kinds[i]) if i < len(class_kinds) else -1,
-            )
-        )
-    return Settings(
-        types=tuple(types),
-        kinds=len(kinds),
-        zone=zones.index(options["zone"]) if options.get("zone") in zones else -1,
-        nodes=max(1, int(options.get("fleetSize", 1))),
-        tick_ms=to_ms(options, "tickUs", 1.0),
-        max_allocs=int(limits.get("sendCap", 1)),
-        may_probe=bool(limits.get("mayProbe", False)),
-        may_cancel=bool(limits.get("cancel", False)),
-        second_copies=bool(limits.get("secondCopies", False)),
-        max_advice_ms=to_ms(limits, "maxRetryAfterUs", 0.0) if limits.get("retryAfter") else 0.0,
-        asked_roster=options.get("registryMode") == "subscribe",
-        must_ask_ms=to_ms(rules, "mustAskInUs", 10000.0),
-        tells_start=bool(info.get("tellsStart", False)),
-        progress_ms=to_ms(info, "progressUs", 0.0),
-        cold_share=float(rules.get("startCapacity", 0.1)),
-        warm_ms=to_ms(rules, "warmWithinUs", 30000.0),
-        fall_multiple=float(rules.get("fallMultiple", 1.0)),
-        fall_ms=to_ms(rules, "tipAfterUs", 1000.0),
-        cross_price=float(prices.get("crossZone", 0.0)),
-    )
+def report(names: dict[str, str], text: str | None) -> Report | None:
+    """Read a load report by the names that the deployment gives; unknown pairs are passed by."""
+    if text is None:
+        return None
+    found: dict[str, float] = {}
+    for pair in text.split(","):
+        name, _, value = pair.partition(":")
+        if name in names:
+            try:
+                found[names[name]] = float(value)
+            except ValueError:
+                raise Malformed(f"the load report holds no number: {pair!r}") from None
+    return Report(**found)
 
 
 def options_of(values: dict[str, str | None]) -> dict[str, Any]:
