--- a/marlseam/__main__.py
+++ b/marlseam/__main__.py
@@ -10,20 +10,22 @@
 from marlseam import config as configuration
 from marlseam.net.node import Node
 
+CONFIG = click.option("--config", "path", help="Configuration file; else the one that EDGE_CONFIG names.")
 
-def load(path: str | None) -> configuration.Config:
-    """Read the configuration, or end with what is wrong with it."""
-    try:
-        return configuration.load(path)
-    except configuration.ConfigError as error:
-        print(f"marlseam: {error}", file=sys.stderr)
-        sys.exit(2)
 
+class Commands(click.Group):
+    """Ends with one message where a command finds the configuration at fault."""
 
-CONFIG = click.option("--config", "path", help="Configuration file; else the one that EDGE_CONFIG names.")
+    def invoke(self, context: click.Context) -> object:
+        """Run a command."""
+        try:
+            return super().invoke(context)
+        except configuration.ConfigError as error:
+            print(f"marlseam: {error}", file=sys.stderr)
+            sys.exit(2)
 
 
-@click.group()
+@click.group(cls=Commands)
 def main() -> None:
     """Push jobs to workers by forward probing."""
 
@@ -32,7 +34,7 @@
 @CONFIG
 def serve(path: str | None) -> None:
     """Run one node until SIGTERM."""
-    node = Node(load(path))
+    node = Node(configuration.load(path))
     gc.freeze()
     node.run()
 
@@ -41,7 +43,7 @@
 @CONFIG
 def check(path: str | None) -> None:
     """Read a configuration and say what it holds."""
-    config = load(path)
+    config = configuration.load(path)
     deployment = config.deployment
     print(f"{config.name} listens on {config.listen[0]}:{config.listen[1]}", end=", ")
     print(f"{len(deployment.types)} project types, {len(deployment.kinds)} kinds: good")
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -5,11 +5,15 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
+from math import inf
 from typing import NamedTuple
 
 from marlseam.interface import Listing, Member, Outcome, Report, Settings, State, WorkUnit
 from marlseam.logic import Handle, Node
 
+FORGET = 60.0  # how long an executor must be gone to be forgotten, in times after which one must ask
+
 
 class Entry(NamedTuple):
     """One executor as the roster lists it, under its name."""
@@ -185,6 +189,10 @@
         self.names: list[str] = []
         self.open: dict[str, Handle] = {}
         self.timers: dict[int, Callable[[], None]] = {}
+        self.closes_ms = inf  # by when all must be answered
+        # Indices of forgotten executors, for reuse; since when executors are off the roster.
+        self.spare: list[int] = []
+        self.gone: dict[str, float] = {}
 
     def reduce(self, clock: float, event: Event) -> list[Effect]:
         """Take in one event and return the effects that it asks for, in order."""
@@ -242,10 +250,36 @@
     def roster(self, event: Roster) -> None:
         """Hand the roster's news on under dense indices."""
         self.node.roster(event.listing, [Member(self.executor(e[0]), *e[1:]) for e in event.entries])
+        if event.listing is Listing.FAILED:
+            return
+        here = {e.executor for e in event.entries if e.state is not State.GONE}
+        whole = event.listing is not Listing.DELTA
+        for name in self.index if whole else [e.executor for e in event.entries]:
+            if name in here:
+                self.gone.pop(name, None)
+            else:
+                self.gone.setdefault(name, self.clock)
+        self.forget_executors()
+
+    def forget_executors(self) -> None:
+        """Forget executors that have long been gone, once nothing of ours is out there.
+
+        Guards a node that runs for weeks against figures of every executor there ever was.
+        """
+        node, long_ago = self.node, self.clock - FORGET * self.node.set.must_ask_ms
+        for name in [name for name, since in self.gone.items() if since < long_ago]:
+            e = self.index[name]
+            if not node.own[e] and node.asked_ms[e] is None:
+                node.clear(e)
+                self.spare.append(e)
+                del self.gone[name], self.index[name]
 
     def arrival(self, event: Arrival) -> None:
-        """Take a work unit."""
-        wu = self.node.take(event.work)
+        """Take a work unit, to be answered before this node ends."""
+        work = event.work
+        if work.expires_ms > self.closes_ms:
+            work = replace(work, expires_ms=self.closes_ms)
+        wu = self.node.take(work)
         if not wu.done:
             self.open[event.work.ref] = wu
 
@@ -257,7 +291,8 @@
 
     def probed(self, event: Probed) -> None:
         """Hand a probe's end on."""
-        self.node.probed(self.executor(event.executor), event.outcome, event.lag_ms, event.report)
+        e = self.index[event.executor]
+        self.node.probed(e, event.outcome, event.lag_ms, event.report)
 
     def settled(self, event: Settled) -> None:
         """Hand an allocation's end on, and its result to the client that still waits for it."""
@@ -296,6 +331,8 @@
     def closing(self, event: Closing) -> None:
         """Answer by the rules, once the time is up, all that is still open."""
 
+        self.closes_ms = self.clock + event.left_ms
+
         def answer() -> None:
             for wu in list(self.open.values()):
                 wu.answer()
@@ -303,11 +340,14 @@
         self.after(event.left_ms, answer)
 
     def executor(self, name: str) -> int:
-        """Return an executor's index, a new one for a name not seen before."""
+        """Return an executor's index, a spare or new one for a name not seen before."""
         found = self.index.get(name)
         if found is None:
-            found = self.index[name] = len(self.names)
-            self.names.append(name)
+            if not self.spare:
+                self.spare.append(len(self.names))
+                self.names.append("")
+            found = self.index[name] = self.spare.pop()
+            self.names[found] = name
         return found
 
 
--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -47,16 +47,24 @@
 
     def add(self) -> None:
         """Make room for one more executor."""
-        for array, value in (
-            (self.state, State.GONE), (self.kind, -1), (self.zone, -1), (self.cell, -1), (self.born, None),
-            (self.others, None), (self.heard_ms, -1e18), (self.sign_ms, -1e18), (self.room, 0.0),
-            (self.free_memory, None), (self.asked_ms, None), (self.full, False), (self.passed, False),
-            (self.evidence, 0.0), (self.out_until, None), (self.rest, self.rest_ms), (self.silent, False),
-            (self.tokens, 0.0), (self.token_ms, 0.0), (self.ours, 0.0),
+        for array in (
+            self.state, self.kind, self.zone, self.cell, self.born, self.others, self.heard_ms, self.sign_ms,
+            self.room, self.free_memory, self.asked_ms, self.full, self.passed, self.evidence,
+            self.out_until, self.rest, self.silent, self.tokens, self.token_ms, self.ours,
         ):  # fmt: skip
-            array.append(value)
+            array.append(None)
         self.waiters.append([])
         self.own.append([])
+        self.clear(len(self.state) - 1)
+
+    def clear(self, e: int) -> None:
+        """Put an executor on record as one of which nothing is known."""
+        self.state[e], self.kind[e], self.zone[e], self.cell[e], self.born[e] = State.GONE, -1, -1, -1, None
+        self.others[e], self.room[e], self.free_memory[e] = None, 0.0, None
+        self.heard_ms[e], self.sign_ms[e], self.asked_ms[e] = -1e18, -1e18, None
+        self.full[e] = self.passed[e] = self.silent[e] = False
+        self.evidence[e], self.out_until[e], self.rest[e] = 0.0, None, self.rest_ms
+        self.tokens[e] = self.token_ms[e] = self.ours[e] = 0.0
 
     def enter(self, m: Member) -> None:
         """Note an entry of the roster."""
--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -2,7 +2,7 @@
 
 import errno
 import socket
-from collections.abc import Generator, Iterable
+from collections.abc import Generator
 from math import inf
 from typing import Any
 
@@ -34,7 +34,7 @@
         self.loop, self.log, self.sock, self.what = loop, log, sock, what
         self.http = h11.Connection(role, max_incomplete_event_size=HEAD_MOST)
         self.buffer = Buffer()
-        self.served, self.closed, self.eof = 0, False, False
+        self.messages, self.closed, self.eof = 0, False, False
         self.used_ms = loop.now()
         self.address: tuple[str, int] | None = None  # of the server, on our side of a call
 
@@ -67,7 +67,7 @@
                 yield from self.write(self.http.send(go_on), until_ms)
             while not len(self.buffer) and not self.eof:
                 if not self.fill() and (yield (self.sock.fileno(), READ, until_ms)) == LATE:
-                    raise Ended(Reason.TIMED_OUT)
+                    raise Ended(Reason.TIMED_OUT, 408)
             # h11 takes no bytes for the end of the stream
             self.http.receive_data(self.buffer.take(BITE) if len(self.buffer) else b"")
 
@@ -119,29 +119,35 @@
             data += self.http.send(h11.Data(data=body))
         data += self.http.send(h11.EndOfMessage())
         yield from self.write(data, until_ms)
+        self.messages += 1
         self.used_ms = self.loop.now()
 
+    def linger(self, until_ms: float) -> Steps:
+        """Read on for a while after a last answer: unread bytes would make the system reset the connection.
+
+        Guards against a client that never sees what was wrong with its request.
+        """
+        try:
+            self.sock.shutdown(socket.SHUT_WR)
+            while not self.eof and (self.fill() or (yield (self.sock.fileno(), READ, until_ms)) != LATE):
+                self.buffer.take(len(self.buffer))
+        except (OSError, Ended):
+            return
+
     def again(self) -> bool:
         """Make ready for another message, where both sides may go on."""
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
-            self.served += 1
             self.used_ms = self.loop.now()
             return True
         return False
 
-    def close(self, reason: Reason, detail: str = "") -> None:
+    def close(self, reason: Reason) -> None:
         """Close, and leave the one line."""
         if not self.closed:
             self.closed = True
             self.loop.close(self.sock)
-            self.log.ended(self.what, reason, self.served, detail)
-
-
-def header(headers: Iterable[tuple[bytes, bytes]], name: str) -> str | None:
-    """Return a header's value, or None."""
-    wanted = name.lower().encode()
-    return next((value.decode("latin-1") for key, value in headers if key == wanted), None)
+            self.log.ended(self.what, reason, self.messages)
 
 
 def connect(loop: Loop, log: Log, address: tuple[str, int], what: str, until_ms: float) -> Steps:
--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -7,7 +7,7 @@
 import h11
 
 from marlseam.config import Config
-from marlseam.core import Event, Roster
+from marlseam.core import Entry, Event, Roster
 from marlseam.interface import Listing, State
 from marlseam.net import protocol
 from marlseam.net.connection import Connection, Ended, Steps, connect
@@ -16,8 +16,8 @@
 from marlseam.net.loop import Coroutine, Loop, Task
 from marlseam.net.protocol import Malformed
 
-CALL_SHARE = 0.3  # how long an answer that need not wait may take, in times after which one must ask
-WATCH_MS = 20000.0  # how long discovery may hold a watch
+CALL_SHARE = 0.2  # how long a call may take beyond its wait, in times after which one must ask
+WATCH_SHARE, WATCH_MOST_MS = 2.0, 60000.0  # how long discovery may hold a watch, likewise, and at most
 
 
 class Discovery:
@@ -27,8 +27,10 @@
         self, loop: Loop, log: Log, config: Config, executors: Executors, post: Callable[[Event], None]
     ) -> None:
         self.loop, self.log, self.config, self.executors, self.post = loop, log, config, executors, post
-        self.call_ms = CALL_SHARE * config.deployment.settings.must_ask_ms
-        self.version, self.holds_list = -1, False
+        must_ask = config.deployment.settings.must_ask_ms
+        self.call_ms, self.wait_ms = CALL_SHARE * must_ask, min(WATCH_SHARE * must_ask, WATCH_MOST_MS)
+        self.version = -1
+        self.held: dict[str, Entry] = {}
         self.task: Task | None = None
 
     def begin(self) -> None:
@@ -46,14 +48,14 @@
     def follow(self) -> Coroutine:
         """Fetch the whole list, then watch back to back until a call fails."""
         connection: Connection | None = None
-        reason = Reason.FAULT
+        reason = Reason.DRAINING
         try:
             until = self.loop.now() + self.call_ms
             connection = yield from connect(self.loop, self.log, self.config.discovery, "discovery", until)
             yield from self.call(connection, protocol.LIST_PATH, until)
             while True:
-                until = self.loop.now() + WATCH_MS + self.call_ms
-                target = protocol.watch_target(self.version, WATCH_MS)
+                until = self.loop.now() + self.wait_ms + self.call_ms
+                target = protocol.watch_target(self.version, self.wait_ms)
                 if not (yield from self.call(connection, target, until)):
                     until = self.loop.now() + self.call_ms
                     yield from self.call(connection, protocol.LIST_PATH, until)
@@ -90,13 +92,21 @@
     def take(self, value: Any, cached: bool = False) -> bool:  # noqa: ANN401
         """Take in an answer; a change that is older than what is held does not fit, and is left."""
         news = protocol.news_from(value, self.config.deployment, self.loop.clock.unix_zero_ms)
-        for odd in news.odd:
-            self.log.line(f"discovery: entry left out: {odd}")
-        if news.listing is Listing.DELTA and news.version < self.version:
+        whole = news.listing is Listing.FULL
+        if not whole and news.version < self.version:
             return False
         self.version = news.version
-        self.holds_list = True
-        gone = {entry.executor for entry in news.entries if entry.state is State.GONE}
-        self.executors.listed(news.listing is Listing.FULL, news.addresses, gone)
+        for host, text in news.odd:
+            self.log.line(f"discovery: entry of {host[:80] or 'no host'} left out: {text}")
+            if whole and host in self.held:
+                news.entries.append(self.held[host])  # what was last good of it stays
+        if whole:
+            self.held.clear()
+        for entry in news.entries:
+            if entry.state is State.GONE:
+                self.held.pop(entry.executor, None)
+            else:
+                self.held[entry.executor] = entry
+        self.executors.listed(self.held, news.addresses)
         self.post(Roster(Listing.CACHED if cached else news.listing, news.entries))
         return True
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -1,6 +1,6 @@
 """Connections to executors: the pool, allocations as streams of lines, and probes."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 import h11
@@ -18,6 +18,7 @@
 PROBE_SHARE = 2.0  # how long a probe may take, in promised turnarounds of the most urgent project type
 END_SHARE = 1.0  # how long the end of an answer may take after its last line, likewise
 PROBE_PLACES = 4  # connections to an executor that probes may open beyond those of allocations
+PEER_SHARE, PEER_LEAST = 0.25, 4  # most connections to one executor, as a share of all, and at least
 
 
 @dataclass
@@ -46,25 +47,28 @@
 
     # The list.
 
-    def listed(self, whole: bool, addresses: dict[str, tuple[str, int]], gone: set[str]) -> None:
-        """Take in executors' addresses and departures."""
+    def listed(self, names: Collection[str], addresses: dict[str, tuple[str, int]]) -> None:
+        """Take in which executors there are, and the addresses of some."""
         for name, address in addresses.items():
             peer = self.peers.setdefault(name, Peer(name))
             if peer.address not in (None, address):
                 self.empty(peer)
             peer.address, peer.listed = address, True
-        if whole:
-            gone = gone | (set(self.peers) - set(addresses))
-        for name in gone & set(self.peers):
+        for name in self.peers.keys() - names:
             peer = self.peers[name]
             peer.listed = False
             self.empty(peer)
             self.forget(peer)
 
-    def empty(self, peer: Peer) -> None:
+    def empty(self, peer: Peer, reason: Reason = Reason.FORGOTTEN) -> None:
         """Close the unused connections to an executor."""
         while peer.idle:
-            self.end(peer, self.checked_out(peer), Reason.FORGOTTEN)
+            self.end(peer, self.checked_out(peer), reason)
+
+    def close(self) -> None:
+        """Close all unused connections, as the node ends."""
+        for peer in list(self.peers.values()):
+            self.empty(peer, Reason.DRAINING)
 
     def forget(self, peer: Peer) -> None:
         """Forget an executor that has left once no connection to it is left."""
@@ -79,7 +83,21 @@
 
     def limit(self) -> int:
         """Return how many connections one executor may get for allocations."""
-        return max(PROBE_PLACES, self.places // max(1, len(self.peers)) - PROBE_PLACES)
+        return max(PEER_LEAST, int(PEER_SHARE * self.places))
+
+    def make_room(self) -> bool:
+        """Close the connection that has stood unused for longest; return whether there was one."""
+        peer = min(
+            (peer for peer in self.peers.values() if peer.idle),
+            key=lambda peer: peer.idle[0][0].used_ms,
+            default=None,
+        )
+        if peer is None:
+            return False
+        connection, watch = peer.idle.pop(0)
+        watch.cancel()
+        self.end(peer, connection, Reason.CROWDED)
+        return True
 
     def checked_out(self, peer: Peer) -> Connection:
         """Take the unused connection that was used last."""
@@ -96,6 +114,8 @@
             self.end(peer, connection, Reason.PEER_CLOSED)
         if peer.address is None or peer.count >= places:
             raise Ended(Reason.NO_SOCKETS)
+        if self.open() >= self.places and not self.make_room():
+            raise Ended(Reason.NO_SOCKETS)
         peer.count += 1
         try:
             until = min(until_ms, self.loop.now() + self.deployment.connect_ms)
--- a/marlseam/net/log.py
+++ b/marlseam/net/log.py
@@ -48,9 +48,9 @@
         self.allowance -= 1.0
         self.write(text)
 
-    def ended(self, what: str, reason: Reason, served: int, detail: str = "") -> None:
-        """Print the one line of a connection that has ended."""
-        self.line(f"{what} ended code={reason.value} served={served}{' ' + detail if detail else ''}")
+    def ended(self, what: str, reason: Reason, messages: int) -> None:
+        """Print the one line of a connection that has ended, with how many messages it carried out."""
+        self.line(f"{what} ended code={reason.value} messages={messages}")
 
     def write(self, text: str) -> None:
         """Print a line at once; a closed standard error is no reason to stop."""
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -42,17 +42,13 @@
 
 
 class Timer:
-    """A call that is due at some time unless cancelled."""
+    """A call that is due at some time unless it is dropped before."""
 
     __slots__ = ("call",)
 
     def __init__(self, call: Callable[[], None]) -> None:
         self.call: Callable[[], None] | None = call
 
-    def cancel(self) -> None:
-        """Drop the call."""
-        self.call = None
-
 
 class Task:
     """One coroutine and what it waits for."""
@@ -72,11 +68,11 @@
         try:
             wait = self.coroutine.throw(error) if error is not None else self.coroutine.send(value)
         except (StopIteration, Cancelled):
-            self.done = True
+            self.end()
             return
         except Exception:
             # Guards the process: whatever goes wrong on one connection ends that one alone.
-            self.done = True
+            self.end()
             self.loop.fault(traceback.format_exc())
             return
         finally:
@@ -91,13 +87,18 @@
         if until < inf:
             self.timer = self.loop.at(until, lambda: self.step(LATE))
 
+    def end(self) -> None:
+        """Note that the coroutine has run to its end."""
+        self.done = True
+        self.loop.tasks.pop(self, None)
+
     def rest(self) -> None:
         """Forget what the coroutine waited for."""
         if self.fd >= 0:
             self.loop.waiting.pop(self.fd, None)
             self.fd = -1
         if self.timer is not None:
-            self.timer.cancel()
+            self.loop.drop(self.timer)
             self.timer = None
 
     def wake(self) -> None:
@@ -124,14 +125,16 @@
         self.waiting: dict[int, Task] = {}
         self.timers: list[tuple[float, int, Timer]] = []
         self.calls: deque[Callable[[], None]] = deque()
+        self.tasks: dict[Task, None] = {}
         self.current: Task | None = None
-        self.count = 0
+        self.count = self.dropped = 0
         self.stopped = False
         self.late_ms = 0.0  # the longest that a timer came late
 
     def spawn(self, coroutine: Coroutine) -> Task:
         """Start a coroutine; it runs up to its first wait at once."""
         task = Task(self, coroutine)
+        self.tasks[task] = None
         task.step(None)
         return task
 
@@ -146,6 +149,16 @@
         heapq.heappush(self.timers, (due_ms, self.count, timer))
         return timer
 
+    def drop(self, timer: Timer) -> None:
+        """Drop a call. Guards against waits with long limits that end early and fill the memory."""
+        if timer.call is not None:
+            timer.call = None
+            self.dropped += 1
+        if self.dropped > 1000 and self.dropped > len(self.timers) // 2:
+            self.timers = [row for row in self.timers if row[2].call is not None]
+            heapq.heapify(self.timers)
+            self.dropped = 0
+
     def arm(self, fd: int, mask: int, task: Task) -> None:
         """Have a task resumed once when a socket is ready."""
         self.waiting[fd] = task
@@ -170,6 +183,11 @@
         while not self.stopped:
             self.turn()
 
+    def finish(self) -> None:
+        """Cancel all that still runs."""
+        for task in list(self.tasks):
+            task.cancel()
+
     def turn(self) -> None:
         """Wait once, and run what is due by then."""
         for fd, _ in self.poll.poll(self.pause_s()):
@@ -180,38 +198,49 @@
         now = self.now()
         while self.timers and self.timers[0][0] <= now:
             due, _, timer = heapq.heappop(self.timers)
-            if timer.call is not None:
+            call, timer.call = timer.call, None
+            if call is not None:
                 self.late_ms = max(self.late_ms, now - due)
-                timer.call()
+                self.guarded(call)
                 self.run_calls()
+            else:
+                self.dropped -= 1
 
     def run_calls(self) -> None:
         """Run what is to be called before the next wait."""
         while self.calls:
-            self.calls.popleft()()
+            self.guarded(self.calls.popleft())
+
+    def guarded(self, call: Callable[[], None]) -> None:
+        """Call, and go on whatever comes of it."""
+        try:
+            call()
+        except Exception:
+            self.fault(traceback.format_exc())
 
     def pause_s(self) -> float:
         """Return how long nothing is due; -1 for ever."""
         while self.timers and self.timers[0][2].call is None:
             heapq.heappop(self.timers)
+            self.dropped -= 1
         if self.calls:
             return 0.0
         return max(0.0, (self.timers[0][0] - self.now()) / 1000.0) if self.timers else -1.0
 
     def on_signal(self, number: int, call: Callable[[], None]) -> None:
         """Call from within the loop when a signal comes."""
-        ours, theirs = socket.socketpair()
+        ours, self.bell = socket.socketpair()
         ours.setblocking(False)
-        theirs.setblocking(False)
+        self.bell.setblocking(False)
         signal.signal(number, lambda *_: None)
-        signal.set_wakeup_fd(theirs.fileno(), warn_on_full_buffer=False)
+        signal.set_wakeup_fd(self.bell.fileno(), warn_on_full_buffer=False)
 
         def listen() -> Coroutine:
             while True:
                 yield (ours.fileno(), READ, inf)
                 with contextlib.suppress(BlockingIOError):
-                    if ours.recv(64) and theirs:
-                        call()
+                    ours.recv(64)
+                call()
 
         self.spawn(listen())
 
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from marlseam import core
-from marlseam.config import Config
+from marlseam.config import Config, ConfigError
 from marlseam.core import Core, Effect, Event
 from marlseam.interface import WorkUnit
 from marlseam.net import protocol
@@ -19,8 +19,8 @@
 OWN_SOCKETS = 32  # descriptors for the listener, epoll, signals, discovery, logs and the interpreter
 CLIENT_SHARE = 0.5  # of the other descriptors, for clients
 LISTEN_MS = 600.0  # how long new connections may still come after SIGTERM
-CLOSE_MS = 3300.0  # by when after SIGTERM all is answered
-EXIT_MS = 3500.0  # when after SIGTERM the node ends at the latest
+DRAIN_MOST_MS = 3000.0  # how long work goes on after SIGTERM, or for the longest hard limit if that is less
+ANSWER_MS, EXIT_MS = 300.0, 500.0  # by when after that all is answered, and the node ends at the latest
 LOOK_MS = 20.0  # how often it looks whether it may end
 
 
@@ -40,17 +40,25 @@
         self.discovery = Discovery(self.loop, self.log, config, self.executors, self.post)
         self.post(core.Begin(config.deployment.settings, config.seed))
         self.discovery.begin()
-        self.server = Server(self.loop, self.log, config, clients, self.ready, self.take, self.left)
+        try:
+            self.server = Server(self.loop, self.log, config, clients, self.ready, self.take, self.left)
+        except OSError as error:
+            raise ConfigError(
+                "listen", config.listen, f"an address to listen on ({error.strerror})"
+            ) from None
         self.loop.on_signal(signal.SIGTERM, self.close)
 
     def run(self) -> None:
         """Serve until told to end."""
         self.log.line(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
         self.loop.run()
+        self.busy = True  # nothing is decided any more
+        self.executors.close()
+        self.loop.finish()
 
     def ready(self) -> bool:
         """Return whether clients should come."""
-        return self.discovery.holds_list and not self.server.closing
+        return bool(self.discovery.held) and not self.server.closing
 
     # Events.
 
@@ -72,7 +80,7 @@
         self.refs += 1
         ref, job = str(self.refs), pending.job
         self.pending[ref] = pending
-        work = WorkUnit(ref, job.type, pending.expires_ms, job.slots, job.memory, job.hint_ms)
+        work = WorkUnit(ref, job.type, pending.expires_ms, job.slots, job.memory)
         self.post(core.Arrival(work))
         return ref
 
@@ -109,15 +117,16 @@
             return
         self.server.closing = True
         began = self.loop.now()
+        drain = min(DRAIN_MOST_MS, max(t.limit_ms for t in self.config.deployment.settings.types))
         self.log.line(f"told to end with {len(self.pending)} work units open")
-        self.post(core.Closing(CLOSE_MS))
+        self.post(core.Closing(drain + ANSWER_MS))
         self.loop.at(began + LISTEN_MS, self.server.stop_listening)
-        self.loop.at(began + LISTEN_MS, lambda: self.end(began + EXIT_MS))
+        self.loop.at(began + LISTEN_MS, lambda: self.end(began + drain + EXIT_MS))
 
     def end(self, at_ms: float) -> None:
         """Stop once no client waits any more, or the time is over."""
         self.server.close_idle()
-        if not self.server.tasks or self.loop.now() >= at_ms:
+        if not self.server.open or self.loop.now() >= at_ms:
             self.log.line(f"ends with {len(self.pending)} work units open")
             self.loop.stopped = True
         else:
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -12,7 +12,7 @@
 
 READY_PATH, LOAD_PATH, LIST_PATH = "/-/ready", "/-/load", "/api/targets"
 ID, TYPE, TIME_LEFT, RECEIPT = "X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key"
-HINT, FACTS, LOAD, NEVER_RAN = "X-Weight-Hint", "X-Facts", "X-Backend-Load", "X-Unprocessed"
+FACTS, LOAD, NEVER_RAN = "X-Facts", "X-Backend-Load", "X-Unprocessed"
 BODY_MOST = 65536  # bytes of a request's body, and of an executor's answer
 LINE_MOST = 2 * BODY_MOST  # bytes of one line, which is a body in JSON
 LIST_MOST = 1 << 24  # bytes of a whole list
@@ -47,7 +47,6 @@
     left_ms: float
     slots: float
     memory: float
-    hint_ms: float | None
 
 
 class Head(Mapping[str, str]):
@@ -114,7 +113,6 @@
     left_ms = 1000.0 * number(head.get(TIME_LEFT, ""), TIME_LEFT)
     type = deployment.types[name]
     facts = pairs(head.get(FACTS, ""))
-    hint = head.get(HINT)
     return Job(
         id=id,
         target=target,
@@ -123,9 +121,8 @@
         type=type,
         type_name=name,
         left_ms=min(left_ms, deployment.settings.types[type].limit_ms or inf),
-        slots=number(facts.get("slots", facts.get("needs", "1")), FACTS) or 1.0,
-        memory=number(facts.get("memory", facts.get("memNeeded", "0")), FACTS),
-        hint_ms=number(hint, HINT) if hint else None,
+        slots=number(facts.get("slots", "1"), FACTS) or 1.0,
+        memory=number(facts.get("memory", "0"), FACTS),
     )
 
 
@@ -171,7 +168,7 @@
     """Read one line of an executor's answer."""
     try:
         row = json.loads(raw)
-    except ValueError:
+    except (ValueError, RecursionError):
         raise Malformed("a line is no JSON") from None
     if not isinstance(row, dict) or row.get("id") != id or row.get("from") != executor:
         raise Malformed("a line is not from this executor on this work unit")
@@ -183,7 +180,10 @@
         return Line(share=float(share))
     if state not in ENDS or (state == "done" and not isinstance(result, str)):
         raise Malformed("a line tells no known state")
-    return Line(end=ENDS[state], result=result.encode() if state == "done" else b"", report=report)
+    try:
+        return Line(end=ENDS[state], result=result.encode() if state == "done" else b"", report=report)
+    except UnicodeEncodeError:
+        raise Malformed("a result is no text") from None
 
 
 class Lines:
@@ -240,7 +240,7 @@
     listing: Listing
     entries: list[Entry]
     addresses: dict[str, tuple[str, int]]
-    odd: list[str]
+    odd: list[tuple[str, str]]  # the host, as far as it can be told, and what is wrong
 
 
 def watch_target(version: int, wait_ms: float) -> str:
@@ -260,7 +260,7 @@
         try:
             entry, address = entry_from(row, deployment, unix_zero_ms)
         except Malformed as error:
-            news.odd.append(f"{str(row)[:80]}: {error}")
+            news.odd.append((str(row.get("host")) if isinstance(row, dict) else "", str(error)))
             continue
         news.entries.append(entry)
         if address is not None:
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from http import HTTPStatus
 from math import inf
 
 import h11
@@ -11,13 +12,14 @@
 from marlseam.net import protocol
 from marlseam.net.connection import Connection, Ended, Headers, Steps
 from marlseam.net.log import Log, Reason
-from marlseam.net.loop import LATE, READ, READY, Coroutine, Loop, Task, sleep
+from marlseam.net.loop import LATE, READ, READY, Cancelled, Coroutine, Loop, Task, sleep
 from marlseam.net.protocol import Head, Job, Malformed
 
 IDLE_MS = 300000.0  # how long a client may keep an unused connection
 READ_MS = 10000.0  # how long a request may take to come, from its first byte
 WRITE_MS = 10000.0  # how long a client may take to read its answer
-PAUSE_MS = 100.0  # how long nothing is accepted when no descriptor is left
+LINGER_MS = 1000.0  # how long it is read on after a complaint
+PAUSE_MS = 20.0  # how long nothing is accepted when no descriptor is left
 BACKLOG = 512
 
 
@@ -53,7 +55,7 @@
         self.deployment: Deployment = config.deployment
         self.ready, self.take, self.left = ready, take, left
         self.idle: dict[Connection, Task] = {}  # those between requests, the longest unused first
-        self.tasks: dict[Connection, Task | None] = {}
+        self.open: dict[Connection, None] = {}
         self.closing = False
         family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
@@ -70,6 +72,9 @@
         while True:
             yield (self.sock.fileno(), READ, inf)
             while True:
+                while len(self.open) >= self.places and not self.make_room():
+                    # Guards against losing work units: what is not accepted yet waits, what is would be lost.
+                    yield from sleep(self.loop.now() + PAUSE_MS)
                 try:
                     sock, _ = self.sock.accept()
                 except BlockingIOError:
@@ -81,36 +86,30 @@
                         yield from sleep(self.loop.now() + PAUSE_MS)
                         break
                     continue
-                if len(self.tasks) >= self.places:
-                    self.make_room()
                 sock.setblocking(False)
                 sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 connection = Connection(self.loop, self.log, sock, h11.SERVER, "client")
-                if len(self.tasks) >= self.places:
-                    connection.close(Reason.CROWDED)
-                    continue
-                self.tasks[connection] = None
-                task = self.loop.spawn(self.serve(connection))
-                if connection in self.tasks:
-                    self.tasks[connection] = task
-
-    def make_room(self) -> None:
-        """Close the connection that has stood unused for longest."""
-        if self.idle:
-            self.drop(next(iter(self.idle)), Reason.CROWDED)
-
-    def drop(self, connection: Connection, reason: Reason) -> None:
-        """Close a connection on which no request is being read or worked on."""
+                self.open[connection] = None
+                self.loop.spawn(self.serve(connection))
+
+    def make_room(self) -> bool:
+        """Close the connection that has stood unused for longest; return whether there was one."""
+        return any(self.drop(connection, Reason.CROWDED) for connection in list(self.idle))
+
+    def drop(self, connection: Connection, reason: Reason) -> bool:
+        """Close a connection unless a request has begun to come on it."""
         task = self.idle.pop(connection)
+        if not connection.quiet():
+            task.wake()
+            return False
         connection.close(reason)
-        self.tasks.pop(connection, None)
         task.cancel()
+        return True
 
     def close_idle(self) -> None:
         """Close all connections on which nothing is under way."""
         for connection in list(self.idle):
-            if connection.quiet():
-                self.drop(connection, Reason.DRAINING)
+            self.drop(connection, Reason.DRAINING)
 
     def stop_listening(self) -> None:
         """Take no more connections."""
@@ -130,9 +129,12 @@
             reason = ended.reason
             if ended.status:
                 yield from self.complain(connection, ended.status, ended.reason.value)
+        except Cancelled:
+            reason = Reason.DRAINING
+            raise
         finally:
             self.idle.pop(connection, None)
-            self.tasks.pop(connection, None)
+            self.open.pop(connection, None)
             connection.close(reason)
 
     def first_byte(self, connection: Connection) -> Steps:
@@ -196,7 +198,8 @@
 
     def answer(self, connection: Connection, status: int, headers: Headers, body: bytes) -> Steps:
         """Write an answer."""
-        head = h11.Response(status_code=status, headers=[*headers, ("Content-Length", str(len(body)))])
+        headers = [*headers, ("Content-Length", str(len(body)))]
+        head = h11.Response(status_code=status, headers=headers, reason=HTTPStatus(status).phrase)
         yield from connection.message(head, body, self.loop.now() + WRITE_MS)
 
     def complain(self, connection: Connection, status: int, text: str) -> Steps:
@@ -206,5 +209,6 @@
             headers.append(("Allow", "GET" if "GET" in text else "POST"))
         try:
             yield from self.answer(connection, status, headers, text.encode() + b"\n")
+            yield from connection.linger(self.loop.now() + LINGER_MS)
         except (Ended, h11.LocalProtocolError):
             return
