Tests of the reducer, the codecs, the sockets and the configuration; odd data that is no text

Seen in the tests: a health or a state that is a list, not a text, raised TypeError past the codec (protocol.py, entry_from and line_from); an address that is a name was looked up by connect, which blocks the loop. Both are malformed now.

--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
+from ipaddress import ip_address
 from math import isfinite
 from pathlib import Path
 from typing import Any
@@ -203,12 +204,22 @@
 def address(table: Table, name: str, env: Mapping[str, str], variable: str) -> tuple[str, int]:
     """Take a host and port apart, from the environment or else from the file."""
     value = env.get(variable) or table.get(name, REQUIRED)
-    if isinstance(value, str):
-        host, _, port = value.rpartition(":")
-        if host and port.isascii() and port.isdigit() and int(port) < 65536:
-            return host.strip("[]"), int(port)
-    key = variable if env.get(variable) else name
-    raise ConfigError(key, value, "an address and port, as 127.0.0.1:8443")
+    found = address_from(value)
+    if found is None:
+        key = variable if env.get(variable) else name
+        raise ConfigError(key, value, "an address in figures and a port, as 127.0.0.1:8443")
+    return found
+
+
+def address_from(value: object) -> tuple[str, int] | None:
+    """Take an address and port apart; names are no addresses, as looking one up would stand in the way."""
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    try:
+        host = str(ip_address(host.strip("[]")))
+    except ValueError:
+        return None
+    fits = port.isascii() and port.isdigit() and int(port) < 65536
+    return (host, int(port)) if fits else None
 
 
 def load(path: str | None, env: Mapping[str, str] = os.environ) -> Config:
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -6,7 +6,7 @@
 from math import inf, isfinite
 from typing import Any
 
-from marlseam.config import Deployment
+from marlseam.config import Deployment, address_from
 from marlseam.core import Entry
 from marlseam.interface import Listing, Outcome, Report, State
 
@@ -178,7 +178,8 @@
         return Line(started=True)
     if state == "running" and isinstance(share, int | float):
         return Line(share=float(share))
-    if state not in ENDS or (state == "done" and not isinstance(result, str)):
+    known = isinstance(state, str) and state in ENDS
+    if not known or (state == "done" and not isinstance(result, str)):
         raise Malformed("a line tells no known state")
     try:
         return Line(end=ENDS[state], result=result.encode() if state == "done" else b"", report=report)
@@ -277,30 +278,26 @@
     name, state, block, born = row.get("host"), row.get("health"), row.get("block"), row.get("born_ms")
     if not isinstance(name, str) or not name:
         raise Malformed("no host")
-    if state not in HEALTH:
+    if not isinstance(state, str) or state not in HEALTH:
         raise Malformed("unknown health")
     if born is not None and (not isinstance(born, int | float) or not isfinite(born)):
         raise Malformed("born_ms is no number")
     entry = Entry(
         executor=name,
         state=HEALTH[state],
-        kind=known(row.get("class"), deployment.kinds),
-        zone=known(row.get("site"), deployment.zones),
+        kind=place(row.get("class"), deployment.kinds),
+        zone=place(row.get("site"), deployment.zones),
         cell=block if isinstance(block, int) else -1,
         born_ms=born - unix_zero_ms if born else None,
     )
-    return entry, None if entry.state is State.GONE else address_from(row.get("dial"))
+    if entry.state is State.GONE:
+        return entry, None
+    address = address_from(row.get("dial"))
+    if address is None:
+        raise Malformed("dial is no address and port")
+    return entry, address
 
 
-def known(value: Any, names: Mapping[str, int]) -> int:  # noqa: ANN401
+def place(value: Any, names: Mapping[str, int]) -> int:  # noqa: ANN401
     """Return a name's index; -1 for what is not among the names."""
     return names.get(value, -1) if isinstance(value, str) else -1
-
-
-def address_from(value: object) -> tuple[str, int]:
-    """Read an address and port; there is no DNS, so the address must be one in figures."""
-    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-    host = host.strip("[]")
-    if not host or not (port.isascii() and port.isdigit() and 0 < int(port) < 65536):
-        raise Malformed("dial is no address and port")
-    return host, int(port)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,10 +1,16 @@
 """A port that records what the module asks of it, and nodes in a given state."""
 
+import json
+import socket
 from collections.abc import Callable
 from dataclasses import replace
+from pathlib import Path
 
+import h11
 import pytest
 
+from marlseam.config import Deployment, deployment_from, load
+from marlseam.core import Event
 from marlseam.interface import (
     Alloc,
     Effect,
@@ -16,7 +22,13 @@
     State,
     WorkUnit,
 )
-from marlseam.logic import Handle, Node
+from marlseam.logic import Handle
+from marlseam.logic import Node as Decider
+from marlseam.net.connection import Connection, Steps
+from marlseam.net.executors import Executors
+from marlseam.net.log import Log
+from marlseam.net.loop import Loop
+from marlseam.net.node import Node
 
 RERUNNABLE = ProjectType(200.0, 2.0, 5000.0, Effect.RERUNNABLE, Group.ALL, 5000.0, -1)
 RECEIPTED = replace(RERUNNABLE, effect=Effect.RECEIPTED, group=Group.CELL, memory_ms=3000.0)
@@ -70,11 +82,11 @@
 
 
 @pytest.fixture
-def make() -> Callable[..., Node]:
+def make() -> Callable[..., Decider]:
     """Return a maker of nodes whose executors 0..n-1 are ready and have just reported these counts."""
 
-    def build(*counts: float | None, cells: tuple[int, ...] = (), **changes: object) -> Node:
-        node = Node(replace(SETTINGS, **changes), 7, RecordingPort())
+    def build(*counts: float | None, cells: tuple[int, ...] = (), **changes: object) -> Decider:
+        node = Decider(replace(SETTINGS, **changes), 7, RecordingPort())
         cells = cells or (0,) * len(counts)
         node.roster(Listing.FULL, [Member(e, State.READY, 0, 0, cells[e], None) for e in range(len(counts))])
         node.most_free[0] = 4.0
@@ -91,7 +103,7 @@
 def unit() -> Callable[..., Handle]:
     """Return a maker of handles with allocations of given executors and outcomes."""
 
-    def build(node: Node, type: int = 0, allocs: tuple = (), slots: float = 1.0) -> Handle:
+    def build(node: Decider, type: int = 0, allocs: tuple = (), slots: float = 1.0) -> Handle:
         now = node.port.now()
         wu = Handle(node, WorkUnit(f"w{type}", type, now + 5000.0, slots=slots))
         for executor, outcome in allocs:
@@ -101,3 +113,185 @@
         return wu
 
     return build
+
+
+# The real node: settings as the file holds them, a socket that plays a script, and the parts round it.
+
+OPTIONS = {
+    "zone": "here", "dcs": ["here", "there"], "kinds": ["plain"], "tickUs": 4000,
+    "registryMode": "subscribe",
+    "requestClasses": [
+        {"name": "statement", "aimUs": 200000, "deadlineUs": 5000000, "semantics": "safe"},
+        {"name": "posting", "aimUs": 200000, "deadlineUs": 5000000, "semantics": "unsafe"},
+    ],
+    "ceilings": {"sendCap": 4, "mayProbe": True, "cancel": True, "keepaliveUs": 1000000},
+    "familyInfo": {"tellsStart": True, "reportX0": "free slots"},
+}  # fmt: skip
+
+
+class ScriptedSocket:
+    """Takes so many bytes and then breaks; gives its replies one by one, then the end or silence."""
+
+    def __init__(self, replies: tuple[bytes, ...] = (), takes: int = 1 << 30, silent: bool = False) -> None:
+        self.replies, self.takes, self.silent = list(replies), takes, silent
+        self.pair = socket.socketpair()
+        self.sent, self.open = b"", True
+        self.upon_send: list[bytes] = []
+
+    def fileno(self) -> int:
+        return self.pair[0].fileno()
+
+    def send(self, data: memoryview) -> int:
+        count = min(len(data), self.takes - len(self.sent))
+        if not count:
+            raise ConnectionResetError
+        self.sent += bytes(data[:count])
+        self.replies += self.upon_send
+        self.upon_send = []
+        return count
+
+    def recv_into(self, room: memoryview) -> int:
+        if not self.replies:
+            if self.silent:
+                raise BlockingIOError
+            return 0
+        data = self.replies[0][: len(room)]
+        self.replies[0] = self.replies[0][len(data) :]
+        if not self.replies[0]:
+            del self.replies[0]
+        room[: len(data)] = data
+        return len(data)
+
+    def shutdown(self, how: int) -> None:
+        """Nothing to do: what was sent is all there is."""
+
+    def close(self) -> None:
+        self.open = False
+        for end in self.pair:
+            end.close()
+
+
+@pytest.fixture
+def deployment() -> Deployment:
+    return deployment_from(OPTIONS)
+
+
+@pytest.fixture
+def loop() -> Loop:
+    def fault(text: str) -> None:
+        raise AssertionError(text)
+
+    made = Loop(fault)
+    yield made
+    made.finish()
+
+
+@pytest.fixture
+def until(loop: Loop) -> Callable[[Callable[[], object]], None]:
+    """Return a function that turns the loop until something holds, or fails after a generous time."""
+
+    def run(holds: Callable[[], object]) -> None:
+        end = loop.now() + 10000.0
+        loop.at(end, lambda: None)
+        while not holds():
+            assert loop.now() < end
+            loop.turn()
+
+    return run
+
+
+@pytest.fixture
+def connection(loop: Loop) -> Callable[..., Connection]:
+    """Return a maker of connections over a scripted socket."""
+
+    def build(role: type, *replies: bytes, **script: object) -> Connection:
+        return Connection(loop, Log("test", loop.now), ScriptedSocket(replies, **script), role, "test")
+
+    return build
+
+
+@pytest.fixture
+def executors(
+    loop: Loop, deployment: Deployment, connection: Callable[..., Connection], monkeypatch: pytest.MonkeyPatch
+) -> Callable[..., Executors]:
+    """Return a maker of executors whose one connection plays a script; events are kept in `events`."""
+
+    def build(*replies: bytes, **script: object) -> Executors:
+        def connected(loop: Loop, log: Log, address: tuple[str, int], what: str, until_ms: float) -> Steps:
+            made = connection(h11.CLIENT, *replies, **script)
+            made.address = address
+            parts.connections.append(made)
+            return made
+            yield
+
+        monkeypatch.setattr("marlseam.net.executors.connect", connected)
+        events: list[Event] = []
+        parts = Executors(loop, Log("test", loop.now), deployment, 64, events.append)
+        parts.events, parts.connections = events, []
+        parts.listed({"e1"}, {"e1": ("127.0.0.1", 9)})
+        return parts
+
+    return build
+
+
+@pytest.fixture
+def node(tmp_path: Path) -> Node:
+    """Return a node on a free port, with one executor listed that refuses connections."""
+    hosts = [
+        {
+            "host": "e1",
+            "dial": "127.0.0.1:1",
+            "health": "active",
+            "site": "here",
+            "class": "plain",
+            "block": 0,
+        }
+    ]
+    values = {
+        "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": OPTIONS,
+        "known": {"seq": 1, "whole": True, "hosts": hosts},
+    }  # fmt: skip
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(values))
+    made = Node(load(str(path), {}))
+    yield made
+    made.busy = True
+    made.loop.finish()
+
+
+@pytest.fixture
+def client(node: Node) -> Callable[[bytes], socket.socket]:
+    """Return a function that connects to the node and writes some bytes."""
+    opened = []
+
+    def call(data: bytes) -> socket.socket:
+        sock = socket.create_connection(node.server.sock.getsockname())
+        opened.append(sock)
+        sock.setblocking(False)
+        sock.sendall(data)
+        return sock
+
+    yield call
+    for sock in opened:
+        sock.close()
+
+
+@pytest.fixture
+def reply(node: Node) -> Callable[[socket.socket], bytes]:
+    """Return a function that turns the node's loop until a client has its answer, or the end."""
+
+    def wait(sock: socket.socket) -> bytes:
+        data, end = b"", node.loop.now() + 10000.0
+        node.loop.at(end, lambda: None)
+        while node.loop.now() < end:
+            try:
+                more = sock.recv(65536)
+            except BlockingIOError:
+                node.loop.turn()
+                continue
+            data += more
+            if not more or b"\r\n\r\n" in data:
+                return data
+        raise AssertionError("no answer")
+
+    return wait
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,93 @@
+"""Configuration: what is read, the defaults, and messages that name the key at fault."""
+
+import copy
+import json
+
+import pytest
+from click.testing import CliRunner
+from conftest import OPTIONS
+
+from marlseam.__main__ import main
+from marlseam.config import ConfigError, deployment_from, load
+
+GOOD = {"listen": "127.0.0.1:8443", "discovery": "127.0.0.1:8500", "seed": "ff", "settings": OPTIONS}
+
+
+@pytest.fixture
+def write(tmp_path):
+    """Return a function that writes the good configuration with one entry changed, and gives its path."""
+
+    def change(key="", value=None):
+        values = copy.deepcopy(GOOD)
+        if key:
+            *tables, last = key.split(".")
+            at = values
+            for name in tables:
+                at = at[int(name)] if isinstance(at, list) else at.setdefault(name, {})
+            at[last] = value
+        path = tmp_path / "node.json"
+        path.write_text(json.dumps(values))
+        return str(path)
+
+    return change
+
+
+def test_a_good_file_is_read(write):
+    config = load(write(), {})
+    assert (config.listen, config.seed, config.sockets) == (("127.0.0.1", 8443), 255, 1024)
+
+
+def test_the_environment_goes_before_the_file(write):
+    config = load(write(), {"EDGE_LISTEN": "[::1]:99", "EDGE_NAME": "n7"})
+    assert (config.listen, config.name) == (("::1", 99), "n7")
+
+
+def test_times_become_milliseconds(deployment):
+    assert (deployment.settings.types[0].promised_ms, deployment.keepalive_ms) == (200.0, 1000.0)
+
+
+def test_what_is_missing_is_least_generous():
+    settings = deployment_from({"requestClasses": [{"name": "x"}]}).settings
+    assert not (settings.may_cancel or settings.may_probe or settings.second_copies or settings.max_advice_ms)
+
+
+def test_a_reports_extra_figure_has_the_meaning_that_the_settings_give(deployment):
+    assert (deployment.report_names["x0"], "x1" in deployment.report_names) == ("free_slots", False)
+
+
+@pytest.mark.parametrize(
+    ("key", "value", "shown"),
+    [
+        ("listen", "nowhere", "listen: 'nowhere'"),
+        ("listen", None, "listen: missing"),
+        ("discovery", "h:99999", "discovery: 'h:99999'"),
+        ("seed", "xyz", "seed: 'xyz'"),
+        ("limits.sockets", "many", "limits.sockets: 'many'"),
+        ("limits.memory_mb", -1, "limits.memory_mb: -1"),
+        ("settings", [], "settings: []"),
+        ("settings.requestClasses", [], "settings.requestClasses: []"),
+        ("settings.requestClasses.1.semantics", "odd", "settings.requestClasses[1].semantics: 'odd'"),
+        ("settings.requestClasses.0.aimUs", float("nan"), "settings.requestClasses[0].aimUs: nan"),
+        ("settings.ceilings.cancel", "yes", "settings.ceilings.cancel: 'yes'"),
+        ("settings.familyInfo.classStretch", "long", "settings.familyInfo.classStretch: 'long'"),
+        ("settings.dcs", [1], "settings.dcs: [1]"),
+    ],
+)
+def test_a_bad_entry_is_named(write, key, value, shown):
+    with pytest.raises(ConfigError, match=".") as raised:
+        load(write(key, value), {})
+    assert str(raised.value).startswith(shown + ", expected ")
+
+
+def test_a_bad_configuration_ends_with_2_and_one_line(write):
+    result = CliRunner().invoke(main, ["check", "--config", write("seed", "xyz")])
+    assert (result.exit_code, result.stderr.count("\n")) == (2, 1)
+
+
+def test_no_configuration_ends_with_2(monkeypatch):
+    monkeypatch.delenv("EDGE_CONFIG", raising=False)
+    assert CliRunner().invoke(main, ["serve"]).exit_code == 2
+
+
+def test_check_of_a_good_configuration_ends_with_0(write):
+    assert CliRunner().invoke(main, ["check", "--config", write()]).exit_code == 0
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,568 @@
+"""Sockets: buffer, loop, log, connections, the pool and its allocations, clients, discovery, the end."""
+
+import json
+import socket
+from math import inf
+
+import h11
+import pytest
+
+from marlseam import core
+from marlseam.interface import Listing, Outcome
+from marlseam.net import discovery as discovery_module
+from marlseam.net import node as node_module
+from marlseam.net.buffer import Buffer
+from marlseam.net.connection import Ended, connect
+from marlseam.net.log import BURST, Log, Reason
+from marlseam.net.loop import LATE, READ, WOKEN, Cancelled
+from marlseam.net.protocol import Job, Malformed
+from marlseam.net.server import Pending
+
+JOB = Job("9b", "/statement", "k", b"abc", 0, "statement", 5000.0, 1.0, 0.0)
+LINES = b'{"id":"9b","from":"e1","state":"started"}\n{"id":"9b","from":"e1","state":"done","result":"r"}\n'
+CHUNK = b"%x\r\n%b\r\n" % (len(LINES), LINES)
+ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNK + b"0\r\n\r\n"
+REQUEST = (
+    b"POST /statement HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 9b\r\nX-Service-Class: statement\r\n"
+    b"X-Time-Left: 0.5\r\nContent-Length: 3\r\n\r\nabc"
+)
+
+
+def sent(parts, **limits):
+    """Send one allocation and return the outcomes told."""
+    now = parts.loop.now()
+    parts.send("1", 0, "e1", JOB, now + limits.get("until", 1000.0), now + 1000.0)
+    return outcomes(parts)
+
+
+def outcomes(parts):
+    return [event.outcome for event in parts.events if type(event) is core.Settled]
+
+
+def reasons(capsys):
+    return [word[5:] for word in capsys.readouterr().err.split() if word.startswith("code=")]
+
+
+# Buffer.
+
+
+def test_a_buffer_gives_what_came_in_order():
+    buffer = Buffer(8)
+    for part in (b"abc", b"defg", b"hijklmnop"):
+        buffer.space(len(part))[: len(part)] = part
+        buffer.added(len(part))
+    assert buffer.take(5) + buffer.take(100) == b"abcdefghijklmnop" and not len(buffer)
+
+
+def test_a_buffer_is_compacted_before_it_grows():
+    buffer = Buffer(8)
+    buffer.added(8)
+    buffer.take(6)
+    assert len(buffer.space(6)) == 6 and len(buffer.bytes) == 8 and len(buffer) == 2
+
+
+# Loop.
+
+
+def test_timers_come_in_order(loop, until):
+    seen = []
+    loop.at(2.0, lambda: seen.append(2))
+    loop.at(1.0, lambda: seen.append(1))
+    until(lambda: len(seen) == 2)
+    assert seen == [1, 2]
+
+
+def test_a_dropped_timer_never_comes(loop, until):
+    seen = []
+    loop.drop(loop.at(1.0, lambda: seen.append("dropped")))
+    loop.at(2.0, lambda: seen.append("kept"))
+    until(lambda: seen)
+    assert seen == ["kept"]
+
+
+def test_many_dropped_timers_leave_the_memory(loop):
+    for _ in range(5000):
+        loop.drop(loop.at(1e9, lambda: None))
+    assert len(loop.timers) < 2000
+
+
+def test_a_wait_ends_late(loop, until):
+    seen = []
+
+    def wait():
+        seen.append((yield (-1, 0, loop.now() + 1.0)))
+
+    loop.spawn(wait())
+    until(lambda: seen)
+    assert seen == [LATE]
+
+
+def test_a_wake_during_the_step_is_not_lost(loop, until):
+    seen = []
+
+    def wait():
+        loop.current.wake()
+        seen.append((yield (-1, 0, inf)))
+
+    loop.spawn(wait())
+    until(lambda: seen)
+    assert seen == [WOKEN]
+
+
+def test_a_cancelled_coroutine_runs_its_end(loop):
+    seen = []
+
+    def wait():
+        try:
+            yield (-1, 0, inf)
+        finally:
+            seen.append("end")
+
+    loop.spawn(wait()).cancel()
+    assert seen == ["end"] and not loop.tasks
+
+
+def test_an_error_in_one_coroutine_or_call_leaves_the_others(loop, until):
+    faults, seen = [], []
+    loop.fault = faults.append
+
+    def fail():
+        yield (-1, 0, loop.now())
+        raise RuntimeError
+
+    loop.spawn(fail())
+    loop.at(0.0, lambda: 1 / 0)
+    loop.at(loop.now() + 1.0, lambda: seen.append(1))
+    until(lambda: seen)
+    assert len(faults) == 2
+
+
+def test_an_idle_loop_waits_for_ever(loop):
+    loop.drop(loop.at(5.0, lambda: None))
+    assert loop.pause_s() == -1.0
+
+
+def test_equal_unix_times_stay_equal(loop):
+    assert loop.clock.from_unix(loop.clock.unix_zero_ms + 5.0) == 5.0
+
+
+# Log.
+
+
+def test_a_flood_of_lines_is_dropped_and_counted(capsys):
+    clock = [0.0]
+    log = Log("n", lambda: clock[0])
+    for _ in range(int(BURST) + 7):
+        log.line("x")
+    clock[0] = 1000.0
+    log.line("y")
+    assert capsys.readouterr().err.splitlines()[-2:] == ["marlseam n: 7 lines dropped", "marlseam n: y"]
+
+
+def test_a_connection_leaves_one_line(connection, capsys):
+    made = connection(h11.CLIENT)
+    made.close(Reason.IDLE)
+    made.close(Reason.DONE)
+    assert reasons(capsys) == ["idle"]
+
+
+# Allocations.
+
+
+def test_an_answer_completes(executors):
+    parts = executors(ANSWER)
+    assert sent(parts) == [Outcome.COMPLETED] and parts.events[0] == core.Started("1", 0)
+    assert parts.events[1].result == b"r" and len(parts.peers["e1"].idle) == 1
+
+
+@pytest.mark.parametrize("at", range(1, len(ANSWER)))
+def test_an_answer_may_come_in_two_reads(executors, at):
+    assert sent(executors(ANSWER[:at], ANSWER[at:])) == [Outcome.COMPLETED]
+
+
+@pytest.mark.parametrize("at", range(len(ANSWER)))
+def test_a_cut_answer_may_have_run_until_its_last_line(executors, at):
+    last_line = ANSWER.index(LINES) + len(LINES)
+    assert sent(executors(ANSWER[:at])) == [Outcome.COMPLETED if at >= last_line else Outcome.BROKEN]
+
+
+def test_only_a_request_written_to_its_last_byte_may_have_run(executors):
+    whole = executors()
+    sent(whole)
+    size = len(whole.connections[0].sock.sent)
+    for takes in range(size):
+        assert sent(executors(takes=takes)) == [Outcome.UNREACHABLE]
+    assert sent(executors(takes=size)) == [Outcome.BROKEN]
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"nonsense\n", b'{"id":"other","from":"e1","state":"done","result":"r"}\n',
+        b'{"id":"9b","from":"e2","state":"done","result":"r"}\n', b"x" * 200000,
+    ],
+)  # fmt: skip
+def test_a_broken_line_may_have_run_and_ends_the_connection(executors, capsys, lines):
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(lines)
+    assert sent(executors(head + lines)) == [Outcome.BROKEN] and reasons(capsys) == ["bad-message"]
+
+
+@pytest.mark.parametrize(
+    ("answer", "outcome"),
+    [
+        (b"HTTP/1.1 503 -\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", Outcome.FULL),
+        (b"HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+        (b"nonsense\r\n\r\n", Outcome.BROKEN),
+    ],
+)
+def test_an_answer_without_lines_has_its_outcome(executors, answer, outcome):
+    assert sent(executors(answer)) == [outcome]
+
+
+def test_a_silent_executor_times_out_at_the_limit(executors, until, capsys):
+    parts = executors(silent=True)
+    sent(parts, until=5.0)
+    until(lambda: outcomes(parts))
+    assert outcomes(parts) == [Outcome.TIMED_OUT] and reasons(capsys) == ["timed-out"]
+    assert not parts.out and not parts.peers["e1"].count
+
+
+def test_giving_up_closes_the_connection(executors):
+    parts = executors(silent=True)
+    sent(parts)
+    parts.cancel("1", 0)
+    assert outcomes(parts) == [Outcome.WITHDRAWN] and not parts.connections[0].sock.open
+
+
+def test_an_executor_not_listed_is_unreachable(executors):
+    parts = executors(ANSWER)
+    parts.listed(set(), {})
+    assert sent(parts) == [Outcome.UNREACHABLE] and not parts.connections
+
+
+# The pool.
+
+
+def test_a_connection_is_used_again(executors):
+    parts = executors(ANSWER, silent=True)
+    sent(parts)
+    parts.connections[0].sock.upon_send.append(ANSWER)
+    assert sent(parts) == [Outcome.COMPLETED] * 2 and len(parts.connections) == 1
+
+
+def test_a_pooled_connection_that_was_closed_is_not_used(executors):
+    parts = executors(ANSWER)
+    sent(parts)
+    assert sent(parts) == [Outcome.COMPLETED] * 2 and len(parts.connections) == 2
+
+
+def test_an_unused_connection_is_closed_well_before_its_time(executors, until, capsys):
+    parts = executors(ANSWER, silent=True)
+    parts.idle_ms = 1.0
+    sent(parts)
+    until(lambda: not parts.peers["e1"].count)
+    assert reasons(capsys) == ["idle"]
+
+
+def test_an_executor_that_left_is_forgotten_once_nothing_is_out(executors):
+    parts = executors(silent=True)
+    sent(parts)
+    parts.listed(set(), {})
+    assert "e1" in parts.peers
+    parts.cancel("1", 0)
+    assert not parts.peers
+
+
+def test_another_address_closes_the_unused_connections(executors, capsys):
+    parts = executors(ANSWER, silent=True)
+    sent(parts)
+    parts.listed({"e1"}, {"e1": ("127.0.0.2", 9)})
+    assert reasons(capsys) == ["forgotten"]
+
+
+def test_connections_to_one_executor_are_bounded(executors):
+    parts = executors(silent=True)
+    for _ in range(parts.limit() + 1):
+        sent(parts)
+    assert outcomes(parts) == [Outcome.UNREACHABLE] and len(parts.connections) == parts.limit()
+
+
+def test_the_longest_unused_connection_makes_room(executors, capsys):
+    parts = executors(ANSWER, silent=True)
+    sent(parts)
+    parts.places = 1
+    parts.listed({"e1", "e2"}, {"e2": ("127.0.0.1", 9)})
+    parts.probe("e2")
+    assert reasons(capsys) == ["crowded"] and parts.open() == 1
+
+
+# Probes.
+
+
+@pytest.mark.parametrize(
+    ("status", "outcome"), [(200, Outcome.COMPLETED), (503, Outcome.FULL), (404, Outcome.ERROR)]
+)
+def test_a_probes_answer_carries_its_report(executors, status, outcome):
+    parts = executors(b"HTTP/1.1 %d -\r\nContent-Length: 13\r\n\r\nTEXT x0=3.500" % status)
+    parts.probe("e1")
+    (event,) = parts.events
+    assert (event.outcome, event.report.free_slots) == (outcome, 3.5)
+
+
+def test_a_probe_times_out(executors, until):
+    parts = executors(silent=True)
+    parts.probe_ms = 1.0
+    parts.probe("e1")
+    until(lambda: parts.events)
+    assert parts.events[0].outcome is Outcome.TIMED_OUT
+
+
+def test_a_probe_has_places_of_its_own(executors):
+    parts = executors(silent=True)
+    for _ in range(parts.limit()):
+        sent(parts)
+    parts.probe("e1")
+    assert len(parts.connections) == parts.limit() + 1
+
+
+# Connecting.
+
+
+def test_a_refused_connection_is_told(loop, until, capsys):
+    failed = []
+
+    def call():
+        try:
+            yield from connect(loop, Log("n", loop.now), ("127.0.0.1", 1), "x", loop.now() + 1000.0)
+        except Ended as ended:
+            failed.append(ended.reason)
+
+    loop.spawn(call())
+    until(lambda: failed)
+    assert failed == [Reason.REFUSED] and reasons(capsys) == ["refused"]
+
+
+# Clients.
+
+
+def test_a_node_is_ready_once_it_holds_a_list(client, reply):
+    assert reply(client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_node_without_a_list_is_not_ready(node, client, reply):
+    node.discovery.held.clear()
+    assert reply(client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")).startswith(b"HTTP/1.1 503 ")
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (REQUEST.replace(b"0.5", b"x"), 400),
+        (REQUEST.replace(b"POST", b"PUT"), 405),
+        (REQUEST.replace(b"/statement", b"/odd"), 404),
+        (REQUEST.replace(b"Length: 3", b"Length: 65537"), 413),
+        (
+            REQUEST.replace(b"Content-Length: 3", b"Transfer-Encoding: chunked").replace(b"abc", b"xyz\r\n"),
+            400,
+        ),
+        (b"GET / HTTP/1.1\r\nX: " + b"x" * 40000, 431),
+    ],
+)
+def test_bad_input_has_its_status(client, reply, data, status):
+    assert reply(client(data)).startswith(b"HTTP/1.1 %d " % status)
+
+
+@pytest.mark.parametrize(
+    ("effect", "start", "part"),
+    [
+        (core.Complete("1", b"result"), b"HTTP/1.1 200 ", b"\r\n\r\nresult"),
+        (core.Defer("1", 250.0), b"HTTP/1.1 503 ", b"Retry-After: 0.250\r\n"),
+        (core.Abort("1"), b"HTTP/1.1 500 ", b"Content-Length: 0\r\n"),
+    ],
+)
+def test_a_final_answer_reaches_the_client(node, client, reply, effect, start, part):
+    sock = client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    node_module.EFFECTS[type(effect)](node, effect)
+    data = reply(sock)
+    assert data.startswith(start) and part in data
+
+
+@pytest.mark.parametrize("at", range(1, len(REQUEST)))
+def test_a_request_may_come_in_two_writes(node, client, at):
+    sock = client(REQUEST[:at])
+    while not node.server.open:
+        node.loop.turn()
+    node.loop.at(node.loop.now(), lambda: sock.sendall(REQUEST[at:]))
+    while not node.pending:
+        node.loop.turn()
+    assert node.pending["1"].job.body == b"abc"
+
+
+def test_a_client_that_goes_is_told_to_the_reducer(node, client):
+    sock = client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    sock.close()
+    while node.server.open:
+        node.loop.turn()
+    assert not node.pending and not node.core.open
+
+
+def test_an_answer_for_one_that_has_gone_is_dropped(node):
+    node.answer("9", 200, [], b"")
+    assert not node.pending
+
+
+def test_an_answer_given_before_the_wait_is_not_lost(node):
+    pending = Pending(JOB, 0.0, None)
+    pending.give(200, [], b"r")
+    assert pending.answer == (200, [], b"r")
+
+
+def test_the_longest_unused_client_makes_room(node, client, capsys):
+    first = client(b"")
+    while not node.server.idle:
+        node.loop.turn()
+    node.server.places = 1
+    client(b"")
+    while "crowded" not in reasons(capsys):
+        node.loop.turn()
+    assert first.recv(1) == b""
+
+
+def test_a_full_node_leaves_new_clients_waiting_and_takes_them_later(node, client, reply):
+    client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    node.server.places = 1
+    second = client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+    node.answer("1", 200, [("Connection", "close")], b"")
+    assert reply(second).startswith(b"HTTP/1.1 200 ")
+
+
+def test_a_client_that_began_a_request_is_not_closed_to_make_room(node, client):
+    sock = client(b"")
+    while not node.server.idle:
+        node.loop.turn()
+    sock.sendall(REQUEST)
+    assert not node.server.make_room()
+    while not node.pending:
+        node.loop.turn()
+
+
+# Discovery.
+
+
+@pytest.fixture
+def roster(node, monkeypatch, connection):
+    """Return a function that follows the roster over a script, and the events that it posts."""
+
+    def follow(*answers, **script):
+        events = []
+        replies = [b"HTTP/1.1 200 -\r\nContent-Length: %d\r\n\r\n%b" % (len(a), a) for a in answers]
+
+        def connected(*_):
+            return connection(h11.CLIENT, *replies, **script)
+            yield
+
+        monkeypatch.setattr(discovery_module, "connect", connected)
+        node.discovery.task, node.discovery.post = None, events.append
+        node.discovery.watch()
+        return events
+
+    return follow
+
+
+def listing(seq, *names, whole=True, **changes):
+    host = {"dial": "127.0.0.1:9", "health": "active", "site": "here", "class": "plain", "block": 0}
+    hosts = [host | {"host": name} | changes for name in names]
+    return json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode()
+
+
+def test_the_whole_list_then_its_changes(roster):
+    events = roster(listing(5, "e1"), listing(6, "e2", whole=False))
+    assert [event.listing for event in events] == [Listing.FULL, Listing.DELTA, Listing.FAILED]
+
+
+def test_an_older_change_leads_to_the_whole_list(roster):
+    events = roster(listing(5, "e1"), listing(3, "e2", whole=False), listing(3, "e2"))
+    assert [event.entries[0].executor for event in events[:2]] == ["e1", "e2"]
+
+
+@pytest.mark.parametrize("answer", [b"nonsense", b"[]", b'{"seq":9,"hosts":7}'])
+def test_an_odd_answer_leaves_the_last_good_list(node, roster, answer):
+    events = roster(listing(5, "e1"), answer)
+    assert events[-1].listing is Listing.FAILED and list(node.discovery.held) == ["e1"]
+
+
+def test_an_odd_entry_keeps_what_was_last_good_of_it(node, roster):
+    roster(listing(5, "e1", "e2"), listing(6, "e1", dial="odd"))
+    assert list(node.discovery.held) == ["e1"]
+
+
+def test_discovery_that_is_down_is_told(node, until):
+    events = []
+    node.discovery.post = events.append
+    while not events:
+        node.loop.turn()
+    assert events == [core.Roster(Listing.FAILED, [])]
+
+
+def test_a_configured_list_that_is_odd_leaves_none(node):
+    with pytest.raises(Malformed, match="list"):
+        node.discovery.take({}, cached=True)
+
+
+# The end.
+
+
+def test_after_sigterm_answers_close_their_connections(node, client, reply):
+    node.close()
+    data = reply(client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"))
+    assert data.startswith(b"HTTP/1.1 503 ") and b"Connection: close" in data
+
+
+def test_sigterm_ends_an_idle_node_after_new_connections_have_ceased(node, monkeypatch):
+    monkeypatch.setattr(node_module, "LISTEN_MS", 1.0)
+    node.close()
+    node.loop.run()
+    assert node.loop.stopped and node.server.sock.fileno() < 0
+
+
+def test_sigterm_answers_what_is_open_before_the_end(node, client, reply, monkeypatch):
+    monkeypatch.setattr(node_module, "LISTEN_MS", 1.0)
+    monkeypatch.setattr(node_module, "DRAIN_MOST_MS", 1.0)
+    monkeypatch.setattr(node_module, "ANSWER_MS", 1.0)
+    sock = client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    node.close()
+    assert reply(sock).startswith(b"HTTP/1.1 503 ")
+
+
+def test_a_failed_coroutine_still_closes_its_connection(executors, loop, capsys):
+    loop.fault = lambda text: None
+    parts = executors(ANSWER)
+    parts.lines = lambda *args: 1 / 0
+    assert sent(parts) == [Outcome.BROKEN] and reasons(capsys) == ["fault"]
+
+
+def test_waits_stop_reading_ahead_of_a_peer_that_sends_on(connection):
+    made = connection(h11.SERVER)
+    made.buffer.space(1 << 17)
+    made.buffer.added(1 << 17)
+    assert made.waits()[0] == -1
+
+
+def test_a_cancelled_connect_closes_its_socket(loop, capsys):
+    blocked = socket.create_server(("127.0.0.1", 0), backlog=0)
+    call = connect(loop, Log("n", loop.now), blocked.getsockname(), "x", inf)
+    assert next(call)[1] != READ
+    with pytest.raises(Cancelled):
+        call.throw(Cancelled())
+    blocked.close()
+    assert reasons(capsys) == ["withdrawn"]
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,197 @@
+"""The codecs: clients' requests, executors' lines and reports, discovery's lists."""
+
+import json
+
+import pytest
+
+from marlseam.interface import Listing, Outcome, Report, State
+from marlseam.net import protocol
+from marlseam.net.protocol import Head, Lines, Malformed
+
+NAMES = {"backlog": "queued", "x0": "free_slots"}
+HEADERS = {"x-correlation-id": "9b", "x-service-class": "statement", "x-time-left": "0.480"}
+
+
+def head(**changes):
+    found = HEADERS | {name.replace("_", "-"): value for name, value in changes.items()}
+    return Head([(name.encode(), value.encode()) for name, value in found.items() if value is not None])
+
+
+def line(**changes):
+    row = {"id": "9b", "from": "e1", "state": "done", "result": "r"} | changes
+    return protocol.line_from(json.dumps(row).encode(), "9b", "e1", NAMES)
+
+
+# Clients.
+
+
+def test_a_work_unit_is_read(deployment):
+    job = protocol.job_from("/statement?user=7", head(x_facts="slots=4,odd=1"), b"body", deployment)
+    assert (job.id, job.type, job.left_ms, job.slots, job.body) == ("9b", 0, 480.0, 4.0, b"body")
+
+
+def test_time_left_is_capped_by_the_types_hard_limit(deployment):
+    assert protocol.job_from("/statement", head(x_time_left="1e9"), b"", deployment).left_ms == 5000.0
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"x_correlation_id": None}, {"x_correlation_id": ""}, {"x_correlation_id": "a b"},
+        {"x_correlation_id": "a" * 300}, {"x_service_class": None}, {"x_service_class": "posting"},
+        {"x_service_class": "odd"}, {"x_time_left": None}, {"x_time_left": "soon"}, {"x_time_left": "nan"},
+        {"x_time_left": "-1"}, {"x_time_left": "inf"}, {"x_facts": "slots=wide"},
+    ],
+)  # fmt: skip
+def test_a_bad_work_unit_is_told_400(deployment, changes):
+    with pytest.raises(Malformed) as raised:
+        protocol.job_from("/statement", head(**changes), b"", deployment)
+    assert raised.value.status == 400
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "status"),
+    [
+        ("GET", "/statement", 405),
+        ("POST", "/-/ready", 405),
+        ("GET", "/", 404),
+        ("POST", "/odd/statement", 404),
+    ],
+)
+def test_what_cannot_be_asked_for_has_its_status(deployment, method, target, status):
+    with pytest.raises(Malformed) as raised:
+        protocol.route(method, target, deployment.types)
+    assert raised.value.status == status
+
+
+def test_no_advice_leaves_no_header():
+    assert (protocol.advice(0.0), protocol.advice(250.0)) == ([], [("Retry-After", "0.250")])
+
+
+def test_what_clients_sent_goes_on_unchanged(deployment):
+    job = protocol.job_from("/statement?user=7", head(idempotency_key="k"), b"abc", deployment)
+    headers = dict(protocol.job_headers(job, "h:1", 1234.5))
+    assert (headers["X-Correlation-Id"], headers["Idempotency-Key"]) == ("9b", "k")
+    assert (headers["X-Time-Left"], headers["Content-Length"]) == ("1.234", "3")
+
+
+# Executors.
+
+
+@pytest.mark.parametrize(
+    ("state", "outcome"),
+    [
+        ("done", Outcome.COMPLETED), ("failed", Outcome.ERROR), ("returned", Outcome.FULL),
+        ("lost", Outcome.BROKEN),
+    ],
+)  # fmt: skip
+def test_a_last_line_tells_the_outcome(state, outcome):
+    assert line(state=state).end is outcome
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "outcome"),
+    [
+        (503, {"x_unprocessed": "1"}, Outcome.FULL), (504, {"x_unprocessed": "1"}, Outcome.FULL),
+        (500, {"x_unprocessed": "1"}, Outcome.ERROR), (503, {}, Outcome.ERROR), (500, {}, Outcome.ERROR),
+    ],
+)  # fmt: skip
+def test_only_an_unprocessed_refusal_never_ran(status, headers, outcome):
+    assert protocol.refusal(status, head(**headers)) is outcome
+
+
+def test_starts_and_progress_are_read():
+    assert line(state="started").started and line(state="running", share=0.4).share == 0.4
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"id": "other"}, {"from": "e2"}, {"state": "odd"}, {"state": []}, {"result": None},
+        {"state": "running", "share": "x"}, {"result": "\ud800"},
+    ],
+)  # fmt: skip
+def test_an_odd_line_is_malformed(changes):
+    with pytest.raises(Malformed, match="."):
+        line(**changes)
+
+
+@pytest.mark.parametrize("raw", [b"{", b"[]", b"\xff", b"[" * 100000])
+def test_a_broken_line_is_malformed(raw):
+    with pytest.raises(Malformed, match="."):
+        protocol.line_from(raw, "9b", "e1", NAMES)
+
+
+@pytest.mark.parametrize("at", range(9))
+def test_lines_are_whole_wherever_they_are_cut(at):
+    lines, text = Lines(), b"ab\ncd\n\nef"
+    assert lines.feed(text[:at]) + lines.feed(text[at:]) == [b"ab", b"cd"]
+
+
+def test_a_line_without_end_is_malformed():
+    lines = Lines()
+    with pytest.raises(Malformed, match="too long"):
+        lines.feed(b"x" * (protocol.LINE_MOST + 1))
+
+
+@pytest.mark.parametrize(
+    "value", ["TEXT backlog=2, x0=0.5, odd=1, broken", {"backlog": 2, "x0": 0.5, "odd": [], "held": "x"}]
+)
+def test_a_report_is_read_as_text_and_as_object(value):
+    assert protocol.report_from(value, NAMES) == Report(queued=2.0, free_slots=0.5)
+
+
+def test_an_odd_figure_in_a_report_is_passed_by():
+    assert protocol.report_from({"backlog": "nan", "x0": None}, NAMES) == Report()
+
+
+@pytest.mark.parametrize("body", [b"TEXT backlog=2", b'{"backlog":2}'])
+def test_a_probes_report_is_its_body(body):
+    assert protocol.load_from(body, head(), NAMES) == Report(queued=2.0)
+
+
+@pytest.mark.parametrize(("body", "found"), [(b"", None), (b"{", None)])
+def test_a_probe_without_a_report_has_none(body, found):
+    assert protocol.load_from(body, head(), NAMES) is found
+
+
+# Discovery.
+
+HOST = {
+    "host": "e1", "dial": "127.0.0.1:9", "site": "there", "class": "plain", "block": 3, "health": "active",
+    "born_ms": 5000,
+}  # fmt: skip
+
+
+def news(*hosts, **changes):
+    return {"seq": 4, "whole": True, "hosts": list(hosts)} | changes
+
+
+def test_an_entry_is_read(deployment):
+    found = protocol.news_from(news(HOST), deployment, 1000.0)
+    assert found.entries == [("e1", State.READY, 0, 1, 3, 4000.0)] and found.addresses == {
+        "e1": ("127.0.0.1", 9)
+    }
+
+
+def test_one_that_has_left_needs_no_address(deployment):
+    found = protocol.news_from(news({"host": "e1", "health": "left"}, whole=False), deployment, 0.0)
+    assert (found.listing, found.entries[0].state, found.addresses) == (Listing.DELTA, State.GONE, {})
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"host": ""}, {"host": 7}, {"health": "odd"}, {"health": []}, {"dial": "name"}, {"dial": ":1"},
+        {"dial": None}, {"born_ms": "x"},
+    ],
+)  # fmt: skip
+def test_an_odd_entry_is_left_out(deployment, change):
+    found = protocol.news_from(news(HOST | {"host": "e0"}, HOST | change), deployment, 0.0)
+    assert [entry.executor for entry in found.entries] == ["e0"] and len(found.odd) == 1
+
+
+@pytest.mark.parametrize("value", [None, [], {}, news(seq="x"), news(hosts={})])
+def test_an_answer_without_a_list_is_malformed(deployment, value):
+    with pytest.raises(Malformed, match="."):
+        protocol.news_from(value, deployment, 0.0)
