--- a/examples/toy.py
+++ b/examples/toy.py
@@ -129,7 +129,7 @@
         loop.spawn(listen(loop, log, port, server))
     loop.spawn(listen(loop, log, LIST_PORT, Directory(loop, servers, ports)))
     log.line(f"{executors} executors, listed at 127.0.0.1:{LIST_PORT}")
-    loop.on_signal(signal.SIGTERM, lambda: setattr(loop, "stopped", True))
+    loop.on_signals((signal.SIGTERM, signal.SIGINT), lambda: setattr(loop, "stopped", True))
     loop.run()
 
 
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -12,7 +12,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable, Generator
+from collections.abc import Callable, Generator, Iterable
 from math import inf
 
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
@@ -227,12 +227,13 @@
             return 0.0
         return max(0.0, (self.timers[0][0] - self.now()) / 1000.0) if self.timers else -1.0
 
-    def on_signal(self, number: int, call: Callable[[], None]) -> None:
-        """Call from within the loop when a signal comes."""
+    def on_signals(self, numbers: Iterable[int], call: Callable[[], None]) -> None:
+        """Call from within the loop when one of some signals comes."""
         ours, self.bell = socket.socketpair()
         ours.setblocking(False)
         self.bell.setblocking(False)
-        signal.signal(number, lambda *_: None)
+        for number in numbers:
+            signal.signal(number, lambda *_: None)
         signal.set_wakeup_fd(self.bell.fileno(), warn_on_full_buffer=False)
 
         def listen() -> Coroutine:
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -46,7 +46,7 @@
             raise ConfigError(
                 "listen", config.listen, f"an address to listen on ({error.strerror})"
             ) from None
-        self.loop.on_signal(signal.SIGTERM, self.close)
+        self.loop.on_signals((signal.SIGTERM, signal.SIGINT), self.close)
 
     def run(self) -> None:
         """Serve until told to end."""
@@ -112,7 +112,7 @@
     # The end.
 
     def close(self) -> None:
-        """Begin to end after SIGTERM: answer what is taken, take what still comes, then go."""
+        """Begin to end after a signal: answer what is taken, take what still comes, then go."""
         if self.server.closing:
             return
         self.server.closing = True
