A reading of all network code: stale events, storms of watches, memory in the count of connections

Each was found by reading and has a test: an event reported for a closed socket could resume the coroutine of a new one under its number (loop.py, turn); a discovery that answers watches at once was called back to back without a pause (discovery.py, follow); an unlimited descriptor limit counted as -1 and the memory limit was read but not used (node.py); signals are taken over only while the node runs. An error answer of discovery has a code of its own, declined.

--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -14,7 +14,7 @@
 
 BITE = 16384  # bytes handed to the parser at a time
 HEAD_MOST = 16384  # bytes of a message's head
-AHEAD_MOST = 65536  # bytes kept of what a peer sends ahead of its turn
+AHEAD_MOST = 16384  # bytes kept of what a peer sends ahead of its turn
 Headers = list[tuple[str, str]]
 Steps = Generator[Wait, str, Any]
 
@@ -71,6 +71,15 @@
             # h11 takes no bytes for the end of the stream
             self.http.receive_data(self.buffer.take(BITE) if len(self.buffer) else b"")
 
+    def answer(self, until_ms: float) -> Steps:
+        """Return the head of a server's answer."""
+        while True:
+            event = yield from self.event(until_ms)
+            if type(event) is h11.Response:
+                return event
+            if type(event) is not h11.InformationalResponse:
+                raise Ended(Reason.PEER_CLOSED)
+
     def body(self, most: int, until_ms: float) -> Steps:
         """Return the rest of a message as one, up to some size."""
         parts, size = [], 0
--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -13,10 +13,11 @@
 from marlseam.net.connection import Connection, Ended, Steps, connect
 from marlseam.net.executors import Executors
 from marlseam.net.log import Log, Reason
-from marlseam.net.loop import Coroutine, Loop, Task
+from marlseam.net.loop import Cancelled, Coroutine, Loop, Task, sleep
 from marlseam.net.protocol import Malformed
 
 CALL_SHARE = 0.2  # how long a call may take beyond its wait, in times after which one must ask
+GAP_MS = 100.0  # least time between two calls of a watch, which goes on for 200 ms without one
 WATCH_SHARE, WATCH_MOST_MS = 2.0, 60000.0  # how long discovery may hold a watch, likewise, and at most
 
 
@@ -48,22 +49,27 @@
     def follow(self) -> Coroutine:
         """Fetch the whole list, then watch back to back until a call fails."""
         connection: Connection | None = None
-        reason = Reason.DRAINING
+        reason = Reason.FAULT
         try:
             until = self.loop.now() + self.call_ms
             connection = yield from connect(self.loop, self.log, self.config.discovery, "discovery", until)
             yield from self.call(connection, protocol.LIST_PATH, until)
             while True:
-                until = self.loop.now() + self.wait_ms + self.call_ms
+                began = self.loop.now()
                 target = protocol.watch_target(self.version, self.wait_ms)
-                if not (yield from self.call(connection, target, until)):
+                if not (yield from self.call(connection, target, began + self.wait_ms + self.call_ms)):
                     until = self.loop.now() + self.call_ms
                     yield from self.call(connection, protocol.LIST_PATH, until)
+                # Guards discovery against a storm of calls where it answers watches without waiting.
+                yield from sleep(began + GAP_MS)
         except Ended as ended:
             reason = ended.reason
         except Malformed as error:
             self.log.line(f"discovery: {error}")
             reason = Reason.BAD_MESSAGE
+        except Cancelled:
+            reason = Reason.DRAINING
+            raise
         finally:
             if connection is not None:
                 connection.close(reason)
@@ -75,17 +81,15 @@
         host = f"{self.config.discovery[0]}:{self.config.discovery[1]}"
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         yield from connection.message(request, b"", until)
-        answer = yield from connection.event(until)
-        if type(answer) is not h11.Response:
-            raise Ended(Reason.PEER_CLOSED)
+        answer = yield from connection.answer(until)
         body = yield from connection.body(protocol.LIST_MOST, until)
         if answer.status_code != 200:
-            raise Malformed(f"answered {answer.status_code}")
+            raise Ended(Reason.DECLINED)
         if not connection.again():
             raise Ended(Reason.DONE)
         try:
             value = json.loads(body)
-        except ValueError:
+        except (ValueError, RecursionError):
             raise Malformed("the answer is no JSON") from None
         return self.take(value)
 
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -21,6 +21,18 @@
 PEER_SHARE, PEER_LEAST = 0.25, 4  # most connections to one executor, as a share of all, and at least
 
 
+@dataclass(frozen=True, slots=True)
+class Order:
+    """One allocation to be carried out."""
+
+    ref: str
+    alloc: int
+    executor: str
+    job: Job
+    until_ms: float
+    expires_ms: float
+
+
 @dataclass
 class Peer:
     """One executor: where it is, the connections to it, and those that stand unused."""
@@ -146,11 +158,11 @@
 
     # Allocations.
 
-    def send(self, ref: str, alloc: int, name: str, job: Job, until_ms: float, expires_ms: float) -> None:
+    def send(self, order: Order) -> None:
         """Send a work unit's allocation."""
-        task = self.loop.spawn(self.allocation(ref, alloc, name, job, until_ms, expires_ms))
+        task = self.loop.spawn(self.allocation(order))
         if not task.done:
-            self.out[ref, alloc] = task
+            self.out[order.ref, order.alloc] = task
 
     def cancel(self, ref: str, alloc: int) -> None:
         """Give up an allocation."""
@@ -158,11 +170,10 @@
         if task is not None:
             task.cancel()
 
-    def allocation(
-        self, ref: str, alloc: int, name: str, job: Job, until_ms: float, expires_ms: float
-    ) -> Coroutine:
+    def allocation(self, order: Order) -> Coroutine:
         """Carry one allocation from its sending to its outcome, which is told exactly once."""
-        peer = self.peers.get(name) or Peer(name, listed=False)
+        ref, alloc, job, until = order.ref, order.alloc, order.job, order.until_ms
+        peer = self.peers.get(order.executor) or Peer(order.executor, listed=False)
         connection, written, told = None, False, False
 
         def tell(outcome: Outcome, report: Report | None = None, result: bytes = b"") -> None:
@@ -174,25 +185,20 @@
 
         reason = Reason.FAULT
         try:
-            connection = yield from self.acquire(peer, self.limit(), until_ms)
-            host = f"{peer.address[0]}:{peer.address[1]}" if peer.address else name
-            headers = protocol.job_headers(job, host, expires_ms - self.loop.now())
+            connection = yield from self.acquire(peer, self.limit(), until)
+            headers = protocol.job_headers(job, peer.name, order.expires_ms - self.loop.now())
             request = h11.Request(method="POST", target=job.target, headers=headers)
-            yield from connection.message(request, job.body, until_ms)
+            yield from connection.message(request, job.body, until)
             written = True
-            answer = yield from connection.event(until_ms)
-            while type(answer) is h11.InformationalResponse:
-                answer = yield from connection.event(until_ms)
-            if type(answer) is not h11.Response:
-                raise Ended(Reason.PEER_CLOSED)
+            answer = yield from connection.answer(until)
             head = Head(answer.headers)
             if answer.status_code == 200:
-                yield from self.lines(connection, ref, alloc, peer, job, until_ms, tell)
+                line = yield from self.last_line(connection, order)
+                tell(line.end, line.report, line.result)
             else:
                 report = protocol.report_from(head.get(protocol.LOAD), self.deployment.report_names)
                 tell(protocol.refusal(answer.status_code, head), report)
-            end = self.loop.now() + self.end_ms
-            yield from connection.body(protocol.BODY_MOST, end)
+            yield from connection.body(protocol.BODY_MOST, self.loop.now() + self.end_ms)
             self.release(peer, connection)
             connection = None
         except Ended as ended:
@@ -214,31 +220,21 @@
             self.forget(peer)
             tell(Outcome.BROKEN if written else Outcome.VOID)
 
-    def lines(
-        self,
-        connection: Connection,
-        ref: str,
-        alloc: int,
-        peer: Peer,
-        job: Job,
-        until_ms: float,
-        tell: Callable[..., None],
-    ) -> Steps:
-        """Read an answer's lines up to the last one."""
-        lines = protocol.Lines()
+    def last_line(self, connection: Connection, order: Order) -> Steps:
+        """Read an answer's lines, tell of starts and progress, and return the last one."""
+        lines, names = protocol.Lines(), self.deployment.report_names
         while True:
-            event = yield from connection.event(until_ms)
+            event = yield from connection.event(order.until_ms)
             if type(event) is not h11.Data:
                 raise Ended(Reason.PEER_CLOSED)
             for raw in lines.feed(bytes(event.data)):
-                line = protocol.line_from(raw, job.id, peer.name, self.deployment.report_names)
+                line = protocol.line_from(raw, order.job.id, order.executor, names)
                 if line.end is not None:
-                    tell(line.end, line.report, line.result)
-                    return
+                    return line
                 if line.started:
-                    self.post(Started(ref, alloc))
+                    self.post(Started(order.ref, order.alloc))
                 elif line.share is not None:
-                    self.post(Progress(ref, alloc, line.share))
+                    self.post(Progress(order.ref, order.alloc, line.share))
 
     # Probes.
 
@@ -255,9 +251,7 @@
             connection = yield from self.acquire(peer, self.limit() + PROBE_PLACES, until)
             request = h11.Request(method="GET", target=protocol.LOAD_PATH, headers=[("Host", name)])
             yield from connection.message(request, b"", until)
-            answer = yield from connection.event(until)
-            if type(answer) is not h11.Response:
-                raise Ended(Reason.PEER_CLOSED)
+            answer = yield from connection.answer(until)
             body = yield from connection.body(protocol.BODY_MOST, until)
             report = protocol.load_from(body, Head(answer.headers), self.deployment.report_names)
             outcome = {200: Outcome.COMPLETED, 503: Outcome.FULL}.get(answer.status_code, Outcome.ERROR)
--- a/marlseam/net/log.py
+++ b/marlseam/net/log.py
@@ -18,6 +18,7 @@
     NO_CONNECT = "no-connect"  # did not come up in time
     NO_SOCKETS = "no-sockets"  # this process may open no more
     CROWDED = "crowded"  # closed to make room
+    DECLINED = "declined"  # answered with an error
     TIMED_OUT = "timed-out"
     WITHDRAWN = "withdrawn"  # nobody waits for it any more
     BAD_MESSAGE = "bad-message"
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -122,6 +122,7 @@
         self.now = self.clock.now
         self.poll = select.epoll()
         self.known: set[int] = set()
+        self.closed: set[int] = set()  # in this turn
         self.waiting: dict[int, Task] = {}
         self.timers: list[tuple[float, int, Timer]] = []
         self.calls: deque[Callable[[], None]] = deque()
@@ -174,6 +175,7 @@
         self.waiting.pop(fd, None)
         if fd in self.known:
             self.known.discard(fd)
+            self.closed.add(fd)
             with contextlib.suppress(OSError):
                 self.poll.unregister(fd)
         sock.close()
@@ -190,8 +192,11 @@
 
     def turn(self) -> None:
         """Wait once, and run what is due by then."""
-        for fd, _ in self.poll.poll(self.pause_s()):
-            task = self.waiting.get(fd)
+        events = self.poll.poll(self.pause_s())
+        self.closed.clear()
+        for fd, _ in events:
+            # Guards a new socket under a closed one's number against what was reported of the old one.
+            task = self.waiting.get(fd) if fd not in self.closed else None
             if task is not None:
                 task.step(READY)
         self.run_calls()
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -11,12 +11,13 @@
 from marlseam.interface import WorkUnit
 from marlseam.net import protocol
 from marlseam.net.discovery import Discovery
-from marlseam.net.executors import Executors
+from marlseam.net.executors import Executors, Order
 from marlseam.net.log import Log
 from marlseam.net.loop import Loop
 from marlseam.net.server import Pending, Server
 
 OWN_SOCKETS = 32  # descriptors for the listener, epoll, signals, discovery, logs and the interpreter
+OWN_MB, CONNECTION_KB = 24.0, 160.0  # memory for the node itself, and for a connection at its fullest
 CLIENT_SHARE = 0.5  # of the other descriptors, for clients
 LISTEN_MS = 600.0  # how long new connections may still come after SIGTERM
 DRAIN_MOST_MS = 3000.0  # how long work goes on after SIGTERM, or for the longest hard limit if that is less
@@ -24,6 +25,13 @@
 LOOK_MS = 20.0  # how often it looks whether it may end
 
 
+def connections(config: Config) -> int:
+    """Return how many connections the limits on descriptors and memory leave room for."""
+    allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    sockets = config.sockets if allowed == resource.RLIM_INFINITY else min(config.sockets, allowed)
+    return int(min(sockets - OWN_SOCKETS, (config.memory_mb - OWN_MB) * 1024.0 / CONNECTION_KB))
+
+
 class Node:
     """Joins the loop, the server, the executors, discovery and the reducer."""
 
@@ -31,25 +39,24 @@
         self.config = config
         self.loop = Loop(lambda text: self.log.line(text.strip().replace("\n", " | ")))
         self.log = Log(config.name, self.loop.now)
-        places = min(config.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0]) - OWN_SOCKETS
+        places = connections(config)
         clients = int(CLIENT_SHARE * places)
         self.core = Core()
         self.pending: dict[str, Pending] = {}
         self.refs, self.events, self.busy = 0, deque[Event](), False
         self.executors = Executors(self.loop, self.log, config.deployment, places - clients, self.post)
         self.discovery = Discovery(self.loop, self.log, config, self.executors, self.post)
-        self.post(core.Begin(config.deployment.settings, config.seed))
-        self.discovery.begin()
         try:
             self.server = Server(self.loop, self.log, config, clients, self.ready, self.take, self.left)
         except OSError as error:
-            raise ConfigError(
-                "listen", config.listen, f"an address to listen on ({error.strerror})"
-            ) from None
-        self.loop.on_signals((signal.SIGTERM, signal.SIGINT), self.close)
+            shown = f"{config.listen[0]}:{config.listen[1]}"
+            raise ConfigError("listen", shown, f"a free address ({error.strerror})") from None
+        self.post(core.Begin(config.deployment.settings, config.seed))
+        self.discovery.begin()
 
     def run(self) -> None:
         """Serve until told to end."""
+        self.loop.on_signals((signal.SIGTERM, signal.SIGINT), self.close)
         self.log.line(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
         self.loop.run()
         self.busy = True  # nothing is decided any more
@@ -86,18 +93,16 @@
 
     def left(self, ref: str) -> None:
         """Tell that a client has gone."""
-        self.pending.pop(ref, None)
         self.post(core.Left(ref))
+        self.pending.pop(ref, None)
 
     # Effects.
 
     def send(self, effect: core.Send) -> None:
         """Send an allocation."""
-        now = self.loop.now()
-        pending = self.pending[effect.ref]
-        self.executors.send(
-            effect.ref, effect.alloc, effect.executor, pending.job, now + effect.limit_ms, pending.expires_ms
-        )
+        pending, until = self.pending[effect.ref], self.loop.now() + effect.limit_ms
+        order = Order(effect.ref, effect.alloc, effect.executor, pending.job, until, pending.expires_ms)
+        self.executors.send(order)
 
     def answer(self, ref: str, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
         """Give a client its one answer, if it is still there."""
@@ -127,7 +132,8 @@
         """Stop once no client waits any more, or the time is over."""
         self.server.close_idle()
         if not self.server.open or self.loop.now() >= at_ms:
-            self.log.line(f"ends with {len(self.pending)} work units open")
+            late = f"timers at most {self.loop.late_ms:.0f} ms late"
+            self.log.line(f"ends with {len(self.pending)} work units open, {late}")
             self.loop.stopped = True
         else:
             self.loop.at(self.loop.now() + LOOK_MS, lambda: self.end(at_ms))
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -26,8 +26,9 @@
 class Pending:
     """A work unit that is out for its client, and the answer once there is one."""
 
-    def __init__(self, job: Job, taken_ms: float, task: Task | None) -> None:
-        self.job, self.task = job, task
+    def __init__(self, job: Job, taken_ms: float) -> None:
+        self.job = job
+        self.task: Task | None = None  # that waits for the answer
         self.expires_ms = taken_ms + job.left_ms
         self.answer: tuple[int, Headers, bytes] | None = None
 
@@ -170,7 +171,7 @@
                 status, headers, body = (200 if self.ready() else 503), [], b""
             else:
                 job = protocol.job_from(target, head, body, self.deployment)
-                status, headers, body = yield from self.work_unit(connection, Pending(job, began, None))
+                status, headers, body = yield from self.work_unit(connection, Pending(job, began))
         except Malformed as error:
             yield from self.complain(connection, error.status, str(error))
             raise Ended(Reason.BAD_MESSAGE) from None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,7 +1,9 @@
 """Sockets: buffer, loop, log, connections, the pool and its allocations, clients, discovery, the end."""
 
 import json
+import resource
 import socket
+from dataclasses import replace
 from math import inf
 
 import h11
@@ -13,6 +15,7 @@
 from marlseam.net import node as node_module
 from marlseam.net.buffer import Buffer
 from marlseam.net.connection import Ended, connect
+from marlseam.net.executors import Order
 from marlseam.net.log import BURST, Log, Reason
 from marlseam.net.loop import LATE, READ, WOKEN, Cancelled
 from marlseam.net.protocol import Job, Malformed
@@ -31,7 +34,7 @@
 def sent(parts, **limits):
     """Send one allocation and return the outcomes told."""
     now = parts.loop.now()
-    parts.send("1", 0, "e1", JOB, now + limits.get("until", 1000.0), now + 1000.0)
+    parts.send(Order("1", 0, "e1", JOB, now + limits.get("until", 1000.0), now + 1000.0))
     return outcomes(parts)
 
 
@@ -137,6 +140,29 @@
     assert len(faults) == 2
 
 
+def test_what_was_reported_of_a_closed_socket_is_not_taken_for_a_new_one(loop):
+    seen = []
+    first, second = (socket.socketpair() for _ in range(2))
+
+    def close():
+        yield (first[0].fileno(), READ, inf)
+        number = second[0].fileno()
+        loop.close(second[0])
+        new = socket.socket()
+        assert new.fileno() == number
+        loop.spawn(wait(new))
+
+    def wait(sock):
+        seen.append((yield (sock.fileno(), READ, inf)))
+
+    loop.spawn(close())
+    loop.spawn(wait(second[0]))
+    for pair in (first, second):
+        pair[1].send(b"x")
+    loop.turn()
+    assert not seen
+
+
 def test_an_idle_loop_waits_for_ever(loop):
     loop.drop(loop.at(5.0, lambda: None))
     assert loop.pause_s() == -1.0
@@ -346,6 +372,16 @@
 # Clients.
 
 
+@pytest.mark.parametrize(
+    ("sockets", "memory_mb", "places"), [(1024, 192, 992), (96, 192, 64), (1024, 32, 51)]
+)
+def test_connections_fit_the_limits(node, monkeypatch, sockets, memory_mb, places):
+    unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+    monkeypatch.setattr(resource, "getrlimit", lambda _: unlimited)
+    config = replace(node.config, sockets=sockets, memory_mb=memory_mb)
+    assert node_module.connections(config) == places
+
+
 def test_a_node_is_ready_once_it_holds_a_list(client, reply):
     assert reply(client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")).startswith(b"HTTP/1.1 200 ")
 
@@ -418,7 +454,7 @@
 
 
 def test_an_answer_given_before_the_wait_is_not_lost(node):
-    pending = Pending(JOB, 0.0, None)
+    pending = Pending(JOB, 0.0)
     pending.give(200, [], b"r")
     assert pending.answer == (200, [], b"r")
 
@@ -461,12 +497,12 @@
 def roster(node, monkeypatch, connection):
     """Return a function that follows the roster over a script, and the events that it posts."""
 
-    def follow(*answers, **script):
+    def follow(*answers, status=200):
         events = []
-        replies = [b"HTTP/1.1 200 -\r\nContent-Length: %d\r\n\r\n%b" % (len(a), a) for a in answers]
+        replies = [b"HTTP/1.1 %d -\r\nContent-Length: %d\r\n\r\n%b" % (status, len(a), a) for a in answers]
 
         def connected(*_):
-            return connection(h11.CLIENT, *replies, **script)
+            return connection(h11.CLIENT, *replies)
             yield
 
         monkeypatch.setattr(discovery_module, "connect", connected)
@@ -483,8 +519,10 @@
     return json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode()
 
 
-def test_the_whole_list_then_its_changes(roster):
+def test_the_whole_list_then_its_changes(node, roster):
     events = roster(listing(5, "e1"), listing(6, "e2", whole=False))
+    while len(events) < 3:
+        node.loop.turn()
     assert [event.listing for event in events] == [Listing.FULL, Listing.DELTA, Listing.FAILED]
 
 
@@ -517,6 +555,16 @@
         node.discovery.take({}, cached=True)
 
 
+def test_a_watch_that_is_answered_at_once_is_not_called_again_at_once(roster, capsys):
+    empty = listing(5, whole=False)
+    assert len(roster(listing(5, "e1"), *[empty] * 20)) == 2 and not reasons(capsys)
+
+
+def test_an_error_of_discovery_is_told(roster, monkeypatch, capsys):
+    events = roster(b"", status=503)
+    assert [event.listing for event in events] == [Listing.FAILED] and reasons(capsys) == ["declined"]
+
+
 # The end.
 
 
@@ -547,7 +595,7 @@
 def test_a_failed_coroutine_still_closes_its_connection(executors, loop, capsys):
     loop.fault = lambda text: None
     parts = executors(ANSWER)
-    parts.lines = lambda *args: 1 / 0
+    parts.last_line = lambda *args: 1 / 0
     assert sent(parts) == [Outcome.BROKEN] and reasons(capsys) == ["fault"]
 
 
