--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -197,8 +197,8 @@
     def reduce(self, clock: float, event: Event) -> list[Effect]:
         """Take in one event and return the effects that it asks for, in order."""
         self.clock = clock
+        self.effects = effects = []
         STEPS[type(event)](self, event)
-        effects, self.effects = self.effects, []
         return effects
 
     # The module's port.
