--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -95,7 +95,7 @@
 
     def take(self, value: Any, cached: bool = False) -> bool:  # noqa: ANN401
         """Take in an answer; a change that is older than what is held does not fit, and is left."""
-        news = protocol.news_from(value, self.config.deployment, self.loop.clock.unix_zero_ms)
+        news = protocol.news_from(value, self.config.deployment, self.loop.clock.from_unix)
         whole = news.listing is Listing.FULL
         if not whole and news.version < self.version:
             return False
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -66,8 +66,7 @@
             if peer.address not in (None, address):
                 self.empty(peer)
             peer.address, peer.listed = address, True
-        for name in self.peers.keys() - names:
-            peer = self.peers[name]
+        for peer in [peer for peer in self.peers.values() if peer.name not in names]:
             peer.listed = False
             self.empty(peer)
             self.forget(peer)
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -1,7 +1,7 @@
 """The protocol's names, and its messages turned into ours and back; no I/O. Its names end in this package."""
 
 import json
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from math import inf, isfinite
 from typing import Any
@@ -249,8 +249,8 @@
     return f"{LIST_PATH}?since={version}&timeout_ms={wait_ms:.0f}"
 
 
-def news_from(value: object, deployment: Deployment, unix_zero_ms: float) -> News:
-    """Read discovery's answer; an odd entry is left out and told of."""
+def news_from(value: object, deployment: Deployment, from_unix: Callable[[float], float]) -> News:
+    """Read discovery's answer, with times on the node's clock; an odd entry is left out and told of."""
     if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
         raise Malformed("the answer holds no list")
     version = value.get("seq")
@@ -259,7 +259,7 @@
     news = News(version, Listing.FULL if value.get("whole") else Listing.DELTA, [], {}, [])
     for row in value["hosts"]:
         try:
-            entry, address = entry_from(row, deployment, unix_zero_ms)
+            entry, address = entry_from(row, deployment, from_unix)
         except Malformed as error:
             news.odd.append((str(row.get("host")) if isinstance(row, dict) else "", str(error)))
             continue
@@ -270,7 +270,7 @@
 
 
 def entry_from(
-    row: object, deployment: Deployment, unix_zero_ms: float
+    row: object, deployment: Deployment, from_unix: Callable[[float], float]
 ) -> tuple[Entry, tuple[str, int] | None]:
     """Read one entry of the list; one that has left needs no address."""
     if not isinstance(row, dict):
@@ -288,7 +288,7 @@
         kind=place(row.get("class"), deployment.kinds),
         zone=place(row.get("site"), deployment.zones),
         cell=block if isinstance(block, int) else -1,
-        born_ms=born - unix_zero_ms if born else None,
+        born_ms=from_unix(born) if born else None,
     )
     if entry.state is State.GONE:
         return entry, None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,19 +2,23 @@
 
 import json
 import resource
+import signal
 import socket
+import subprocess
+import sys
 from dataclasses import replace
 from math import inf
 
 import h11
 import pytest
+from conftest import OPTIONS
 
 from marlseam import core
 from marlseam.interface import Listing, Outcome
 from marlseam.net import discovery as discovery_module
 from marlseam.net import node as node_module
 from marlseam.net.buffer import Buffer
-from marlseam.net.connection import Ended, connect
+from marlseam.net.connection import Connection, Ended, connect
 from marlseam.net.executors import Order
 from marlseam.net.log import BURST, Log, Reason
 from marlseam.net.loop import LATE, READ, WOKEN, Cancelled
@@ -614,3 +618,59 @@
         call.throw(Cancelled())
     blocked.close()
     assert reasons(capsys) == ["withdrawn"]
+
+
+def test_no_descriptor_left_pauses_accepting_and_loses_nobody(node, client, reply):
+    sock = client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    with socket.socket() as free:
+        number = free.fileno()
+    resource.setrlimit(resource.RLIMIT_NOFILE, (number, hard))
+    try:
+        end, turns = node.loop.now() + 100.0, 0
+        while node.loop.now() < end:
+            node.loop.turn()
+            turns += 1
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+    assert turns < 30 and reply(sock).startswith(b"HTTP/1.1 200 ")
+
+
+# The whole way.
+
+
+def test_a_work_unit_goes_to_an_executor_and_its_result_back(node, client, reply):
+    server = socket.create_server(("127.0.0.1", 0))
+    server.setblocking(False)
+
+    def executor():
+        yield (server.fileno(), READ, inf)
+        sock, _ = server.accept()
+        made = Connection(node.loop, node.log, sock, h11.SERVER, "executor's side")
+        sock.setblocking(False)
+        while type(request := (yield from made.event(inf))) is h11.Request:
+            body = yield from made.body(1000, inf)
+            assert request.method == b"GET" or body == b"abc"
+            answer = ANSWER if request.method == b"POST" else b"HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n"
+            made.http.send(h11.Response(status_code=200, headers=[("Content-Length", "0")]))
+            made.http.send(h11.EndOfMessage())
+            yield from made.write(answer, inf)
+            made.again()
+
+    node.loop.spawn(executor())
+    node.executors.listed({"e1"}, {"e1": server.getsockname()})
+    assert reply(client(REQUEST)).endswith(b"\r\n\r\nr")
+    server.close()
+
+
+def test_a_process_told_to_end_ends_with_0(tmp_path):
+    values = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": OPTIONS}
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(values))
+    command = [sys.executable, "-m", "marlseam", "serve", "--config", str(path)]
+    with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as process:
+        while "listens on" not in process.stderr.readline():
+            assert process.poll() is None
+        process.send_signal(signal.SIGTERM)
+        _, log = process.communicate(timeout=20.0)
+    assert process.returncode == 0 and "ends with 0 work units open" in log
