--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -78,6 +78,8 @@
                     yield from sleep(self.loop.now() + PAUSE_MS)
                 try:
                     sock, _ = self.sock.accept()
+                    sock.setblocking(False)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 except BlockingIOError:
                     break
                 except OSError as error:
@@ -86,9 +88,7 @@
                         self.make_room()
                         yield from sleep(self.loop.now() + PAUSE_MS)
                         break
-                    continue
-                sock.setblocking(False)
-                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                    continue  # that connection is gone already
                 connection = Connection(self.loop, self.log, sock, h11.SERVER, "client")
                 self.open[connection] = None
                 self.loop.spawn(self.serve(connection))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -132,8 +132,15 @@
 class ScriptedSocket:
     """Takes so many bytes and then breaks; gives its replies one by one, then the end or silence."""
 
-    def __init__(self, replies: tuple[bytes, ...] = (), takes: int = 1 << 30, silent: bool = False) -> None:
-        self.replies, self.takes, self.silent = list(replies), takes, silent
+    def __init__(
+        self,
+        replies: tuple[bytes, ...] = (),
+        takes: int = 1 << 30,
+        silent: bool = False,
+        piece: int = 1 << 30,
+    ) -> None:
+        self.replies, self.takes, self.silent, self.piece = list(replies), takes, silent, piece
+        self.blocks = piece < 1 << 30
         self.pair = socket.socketpair()
         self.sent, self.open = b"", True
         self.upon_send: list[bytes] = []
@@ -142,7 +149,10 @@
         return self.pair[0].fileno()
 
     def send(self, data: memoryview) -> int:
-        count = min(len(data), self.takes - len(self.sent))
+        self.blocks = not self.blocks and self.piece < 1 << 30
+        if self.blocks:
+            raise BlockingIOError
+        count = min(len(data), self.piece, self.takes - len(self.sent))
         if not count:
             raise ConnectionResetError
         self.sent += bytes(data[:count])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -16,6 +16,7 @@
 from marlseam import core
 from marlseam.interface import Listing, Outcome
 from marlseam.net import discovery as discovery_module
+from marlseam.net import executors as executors_module
 from marlseam.net import node as node_module
 from marlseam.net.buffer import Buffer
 from marlseam.net.connection import Connection, Ended, connect
@@ -232,6 +233,15 @@
     assert sent(executors(takes=size)) == [Outcome.BROKEN]
 
 
+@pytest.mark.parametrize("piece", [1, 7, 100])
+def test_a_request_may_go_out_in_pieces(executors, until, piece):
+    parts = executors(ANSWER, piece=piece)
+    sent(parts)
+    until(lambda: outcomes(parts))
+    data = parts.connections[0].sock.sent
+    assert outcomes(parts) == [Outcome.COMPLETED] and data.endswith(b"\r\n\r\nabc")
+
+
 @pytest.mark.parametrize(
     "lines",
     [
@@ -617,6 +627,28 @@
     assert made.waits()[0] == -1
 
 
+def test_a_connection_that_does_not_come_up_in_time_is_told(loop, capsys):
+    server = socket.create_server(("127.0.0.1", 0))
+    call = connect(loop, Log("n", loop.now), server.getsockname(), "x", inf)
+    next(call)
+    with pytest.raises(Ended) as raised:
+        call.send(LATE)
+    server.close()
+    assert raised.value.reason is Reason.NO_CONNECT and reasons(capsys) == ["no-connect"]
+
+
+@pytest.mark.parametrize("reason", [Reason.NO_CONNECT, Reason.REFUSED, Reason.NO_SOCKETS])
+def test_what_does_not_come_up_never_ran(executors, monkeypatch, reason):
+    parts = executors()
+
+    def fails(*_):
+        raise Ended(reason)
+        yield
+
+    monkeypatch.setattr(executors_module, "connect", fails)
+    assert sent(parts) == [Outcome.UNREACHABLE] and not parts.peers["e1"].count
+
+
 def test_a_cancelled_connect_closes_its_socket(loop, capsys):
     blocked = socket.create_server(("127.0.0.1", 0), backlog=0)
     call = connect(loop, Log("n", loop.now), blocked.getsockname(), "x", inf)
