--- /dev/null
+++ b/tests/test_simhost.py
@@ -0,0 +1,81 @@
+"""The simulator's adapter: the wire's lines become events, and effects become the wire's actions."""
+
+import pytest
+from conftest import OPTIONS
+
+from marlseam.simhost import wire
+from marlseam.simhost.instance import Instance
+
+ENTRY = "m 0 here 1 plain - 1 10.0.0.1:80"
+
+
+@pytest.fixture
+def instance():
+    """Return an instance with one executor that has just reported."""
+    made = Instance("node_3", 7, OPTIONS, 1000.0, [])
+    play(made, "directory_update node_3 1 1 1", ENTRY)
+    play(made, "sampled node_3 900 10.0.0.1:80 success backlog:0,x0:4")
+    return made
+
+
+def play(instance, line, *entries):
+    """Play one line and return the actions."""
+    instance.out.clear()
+    name, values = wire.parse(line)
+    instance.on(name, values, [wire.parse(entry)[1] for entry in entries])
+    return list(instance.out)
+
+
+def arrive(instance, type="statement"):
+    return play(instance, f"arrival node_3 c:1 {type} - - 6000000 - 1 - 0 0 0")
+
+
+def test_a_new_instance_asks_for_the_roster():
+    assert "watch node_3 1" in Instance("node_3", 7, OPTIONS, 1000.0, []).out
+
+
+def test_an_arrival_is_forwarded_with_the_time_that_is_left(instance):
+    assert arrive(instance)[-1] == "forward node_3 c:1 10.0.0.1:80 5000000"
+
+
+def test_a_success_needs_no_action(instance):
+    arrive(instance)
+    assert play(instance, "settled node_3 c:1 0 10.0.0.1:80 success 9000 1 - -") == []
+
+
+def test_exclusive_work_that_may_have_run_is_finished_with_an_error(instance):
+    arrive(instance, "posting")
+    assert play(instance, "settled node_3 c:1 0 10.0.0.1:80 broken 9000 - - -") == ["finish_error node_3 c:1"]
+
+
+def test_a_client_that_left_has_its_attempt_stopped(instance):
+    arrive(instance)
+    assert play(instance, "left node_3 c:1") == ["stop_attempt node_3 c:1 0"]
+
+
+@pytest.mark.parametrize(
+    ("line", "started", "share"),
+    [
+        ("change node_3 c:1 0 10.0.0.1:80 1 0", 1000.0, 0.0),
+        ("change node_3 c:1 0 10.0.0.1:80 2 0.4", None, 0.4),
+    ],
+)
+def test_news_of_an_attempt_reaches_its_handle(instance, line, started, share):
+    arrive(instance)
+    play(instance, line)
+    (alloc,) = instance.core.open["c:1"].allocs
+    assert (alloc.started_ms, alloc.share) == (started, share)
+
+
+@pytest.mark.parametrize(
+    "line",
+    ["arrival node_3 c:1 odd - - 6000000", "due node_3 odd", "settled node_3 c:1 0 e odd 1 1", "odd x"],
+)
+def test_a_line_that_the_wire_does_not_allow_is_malformed(instance, line):
+    with pytest.raises(wire.Malformed, match="."):
+        play(instance, line)
+
+
+def test_batches_are_read_with_their_clock():
+    lines = iter(["begin_batch 8412250\n", "due node_3 1\n", "eof_batch\n", "\n"])
+    assert list(wire.batches(lines)) == [(8412.25, ["due node_3 1"])]
