--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -246,8 +246,8 @@
         listen=address(top, "listen", env, LISTEN),
         discovery=address(top, "discovery", env, DISCOVERY),
         seed=number,
-        memory_mb=limits.number("memory_mb", 192.0, least=32.0),
-        sockets=int(limits.number("sockets", 1024.0, least=64.0)),
+        memory_mb=limits.number("memory_mb", 192.0, least=1.0),
+        sockets=int(limits.number("sockets", 1024.0, least=1.0)),
         known=dict(top.table("known", {}).values),
         deployment=deployment_from(settings.values),
     )
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -18,6 +18,7 @@
 
 OWN_SOCKETS = 32  # descriptors for the listener, epoll, signals, discovery, logs and the interpreter
 OWN_MB, CONNECTION_KB = 24.0, 160.0  # memory for the node itself, and for a connection at its fullest
+PLACES_LEAST = 16  # connections, however tight the limits: fewer could not serve
 CLIENT_SHARE = 0.5  # of the other descriptors, for clients
 LISTEN_MS = 600.0  # how long new connections may still come after SIGTERM
 DRAIN_MOST_MS = 3000.0  # how long work goes on after SIGTERM, or for the longest hard limit if that is less
@@ -29,7 +30,8 @@
     """Return how many connections the limits on descriptors and memory leave room for."""
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = config.sockets if allowed == resource.RLIM_INFINITY else min(config.sockets, allowed)
-    return int(min(sockets - OWN_SOCKETS, (config.memory_mb - OWN_MB) * 1024.0 / CONNECTION_KB))
+    room = min(sockets - OWN_SOCKETS, (config.memory_mb - OWN_MB) * 1024.0 / CONNECTION_KB)
+    return max(PLACES_LEAST, int(room))
 
 
 class Node:
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -71,7 +71,7 @@
         value = float(text)
     except ValueError:
         raise Malformed(f"{what} is no number") from None
-    if not isfinite(value) or value < 0.0:
+    if not isfinite(value) or value < 0.0 or "_" in text:  # float() would read 1_0 as 10
         raise Malformed(f"{what} is out of range")
     return value
 
@@ -88,12 +88,17 @@
 # Clients.
 
 
+def first_part(target: str) -> str:
+    """Return the first part of a path, which is the project type's name."""
+    return target.partition("?")[0].strip("/").partition("/")[0]
+
+
 def route(method: str, target: str, types: Mapping[str, int]) -> str:
     """Return the path that a client asks for, where such a request exists."""
     path = target.partition("?")[0]
     if path == READY_PATH:
         allowed = "GET"
-    elif path.strip("/").partition("/")[0] in types:
+    elif first_part(target) in types:
         allowed = "POST"
     else:
         raise Malformed("no such path", 404)
@@ -108,7 +113,7 @@
     if not id or len(id) > ID_MOST or not id.isascii() or not id.isprintable() or " " in id:
         raise Malformed(f"{ID} is missing or bad")
     name = head.get(TYPE, "")
-    if name not in deployment.types or target.partition("?")[0].strip("/").partition("/")[0] != name:
+    if name not in deployment.types or first_part(target) != name:
         raise Malformed(f"{TYPE} is missing, unknown or another than the path's")
     left_ms = 1000.0 * number(head.get(TIME_LEFT, ""), TIME_LEFT)
     type = deployment.types[name]
