SIGHUP reads the configuration anew and follows discovery to its new address

Seen: both nodes exit with 129 at 3.05 s, 11 work units lost. Cause: no handler for SIGHUP (node.py, run), and the address of discovery came from the environment before the file (config.py, load), which cannot follow a change. Now a reload takes the path of the start: checked whole, applied whole or not at all; what the file newly says goes before the environment; indices of project types, kinds and zones stay; the watch begins anew by the module's own chance; signals are held back until the node can tell them apart.

--- a/marlseam/__main__.py
+++ b/marlseam/__main__.py
@@ -1,6 +1,7 @@
 """The command line of marlseam."""
 
 import gc
+import signal
 import sys
 from importlib import metadata
 
@@ -33,7 +34,9 @@
 @main.command()
 @CONFIG
 def serve(path: str | None) -> None:
-    """Run one node until SIGTERM."""
+    """Run one node until SIGTERM; SIGHUP has it read its configuration anew."""
+    # What comes before the node can tell them apart waits: a SIGHUP would end the process meanwhile.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
     node = Node(configuration.load(path))
     gc.freeze()
     node.run()
--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -6,11 +6,11 @@
 
 import json
 import os
-from collections.abc import Mapping
-from dataclasses import dataclass
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
 from enum import Enum
 from ipaddress import ip_address
-from math import isfinite
+from math import inf, isfinite
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +18,8 @@
 
 EFFECTS = {"safe": Effect.RERUNNABLE, "keyed": Effect.RECEIPTED, "unsafe": Effect.EXCLUSIVE}
 REPORT_NAMES = {"outstanding": "held", "inflight": "held", "backlog": "queued", "queue": "queued"}
-NAME, LISTEN, DISCOVERY, FILE = "EDGE_NAME", "EDGE_LISTEN", "EDGE_DISCOVERY", "EDGE_CONFIG"
+FILE = "EDGE_CONFIG"
+OWN = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
 REQUIRED = object()
 
 
@@ -39,6 +40,7 @@
     zones: dict[str, int]
     kinds: dict[str, int]
     types: dict[str, int]
+    all_types: dict[str, int]  # those of earlier configurations too
     report_names: dict[str, str]
     keepalive_ms: float
     connect_ms: float
@@ -48,6 +50,9 @@
 class Config:
     """A real node's configuration."""
 
+    path: str
+    in_file: dict[str, Any]  # what the file says where the environment may go before it
+    in_force: dict[str, Any]  # what holds there
     name: str
     listen: tuple[str, int]
     discovery: tuple[str, int]
@@ -89,10 +94,10 @@
     def number(self, name: str, default: object = REQUIRED, least: float = 0.0) -> float:
         """Return an entry that is a finite number of at least some size."""
         value = self.get(name, default)
-        fits = isinstance(value, int | float) and not isinstance(value, bool)
-        if not fits or not isfinite(value) or value < least:
+        found = finite(value)
+        if found is None or found < least:
             raise ConfigError(self.path(name), value, f"a number of at least {least:g}")
-        return float(value)
+        return found
 
     def ms(self, name: str, default_ms: float) -> float:
         """Return an entry in microseconds as milliseconds."""
@@ -120,47 +125,72 @@
             raise ConfigError(self.path(name), value, "one of " + ", ".join(words))
         return words[value]
 
-    def names(self, name: str) -> dict[str, int]:
+    def names(self, name: str, before: Mapping[str, int]) -> dict[str, int]:
         """Return a list of names as their places in it."""
         rows = self.get(name, [])
         if not isinstance(rows, list) or not all(isinstance(row, str) for row in rows):
             raise ConfigError(self.path(name), rows, "a list of names")
-        return {row: i for i, row in enumerate(rows)}
+        return indexed(rows, before)
 
     def numbers(self, name: str) -> list[float]:
         """Return a list of numbers."""
         rows = self.get(name, [])
-        if not isinstance(rows, list) or not all(isinstance(row, int | float) for row in rows):
+        found = [finite(row) for row in rows] if isinstance(rows, list) else [None]
+        if None in found:
             raise ConfigError(self.path(name), rows, "a list of numbers")
-        return [float(row) for row in rows]
+        return found
 
 
-def deployment_from(options: object, key: str = "settings") -> Deployment:
+def finite(value: object) -> float | None:
+    """Return a finite number. Guards against whole numbers that no float holds."""
+    try:
+        fits = isinstance(value, int | float) and not isinstance(value, bool) and isfinite(value)
+    except OverflowError:
+        return None
+    return float(value) if fits else None
+
+
+def indexed(names: Iterable[str], before: Mapping[str, int]) -> dict[str, int]:
+    """Give names dense indices; one that had an index keeps it, so that figures under it stay true."""
+    found = dict(before)
+    for name in names:
+        found.setdefault(name, len(found))
+    return found
+
+
+def deployment_from(options: object, key: str = "settings", before: Deployment | None = None) -> Deployment:
     """Turn a deployment's settings into ours; what is missing means what is least generous."""
     top = Table(options, key)
     limits, rules = top.table("ceilings", {}), top.table("guarantees", {})
     prices, info = top.table("penalties", {}), top.table("familyInfo", {})
-    zones, kinds = top.names("dcs"), top.names("kinds")
+    zones, kinds = (
+        top.names(name, getattr(before, of, {})) for name, of in (("dcs", "zones"), ("kinds", "kinds"))
+    )
     stretches, class_kinds = info.numbers("classStretch"), info.numbers("classKind")
     rows = top.tables("requestClasses")
-    types = []
+    types = [row.text("name") for row in rows]
+    all_types = indexed(types, before.all_types if before else {})
+    # A project type that is offered no more keeps its index for what is open, and sets no times.
+    known = (
+        {i: replace(t, promised_ms=inf, limit_ms=inf) for i, t in enumerate(before.settings.types)}
+        if before
+        else {}
+    )
     for i, row in enumerate(rows):
         stretch = stretches[i] if i < len(stretches) else row.number("aimStretch", 0.0)
-        types.append(
-            ProjectType(
-                promised_ms=row.ms("aimUs", 0.0),
-                stretch=stretch,
-                limit_ms=row.ms("deadlineUs", 0.0),
-                effect=row.word("semantics", EFFECTS, "unsafe"),
-                group=row.word("dedupScope", Group, "cell"),
-                memory_ms=row.ms("memorySpanUs", 0.0),
-                kind=int(class_kinds[i]) if i < len(class_kinds) else -1,
-            )
+        known[all_types[types[i]]] = ProjectType(
+            promised_ms=row.ms("aimUs", 0.0),
+            stretch=stretch,
+            limit_ms=row.ms("deadlineUs", 0.0),
+            effect=row.word("semantics", EFFECTS, "unsafe"),
+            group=row.word("dedupScope", Group, "cell"),
+            memory_ms=row.ms("memorySpanUs", 0.0),
+            kind=int(class_kinds[i]) if i < len(class_kinds) else -1,
         )
     settings = Settings(
-        types=tuple(types),
+        types=tuple(known.values()),
         kinds=len(kinds),
-        zone=zones.get(top.get("zone", ""), -1),
+        zone=zones.get(top.text("zone", "none"), -1),
         nodes=max(1, int(top.number("fleetSize", 1))),
         tick_ms=top.ms("tickUs", 1.0),
         max_allocs=int(limits.number("sendCap", 1)),
@@ -182,7 +212,8 @@
         settings=settings,
         zones=zones,
         kinds=kinds,
-        types={row.text("name"): i for i, row in enumerate(rows)},
+        types={name: all_types[name] for name in types},
+        all_types=all_types,
         report_names=report_names(info),
         keepalive_ms=limits.ms("keepaliveUs", 10000.0),
         connect_ms=limits.ms("connectTimeoutUs", 250.0),
@@ -201,12 +232,12 @@
     return names
 
 
-def address(table: Table, name: str, env: Mapping[str, str], variable: str) -> tuple[str, int]:
-    """Take a host and port apart, from the environment or else from the file."""
-    value = env.get(variable) or table.get(name, REQUIRED)
+def address(values: Mapping[str, Any], name: str, env: Mapping[str, str]) -> tuple[str, int]:
+    """Take a host and port apart, wherever they come from."""
+    value = values[name] or REQUIRED
     found = address_from(value)
     if found is None:
-        key = variable if env.get(variable) else name
+        key = OWN[name] if env.get(OWN[name]) == value else name
         raise ConfigError(key, value, "an address in figures and a port, as 127.0.0.1:8443")
     return found
 
@@ -222,14 +253,18 @@
     return (host, int(port)) if fits else None
 
 
-def load(path: str | None, env: Mapping[str, str] = os.environ) -> Config:
-    """Read a node's configuration from its file; the environment's own variables go before it."""
+def load(path: str | None, env: Mapping[str, str] = os.environ, before: Config | None = None) -> Config:
+    """Read a node's configuration from its file; at the start the environment's own variables go before it.
+
+    In service the file has the last word: what it newly says holds, and the rest stays as it was before. The
+    environment cannot follow a change, and would keep a node at an address that is no more.
+    """
     path = path or env.get(FILE)
     if not path:
         raise ConfigError(FILE, REQUIRED, "the configuration file's path, here or as an option")
     try:
         values = json.loads(Path(path).read_text(encoding="utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError(FILE, path, f"a readable JSON file ({error})") from None
     top = Table(values, "")
     limits = top.table("limits", {})
@@ -241,13 +276,24 @@
     settings = top.table("settings")
     if not settings.tables("requestClasses"):
         raise ConfigError("settings.requestClasses", [], "one project type at least")
+    in_file = {"name": top.text("name", "node")} | {
+        key: top.get(key, None) for key in ("listen", "discovery")
+    }
+    in_force = {key: env.get(variable) or in_file[key] for key, variable in OWN.items()}
+    if before is not None:
+        in_force = {
+            key: in_file[key] if in_file[key] != before.in_file[key] else before.in_force[key] for key in OWN
+        }
     return Config(
-        name=env.get(NAME) or top.text("name", "node"),
-        listen=address(top, "listen", env, LISTEN),
-        discovery=address(top, "discovery", env, DISCOVERY),
+        path=path,
+        in_file=in_file,
+        in_force=in_force,
+        name=in_force["name"],
+        listen=address(in_force, "listen", env),
+        discovery=address(in_force, "discovery", env),
         seed=number,
         memory_mb=limits.number("memory_mb", 192.0, least=1.0),
         sockets=int(limits.number("sockets", 1024.0, least=1.0)),
         known=dict(top.table("known", {}).values),
-        deployment=deployment_from(settings.values),
+        deployment=deployment_from(settings.values, before=before.deployment if before else None),
     )
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -36,6 +36,12 @@
     seed: int
 
 
+class Renewed(NamedTuple):
+    """The node's settings are others from now on; what had an index before keeps it."""
+
+    settings: Settings
+
+
 class Roster(NamedTuple):
     """The roster's news."""
 
@@ -109,7 +115,20 @@
     left_ms: float
 
 
-Event = Begin | Roster | Arrival | Settled | Started | Progress | Streaming | Left | Probed | Due | Closing
+Event = (
+    Begin
+    | Renewed
+    | Roster
+    | Arrival
+    | Settled
+    | Started
+    | Progress
+    | Streaming
+    | Left
+    | Probed
+    | Due
+    | Closing
+)
 
 
 # Effects.
@@ -247,6 +266,10 @@
         """Make the module's node."""
         self.node = Node(event.settings, event.seed, self)
 
+    def renewed(self, event: Renewed) -> None:
+        """Hand new settings on."""
+        self.node.configure(event.settings)
+
     def roster(self, event: Roster) -> None:
         """Hand the roster's news on under dense indices."""
         self.node.roster(event.listing, [Member(self.executor(e[0]), *e[1:]) for e in event.entries])
@@ -353,6 +376,7 @@
 
 STEPS: dict[type, Callable] = {
     Begin: Core.begin,
+    Renewed: Core.renewed,
     Roster: Core.roster,
     Arrival: Core.arrival,
     Due: Core.due,
--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -3,14 +3,18 @@
 from collections.abc import Callable
 from typing import Any
 
-from marlseam.interface import Member, State
+from marlseam.interface import Member, State, WorkUnit
+
+GUESS_WEIGHT = 5.0  # runs that a guess counts for against those seen
+MEMORY = 50.0  # runs that a mean remembers
 
 
 class Figures:
     """Parallel arrays under a dense index, and what the threshold is made of, kept as it changes."""
 
-    def __init__(self, kinds: int, rest_ms: float) -> None:
-        self.rest_ms = rest_ms
+    rest_ms: float  # the first rest of an executor
+
+    def __init__(self) -> None:
         # As listed.
         self.state: list[State] = []
         self.kind: list[int] = []
@@ -41,9 +45,30 @@
         self.near, self.far = [], []  # those listed as ready, in the own zone and elsewhere
         self.luck = 1.0  # share of the latest probes that found room
         # By kind, over healthy ready executors: how many, how many heard from, sums of both parts of a count.
-        self.members, self.known = [0] * (kinds + 1), [0] * (kinds + 1)
-        self.most_free = [0.0] * (kinds + 1)  # most slots ever reported free
-        self.others_sum, self.ours_sum = [0.0] * (kinds + 1), [0.0] * (kinds + 1)
+        self.members: list[int] = []
+        self.known: list[int] = []
+        self.others_sum: list[float] = []
+        self.ours_sum: list[float] = []
+        self.most_free: list[float] = []  # most slots ever reported free
+        self.kind_pace: list[float] = []  # run over the project type's mean
+        self.paced: list[float] = []  # runs that this rests on
+        # By project type: mean run, and how many were seen; run times slots over all types.
+        self.run: list[float] = []
+        self.seen: list[float] = []
+        self.mean_area = 0.0
+
+    def grow(self, kinds: int, guesses: list[float]) -> None:
+        """Make room for kinds (the last place is that of unknown ones) and for project types."""
+        blanks = (
+            (self.members, 0), (self.known, 0), (self.others_sum, 0.0), (self.ours_sum, 0.0),
+            (self.most_free, 0.0), (self.kind_pace, 1.0), (self.paced, GUESS_WEIGHT),
+        )  # fmt: skip
+        for array, blank in blanks:
+            array[-1:-1] = [blank] * (kinds + 1 - len(array))
+        if not self.run:
+            self.mean_area = sum(guesses) / max(1, len(guesses))
+        self.run += guesses[len(self.run) :]
+        self.seen += [GUESS_WEIGHT] * (len(self.run) - len(self.seen))
 
     def add(self) -> None:
         """Make room for one more executor."""
@@ -109,6 +134,16 @@
         self.ours[e] += slots
         self.tally(e, 1)
 
+    def learn(self, work: WorkUnit, e: int, run: float) -> None:
+        """Learn the mean run of a project type and the pace of a kind from a run."""
+        t, kind = work.type, self.kind[e]
+        run = min(run, 5.0 * self.run[t])
+        self.seen[t] = min(self.seen[t] + 1.0, MEMORY)
+        self.run[t] += (run - self.run[t]) / self.seen[t]
+        self.mean_area += (run * work.slots - self.mean_area) / min(sum(self.seen), MEMORY)
+        self.paced[kind] = min(self.paced[kind] + 1.0, MEMORY)
+        self.kind_pace[kind] += (run / self.run[t] - self.kind_pace[kind]) / self.paced[kind]
+
     def found(self, room: bool) -> None:
         """Learn how often asking finds room: under overload it seldom does, and each probe has its price."""
         self.luck += (float(room) - self.luck) / 20.0
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from math import ceil, inf, log
 
-from marlseam.figures import Figures
+from marlseam.figures import MEMORY, Figures
 from marlseam.interface import Alloc, Effect, Group, Listing, Member, Outcome, Port, Report, Settings, State
 from marlseam.interface import WorkUnit as Work
 
@@ -20,8 +20,6 @@
 SWEEP = 0.5  # how often standing work is looked at, likewise
 FIRST_GUESS = 2.0  # the run of a project type not seen yet, in its promised turnarounds
 SICK_ERROR, WELL_ERROR = 0.5, 0.02  # error rates of a sick and of a healthy executor
-GUESS_WEIGHT = 5.0  # runs that a guess counts for against those seen
-MEMORY = 50.0  # runs that a mean remembers
 TRIP = 4.0  # log-likelihood ratio at which the sequential test calls an executor sick
 STANDS = 2.2  # silence of started work that counts as standing, in progress periods
 REST = 0.05  # first rest of a sick executor, in hard limits of the shortest project type
@@ -269,25 +267,28 @@
     """One dispatcher: executors in parallel arrays, what its own traffic has taught it, and its lines."""
 
     def __init__(self, settings: Settings, seed: int, port: Port) -> None:
-        super().__init__(settings.kinds, REST * min((t.limit_ms for t in settings.types), default=1000.0))
-        self.set, self.port, self.types, self.seed, self.draws = settings, port, settings.types, seed, 0
-        urgent = min((t.promised_ms for t in self.types), default=100.0)
-        self.ask_ms = max(ASK * urgent, 4.0 * settings.tick_ms)
-        self.fresh_ms, self.sweep_ms = FRESH * urgent, SWEEP * urgent
-        self.queue_ms, self.margin = QUEUE * urgent, 2.0 * settings.tick_ms
-        # By project type: mean run, how many were seen. By kind: pace (run over mean).
-        self.run = [FIRST_GUESS * t.promised_ms for t in self.types]
-        self.seen = [GUESS_WEIGHT] * len(self.types)
-        self.mean_area = sum(self.run) / max(1, len(self.run))  # run times slots, over all types
-        self.kind_pace, self.paced = [1.0] * (settings.kinds + 1), [GUESS_WEIGHT] * (settings.kinds + 1)
+        super().__init__()
+        self.port, self.seed, self.draws = port, seed, 0
+        self.configure(settings)
         # Most memory needed so far; the unseen wait where less is free; share of reports found to be late.
         self.widest, self.hidden, self.doubt = 0.0, 0.0, 0.0
         self.lines: tuple[list[Handle], list[Handle]] = ([], [])
-        self.subscribed, self.next_ask, self.backoff = not settings.asked_roster, 0.0, 0.0
+        self.subscribed, self.next_ask = not settings.asked_roster, 0.0
         self.tells_queue = self.awake = False
         self.looking: Handle | None = None  # of those in line, whose home is being asked
         self.sweep()
 
+    def configure(self, settings: Settings) -> None:
+        """Take in settings, also in service: what was learned under an index stays."""
+        self.set, self.types, self.backoff = settings, settings.types, 0.0
+        self.rest_ms = REST * min((t.limit_ms for t in self.types), default=1000.0)
+        urgent = min((t.promised_ms for t in self.types), default=100.0)
+        self.ask_ms = max(ASK * urgent, 4.0 * settings.tick_ms)
+        self.fresh_ms, self.sweep_ms = FRESH * urgent, SWEEP * urgent
+        self.queue_ms, self.margin = QUEUE * urgent, 2.0 * settings.tick_ms
+        self.grow(settings.kinds, [FIRST_GUESS * t.promised_ms for t in self.types])
+        self.near, self.far = self.by_zone(settings.zone)
+
     def chance(self) -> float:
         """Return the next number in [0, 1) of this instance's own sequence."""
         self.draws += 1
@@ -503,16 +504,6 @@
         elif outcome in (Outcome.ERROR, Outcome.BROKEN):
             self.testify(e, log(SICK_ERROR / WELL_ERROR))
 
-    def learn(self, work: Work, e: int, run: float) -> None:
-        """Learn the mean run of a project type and the pace of a kind from a run."""
-        t, kind = work.type, self.kind[e]
-        run = min(run, 5.0 * self.run[t])
-        self.seen[t] = min(self.seen[t] + 1.0, MEMORY)
-        self.run[t] += (run - self.run[t]) / self.seen[t]
-        self.mean_area += (run * work.slots - self.mean_area) / min(sum(self.seen), MEMORY)
-        self.paced[kind] = min(self.paced[kind] + 1.0, MEMORY)
-        self.kind_pace[kind] += (run / self.run[t] - self.kind_pace[kind]) / self.paced[kind]
-
     def testify(self, e: int, weight: float) -> None:
         """Add to the sequential test on an executor's outcomes."""
         self.evidence[e] = max(0.0, self.evidence[e] + weight)
--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -27,15 +27,43 @@
     def __init__(
         self, loop: Loop, log: Log, config: Config, executors: Executors, post: Callable[[Event], None]
     ) -> None:
-        self.loop, self.log, self.config, self.executors, self.post = loop, log, config, executors, post
-        must_ask = config.deployment.settings.must_ask_ms
-        self.call_ms, self.wait_ms = CALL_SHARE * must_ask, min(WATCH_SHARE * must_ask, WATCH_MOST_MS)
+        self.loop, self.log, self.executors, self.post = loop, log, executors, post
         self.version = -1
+        self.told = False  # by discovery itself
+        self.over = Reason.DRAINING  # why a watch is cancelled
         self.held: dict[str, Entry] = {}
         self.task: Task | None = None
+        self.set(config)
+
+    def set(self, config: Config) -> None:
+        """Note a configuration."""
+        self.config = config
+        must_ask = config.deployment.settings.must_ask_ms
+        self.call_ms, self.wait_ms = CALL_SHARE * must_ask, min(WATCH_SHARE * must_ask, WATCH_MOST_MS)
+
+    def configure(self, config: Config) -> None:
+        """Take in a new configuration; the list that is held serves until discovery has told another.
+
+        The watch ends where its address or what entries mean has changed, and the module, told so, begins the
+        next at a time of its own chance. Guards against a storm from many nodes that are told together.
+        """
+        before = self.config
+        self.set(config)
+        if not self.told:
+            self.begin()
+        old, new = before.deployment, config.deployment
+        same = before.discovery == config.discovery and (old.zones, old.kinds) == (new.zones, new.kinds)
+        if same and old.settings.asked_roster == new.settings.asked_roster:
+            return
+        if self.task is None or self.task.done:
+            self.post(Roster(Listing.FAILED, []))
+        else:
+            self.over = Reason.FORGOTTEN
+            self.task.cancel()
+            self.over = Reason.DRAINING
 
     def begin(self) -> None:
-        """Take in the list that the configuration holds."""
+        """Take in the list that the configuration holds, unless one as new is held."""
         try:
             self.take(self.config.known, cached=True)
         except Malformed as error:
@@ -68,7 +96,7 @@
             self.log.line(f"discovery: {error}")
             reason = Reason.BAD_MESSAGE
         except Cancelled:
-            reason = Reason.DRAINING
+            reason = self.over
             raise
         finally:
             if connection is not None:
@@ -97,9 +125,9 @@
         """Take in an answer; a change that is older than what is held does not fit, and is left."""
         news = protocol.news_from(value, self.config.deployment, self.loop.clock.from_unix)
         whole = news.listing is Listing.FULL
-        if not whole and news.version < self.version:
+        if (not whole or cached) and news.version < self.version:
             return False
-        self.version = news.version
+        self.version, self.told = news.version, not cached
         for host, text in news.odd:
             self.log.line(f"discovery: entry of {host[:80] or 'no host'} left out: {text}")
             if whole and host in self.held:
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -50,12 +50,17 @@
     def __init__(
         self, loop: Loop, log: Log, deployment: Deployment, places: int, post: Callable[[Event], None]
     ) -> None:
-        self.loop, self.log, self.deployment, self.places, self.post = loop, log, deployment, places, post
+        self.loop, self.log, self.post = loop, log, post
+        self.peers: dict[str, Peer] = {}
+        self.out: dict[tuple[str, int], Task] = {}
+        self.configure(deployment, places)
+
+    def configure(self, deployment: Deployment, places: int) -> None:
+        """Take in settings and how many connections there may be."""
+        self.deployment, self.places = deployment, places
         urgent = min(t.promised_ms for t in deployment.settings.types) or deployment.connect_ms
         self.idle_ms = IDLE_SHARE * deployment.keepalive_ms
         self.probe_ms, self.end_ms = PROBE_SHARE * urgent, END_SHARE * urgent
-        self.peers: dict[str, Peer] = {}
-        self.out: dict[tuple[str, int], Task] = {}
 
     # The list.
 
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -12,7 +12,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Callable, Generator, Iterable
+from collections.abc import Callable, Generator, Mapping
 from math import inf
 
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
@@ -233,21 +233,21 @@
             return 0.0
         return max(0.0, (self.timers[0][0] - self.now()) / 1000.0) if self.timers else -1.0
 
-    def on_signals(self, numbers: Iterable[int], call: Callable[[], None]) -> None:
-        """Call from within the loop when one of some signals comes."""
+    def on_signals(self, calls: Mapping[int, Callable[[], None]]) -> None:
+        """Call from within the loop when a signal comes, also one that was held back until now."""
         ours, self.bell = socket.socketpair()
         ours.setblocking(False)
         self.bell.setblocking(False)
-        for number in numbers:
-            signal.signal(number, lambda *_: None)
         signal.set_wakeup_fd(self.bell.fileno(), warn_on_full_buffer=False)
+        for number in calls:
+            signal.signal(number, lambda *_: None)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, calls)
 
         def listen() -> Coroutine:
             while True:
                 yield (ours.fileno(), READ, inf)
-                with contextlib.suppress(BlockingIOError):
-                    ours.recv(64)
-                call()
+                for number in dict.fromkeys(ours.recv(4096)):
+                    self.guarded(calls[number])
 
         self.spawn(listen())
 
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -4,7 +4,9 @@
 import signal
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 
+from marlseam import config as configuration
 from marlseam import core
 from marlseam.config import Config, ConfigError
 from marlseam.core import Core, Effect, Event
@@ -24,6 +26,7 @@
 DRAIN_MOST_MS = 3000.0  # how long work goes on after SIGTERM, or for the longest hard limit if that is less
 ANSWER_MS, EXIT_MS = 300.0, 500.0  # by when after that all is answered, and the node ends at the latest
 LOOK_MS = 20.0  # how often it looks whether it may end
+FIXED = ("name", "listen", "seed")  # what a node keeps for as long as it runs
 
 
 def connections(config: Config) -> int:
@@ -58,7 +61,8 @@
 
     def run(self) -> None:
         """Serve until told to end."""
-        self.loop.on_signals((signal.SIGTERM, signal.SIGINT), self.close)
+        calls = {signal.SIGTERM: self.close, signal.SIGINT: self.close, signal.SIGHUP: self.reload}
+        self.loop.on_signals(calls)
         self.log.line(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
         self.loop.run()
         self.busy = True  # nothing is decided any more
@@ -116,6 +120,28 @@
         """Bring back a mark later."""
         self.loop.at(self.loop.now() + effect.delay_ms, lambda: self.post(core.Due(effect.mark)))
 
+    # A new configuration.
+
+    def reload(self) -> None:
+        """Read the configuration anew: a good one is applied whole, of a bad one nothing."""
+        try:
+            config = configuration.load(self.config.path, before=self.config)
+        except ConfigError as error:
+            self.log.line(f"the configuration stays as it was: {error}")
+            return
+        for key in FIXED:
+            if getattr(config, key) != getattr(self.config, key):
+                self.log.line(f"{key}: cannot change in a running node, left as it was")
+        config = replace(config, **{key: getattr(self.config, key) for key in FIXED})
+        places = connections(config)
+        clients = int(CLIENT_SHARE * places)
+        self.config = config
+        self.post(core.Renewed(config.deployment.settings))
+        self.server.configure(config.deployment, clients)
+        self.executors.configure(config.deployment, places - clients)
+        self.discovery.configure(config)
+        self.log.line(f"new configuration, discovery at {config.discovery[0]}:{config.discovery[1]}")
+
     # The end.
 
     def close(self) -> None:
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -52,8 +52,8 @@
         take: Callable[[Pending], str],
         left: Callable[[str], None],
     ) -> None:
-        self.loop, self.log, self.places = loop, log, places
-        self.deployment: Deployment = config.deployment
+        self.loop, self.log = loop, log
+        self.configure(config.deployment, places)
         self.ready, self.take, self.left = ready, take, left
         self.idle: dict[Connection, Task] = {}  # those between requests, the longest unused first
         self.open: dict[Connection, None] = {}
@@ -66,6 +66,10 @@
         self.sock.setblocking(False)
         self.accepting = loop.spawn(self.accept())
 
+    def configure(self, deployment: Deployment, places: int) -> None:
+        """Take in settings and how many clients may be connected."""
+        self.deployment, self.places = deployment, places
+
     # Connections.
 
     def accept(self) -> Coroutine:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -71,12 +71,15 @@
         ("settings.ceilings.cancel", "yes", "settings.ceilings.cancel: 'yes'"),
         ("settings.familyInfo.classStretch", "long", "settings.familyInfo.classStretch: 'long'"),
         ("settings.dcs", [1], "settings.dcs: [1]"),
+        ("settings.ceilings.sendCap", 10**400, "settings.ceilings.sendCap: 1000"),
+        ("settings.familyInfo.classKind", [float("nan")], "settings.familyInfo.classKind: [nan]"),
+        ("settings.zone", ["here"], "settings.zone: ['here']"),
     ],
 )
 def test_a_bad_entry_is_named(write, key, value, shown):
     with pytest.raises(ConfigError, match=".") as raised:
         load(write(key, value), {})
-    assert str(raised.value).startswith(shown + ", expected ")
+    assert str(raised.value).startswith(shown) and ", expected " in str(raised.value)
 
 
 def test_a_bad_configuration_ends_with_2_and_one_line(write):
@@ -91,3 +94,35 @@
 
 def test_check_of_a_good_configuration_ends_with_0(write):
     assert CliRunner().invoke(main, ["check", "--config", write()]).exit_code == 0
+
+
+# In service.
+
+
+def test_what_a_file_newly_says_goes_before_the_environment_of_the_start(write):
+    before = load(write(), {"EDGE_DISCOVERY": "127.0.0.1:1"})
+    after = load(write("discovery", "127.0.0.1:2"), before=before)
+    assert (before.discovery[1], after.discovery[1], load(write(), before=after).discovery[1]) == (1, 2, 8500)
+
+
+def test_a_file_read_again_unchanged_changes_nothing(write):
+    before = load(write(), {"EDGE_DISCOVERY": "127.0.0.1:1", "EDGE_NAME": "n7"})
+    after = load(write(), before=before)
+    assert (after.discovery, after.name) == (before.discovery, "n7")
+
+
+def test_project_types_zones_and_kinds_keep_their_indices(write):
+    before = load(write(), {}).deployment
+    rows = [OPTIONS["requestClasses"][1], OPTIONS["requestClasses"][0] | {"name": "new"}]
+    changed = OPTIONS | {"requestClasses": rows, "dcs": ["far", "there"], "kinds": ["big", "plain"]}
+    after = deployment_from(changed, before=before)
+    assert after.types == {"posting": 1, "new": 2} and after.settings.types[1] == before.settings.types[1]
+    assert (after.zones["there"], after.kinds["plain"], after.kinds["big"]) == (1, 0, 1)
+    again = deployment_from(OPTIONS, before=after)
+    assert again.types == before.types and again.settings.types[:2] == before.settings.types
+
+
+def test_a_project_type_offered_no_more_sets_no_times(write):
+    before = load(write(), {}).deployment
+    after = deployment_from(OPTIONS | {"requestClasses": OPTIONS["requestClasses"][1:]}, before=before)
+    assert min(range(2), key=lambda i: after.settings.types[i].promised_ms) == 1
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,5 +1,7 @@
 """The reducer: events in, effects out, and what it holds in between."""
 
+from dataclasses import replace
+
 import pytest
 
 from marlseam import core
@@ -140,3 +142,13 @@
         return effects
 
     assert play() == play()
+
+
+def test_new_settings_keep_what_is_open_and_take_new_project_types(begun, deployment):
+    take(begun)
+    begun.node.run[0] = 77.0
+    types = (*deployment.settings.types, deployment.settings.types[0])
+    begun.reduce(3.0, core.Renewed(replace(deployment.settings, types=types, kinds=3, max_advice_ms=9.0)))
+    assert begun.node.run[0] == 77.0 and of(take(begun, "2", type=2), core.Send)
+    assert begun.reduce(9.0, end("1", Outcome.COMPLETED, b"x"))[0] == core.Complete("1", b"x")
+    assert begun.node.members == [2, 0, 0, 0] and begun.node.set.max_advice_ms == 9.0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -8,6 +8,7 @@
 import sys
 from dataclasses import replace
 from math import inf
+from pathlib import Path
 
 import h11
 import pytest
@@ -518,12 +519,12 @@
 def roster(node, monkeypatch, connection):
     """Return a function that follows the roster over a script, and the events that it posts."""
 
-    def follow(*answers, status=200):
+    def follow(*answers, status=200, silent=False):
         events = []
         replies = [b"HTTP/1.1 %d -\r\nContent-Length: %d\r\n\r\n%b" % (status, len(a), a) for a in answers]
 
         def connected(*_):
-            return connection(h11.CLIENT, *replies)
+            return connection(h11.CLIENT, *replies, silent=silent)
             yield
 
         monkeypatch.setattr(discovery_module, "connect", connected)
@@ -586,6 +587,87 @@
     assert [event.listing for event in events] == [Listing.FAILED] and reasons(capsys) == ["declined"]
 
 
+# A new configuration.
+
+
+@pytest.fixture
+def rewrite(node):
+    """Return a function that changes entries of the node's file and has the node read it anew."""
+
+    def change(**entries):
+        path = Path(node.config.path)
+        path.write_text(json.dumps(json.loads(path.read_text()) | entries))
+        node.reload()
+
+    return change
+
+
+def test_a_new_address_of_discovery_ends_the_watch_and_keeps_the_list(node, roster, rewrite, capsys):
+    events = roster(listing(5, "e1"), silent=True)
+    watch = node.discovery.task
+    rewrite(discovery="127.0.0.1:2")
+    assert watch.done and events[-1].listing is Listing.FAILED and reasons(capsys) == ["forgotten"]
+    assert list(node.discovery.held) == ["e1"] and node.discovery.config.discovery == ("127.0.0.1", 2)
+
+
+def test_versions_of_another_discovery_are_not_compared(node, connection, roster, rewrite):
+    roster(listing(500, "e1"), silent=True)
+    rewrite(discovery="127.0.0.1:2")
+    events = roster(listing(3, "e2"), listing(4, "e3", whole=False))
+    while len(events) < 3:
+        node.loop.turn()
+    assert list(node.discovery.held) == ["e2", "e3"]
+
+
+def test_an_unchanged_configuration_leaves_the_watch(node, rewrite):
+    watch = node.discovery.task
+    rewrite()
+    assert node.discovery.task is watch and not watch.done
+
+
+@pytest.mark.parametrize("text", ["{", "[" * 100000, '{"listen": "127.0.0.1:0"}', None])
+def test_a_bad_or_missing_file_changes_nothing(node, capsys, text):
+    path, before = Path(node.config.path), node.config
+    path.unlink() if text is None else path.write_text(text)
+    node.reload()
+    assert node.config is before and "the configuration stays as it was: " in capsys.readouterr().err
+
+
+def test_a_new_configuration_is_applied_whole(node, rewrite, client, reply):
+    ceilings = OPTIONS["ceilings"] | {"keepaliveUs": 2000000}
+    rewrite(
+        settings=OPTIONS | {"ceilings": ceilings, "requestClasses": OPTIONS["requestClasses"][1:]}, seed="9"
+    )
+    assert node.executors.idle_ms == 1400.0 and len(node.core.node.types) == 2
+    assert reply(client(REQUEST)).startswith(b"HTTP/1.1 404 ")
+
+
+def test_limits_follow_a_new_configuration(node, rewrite):
+    rewrite(limits={"sockets": 96, "memory_mb": 192})
+    assert (node.server.places, node.executors.places) == (32, 32)
+
+
+def test_what_cannot_change_is_told_and_left(node, rewrite, capsys):
+    rewrite(listen="127.0.0.1:7", name="other", seed="9")
+    said = capsys.readouterr().err
+    assert node.config.listen == ("127.0.0.1", 0) and node.config.name == "node"
+    assert all(f"{key}: cannot change" in said for key in ("listen", "name", "seed"))
+
+
+def test_an_older_list_in_the_file_replaces_nothing(node, rewrite):
+    hosts = json.loads(listing(0, "e9"))["hosts"]
+    rewrite(known={"seq": 0, "whole": True, "hosts": hosts})
+    assert list(node.discovery.held) == ["e1"]
+    rewrite(known={"seq": 2, "whole": True, "hosts": hosts})
+    assert list(node.discovery.held) == ["e9"]
+
+
+def test_a_list_in_the_file_replaces_nothing_that_discovery_told(node, roster, rewrite):
+    roster(listing(1, "e2"))
+    rewrite(known=json.loads(listing(9, "e9")))
+    assert list(node.discovery.held) == ["e2"]
+
+
 # The end.
 
 
@@ -702,14 +784,29 @@
     server.close()
 
 
-def test_a_process_told_to_end_ends_with_0(tmp_path):
+def test_a_process_reads_its_file_at_sighup_and_ends_with_0_at_sigterm(tmp_path):
     values = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": OPTIONS}
     path = tmp_path / "node.json"
     path.write_text(json.dumps(values))
     command = [sys.executable, "-m", "marlseam", "serve", "--config", str(path)]
-    with subprocess.Popen(command, stderr=subprocess.PIPE, text=True) as process:
-        while "listens on" not in process.stderr.readline():
-            assert process.poll() is None
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+
+    def says(text):
+        while text not in (line := process.stderr.readline()):
+            assert line
+
+    try:
+        says("listens on")
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        says("the configuration stays as it was: EDGE_CONFIG")
+        path.write_text(json.dumps(values | {"discovery": "127.0.0.1:2"}))
+        process.send_signal(signal.SIGHUP)
+        says("new configuration, discovery at 127.0.0.1:2")
         process.send_signal(signal.SIGTERM)
-        _, log = process.communicate(timeout=20.0)
-    assert process.returncode == 0 and "ends with 0 work units open" in log
+        process.send_signal(signal.SIGHUP)
+        says("ends with 0 work units open")
+        assert process.wait(timeout=20.0) == 0
+    finally:
+        process.kill()
+        process.communicate()
