A job that an executor turns away with a 4xx is aborted at once and blames nobody

Seen: every executor is sent to rest by 'outcomes' from 3.3 s on, and usual work waits in line. Usual jobs had none. Lines at fault: protocol.refusal made each an ERROR, which logic.py's ended takes as evidence against the executor and settled as a reason to try another. Ruled out: the vanished executor (the rests begin ten seconds before it goes) and descriptors (222 of 384).

--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -165,9 +165,10 @@
 
 
 class Abort(NamedTuple):
-    """Give the final answer `aborted`."""
+    """Give the final answer `aborted`; unfit where executors found nothing in it that they can use."""
 
     ref: str
+    unfit: bool = False
 
 
 class Probe(NamedTuple):
@@ -240,7 +241,7 @@
 
     def abort(self, wu: Handle) -> None:
         """Give the final answer `aborted`."""
-        self.effects.append(Abort(wu.work.ref))
+        self.effects.append(Abort(wu.work.ref, wu.unfit))
 
     def probe(self, executor: int) -> None:
         """Ask an executor for its report."""
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -37,6 +37,7 @@
     BROKEN = "broken"
     WITHDRAWN = "withdrawn"
     VOID = "void"
+    UNFIT = "unfit"  # turned away as nothing that an executor can use
 
 
 class Listing(Enum):
@@ -148,6 +149,7 @@
     work: WorkUnit
     allocs: list[Alloc]
     done: bool
+    unfit: bool
 
     def settled(self, alloc: int, outcome: Outcome, final: bool, report: Report | None) -> None: ...
 
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -38,7 +38,7 @@
         self.node, self.work, self.type = node, work, node.types[work.type]
         self.taken = node.port.now()
         self.allocs: list[Alloc] = []
-        self.done = self.lined = self.waited = False
+        self.done = self.lined = self.waited = self.unfit = False
         self.home, self.round_ms = -1, 0.0
         self.asked: list[int] = []
 
@@ -55,7 +55,9 @@
     def may_send(self) -> bool:
         """Return whether another allocation is allowed now, to some executor at least."""
         node, now = self.node, self.node.port.now()
-        if self.done or len(self.allocs) >= node.set.max_allocs or now >= self.work.expires_ms - node.margin:
+        if self.done or self.unfit or len(self.allocs) >= node.set.max_allocs:
+            return False
+        if now >= self.work.expires_ms - node.margin:
             return False
         traces = self.traces()
         if not traces:
@@ -97,8 +99,8 @@
 
     def may_defer(self) -> bool:
         """Return whether the client may be told that a retry does no harm."""
-        if self.type.effect is Effect.RERUNNABLE or not self.traces():
-            return True
+        if self.unfit or self.type.effect is Effect.RERUNNABLE or not self.traces():
+            return not self.unfit
         return self.type.effect is Effect.RECEIPTED and self.type.group is Group.ALL
 
     # The ordinary path: home, threshold, probes, random pick.
@@ -253,6 +255,8 @@
         """Take in how an allocation ended."""
         a, node = self.allocs[alloc], self.node
         a.outcome = outcome
+        # Guards executors against blame, and others against the same again, for a client's own mistake.
+        self.unfit = self.unfit or outcome is Outcome.UNFIT
         node.hold(a.executor, self, alloc, -self.work.slots)
         node.ended(self, a, report)
         if final or self.done:
@@ -490,7 +494,7 @@
         e, now, outcome = a.executor, self.port.now(), a.outcome
         if report is not None:
             self.take_report(e, report, now)
-        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL):
+        if outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL, Outcome.UNFIT):
             self.sign_ms[e] = now
         if outcome is Outcome.FULL:
             self.full[e] = True
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -172,7 +172,7 @@
     core.Cancel: lambda node, effect: node.executors.cancel(effect.ref, effect.alloc),
     core.Complete: lambda node, effect: node.answer(effect.ref, 200, [], effect.result),
     core.Defer: lambda node, effect: node.answer(effect.ref, 503, protocol.advice(effect.advice_ms), b""),
-    core.Abort: lambda node, effect: node.answer(effect.ref, 500, [], b""),
+    core.Abort: lambda node, effect: node.answer(effect.ref, 400 if effect.unfit else 500, [], b""),
     core.Probe: lambda node, effect: node.executors.probe(effect.executor),
     core.Timer: Node.timer,
     core.Watch: lambda node, effect: node.discovery.watch(),
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -155,6 +155,8 @@
 
 def refusal(status: int, head: Head) -> Outcome:
     """Return what an executor's answer means that is no stream of lines."""
+    if 400 <= status < 500:
+        return Outcome.UNFIT
     return Outcome.FULL if status in (503, 504) and head.get(NEVER_RAN) == "1" else Outcome.ERROR
 
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -451,3 +451,12 @@
     wu.home = 0
     wu.at_home()
     assert not node.port.did("probe") and len(node.lines[0]) == 1
+
+
+@pytest.mark.parametrize("type", range(3))
+def test_what_no_executor_can_use_is_aborted_at_once_and_blames_none(make, unit, type):
+    node = make(0.0, 0.0)
+    wu = unit(node, type, ((0, None),))
+    wu.settled(0, Outcome.UNFIT, False, None)
+    assert node.port.acts == [("abort", wu.work.ref)]
+    assert node.evidence[0] == 0.0 and node.sign_ms[0] == node.port.now()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -261,6 +261,7 @@
         (b"HTTP/1.1 503 -\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n", Outcome.FULL),
         (b"HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
         (b"HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR),
+        (b"HTTP/1.1 400 -\r\nContent-Length: 0\r\n\r\n", Outcome.UNFIT),
         (b"nonsense\r\n\r\n", Outcome.BROKEN),
     ],
 )
@@ -438,6 +439,7 @@
         (core.Complete("1", b"result"), b"HTTP/1.1 200 ", b"\r\n\r\nresult"),
         (core.Defer("1", 250.0), b"HTTP/1.1 503 ", b"Retry-After: 0.250\r\n"),
         (core.Abort("1"), b"HTTP/1.1 500 ", b"Content-Length: 0\r\n"),
+        (core.Abort("1", unfit=True), b"HTTP/1.1 400 ", b"Content-Length: 0\r\n"),
     ],
 )
 def test_a_final_answer_reaches_the_client(node, client, reply, effect, start, part):
