Bad clients: framing, open ids, time from connecting, fair turns; the unproven make room first

Now 20 KiB each, and bodies are bounded by what is set aside: 112 clients. - Time left over 100 hard limits, odd receipts, a receipted job without one, odd X-Facts: 400.

--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -10,11 +10,12 @@
 
 from marlseam.net.buffer import Buffer
 from marlseam.net.log import Log, Reason
-from marlseam.net.loop import LATE, READ, WRITE, Cancelled, Loop, Wait
+from marlseam.net.loop import LATE, READ, WRITE, Cancelled, Loop, Wait, sleep
 
-BITE = 16384  # bytes handed to the parser at a time
+BITE = 4096  # bytes handed to the parser at a time, and in one turn of the loop
 HEAD_MOST = 16384  # bytes of a message's head
-AHEAD_MOST = 16384  # bytes kept of what a peer sends ahead of its turn
+AHEAD_MOST = 2048  # bytes kept of what a peer sends ahead of its turn
+SINK = bytearray(65536)  # where bytes go that nobody wants
 Headers = list[tuple[str, str]]
 Steps = Generator[Wait, str, Any]
 
@@ -22,9 +23,9 @@
 class Ended(Exception):
     """The connection cannot go on."""
 
-    def __init__(self, reason: Reason, status: int = 0) -> None:
-        super().__init__(reason.value)
-        self.reason, self.status = reason, status
+    def __init__(self, reason: Reason, status: int = 0, text: str = "") -> None:
+        super().__init__(text or reason.value)
+        self.reason, self.status = reason, status  # that the peer is told, if any
 
 
 class Connection:
@@ -34,8 +35,9 @@
         self.loop, self.log, self.sock, self.what = loop, log, sock, what
         self.http = h11.Connection(role, max_incomplete_event_size=HEAD_MOST)
         self.buffer = Buffer()
+        self.head = bytearray()  # of the message in hand, as it came
         self.messages, self.closed, self.eof = 0, False, False
-        self.used_ms = loop.now()
+        self.opened_ms = self.used_ms = loop.now()
         self.address: tuple[str, int] | None = None  # of the server, on our side of a call
 
     # Reading.
@@ -54,6 +56,7 @@
 
     def event(self, until_ms: float) -> Steps:
         """Return the next part of a message, waiting for it until some time."""
+        fed = 0
         while True:
             try:
                 event = self.http.next_event()
@@ -65,11 +68,20 @@
             if self.http.they_are_waiting_for_100_continue:
                 go_on = h11.InformationalResponse(status_code=100, headers=[])
                 yield from self.write(self.http.send(go_on), until_ms)
+            if fed >= BITE:
+                # Guards the other connections' turns against a peer that sends at full speed.
+                yield from sleep(self.loop.now())
+                fed = 0
             while not len(self.buffer) and not self.eof:
+                if self.loop.now() >= until_ms:
+                    raise Ended(Reason.TIMED_OUT, 408)
                 if not self.fill() and (yield (self.sock.fileno(), READ, until_ms)) == LATE:
                     raise Ended(Reason.TIMED_OUT, 408)
-            # h11 takes no bytes for the end of the stream
-            self.http.receive_data(self.buffer.take(BITE) if len(self.buffer) else b"")
+            data = self.buffer.take(BITE)
+            fed += len(data)
+            if self.http.their_state is h11.IDLE:
+                self.head += data
+            self.http.receive_data(data)  # none for the end of the stream
 
     def answer(self, until_ms: float) -> Steps:
         """Return the head of a server's answer."""
@@ -138,14 +150,15 @@
         """
         try:
             self.sock.shutdown(socket.SHUT_WR)
-            while not self.eof and (self.fill() or (yield (self.sock.fileno(), READ, until_ms)) != LATE):
-                self.buffer.take(len(self.buffer))
-        except (OSError, Ended):
+            while (yield (self.sock.fileno(), READ, until_ms)) != LATE and self.sock.recv_into(SINK):
+                pass
+        except OSError:
             return
 
     def again(self) -> bool:
         """Make ready for another message, where both sides may go on."""
         if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+            self.head[:] = self.http.trailing_data[0]
             self.http.start_next_cycle()
             self.used_ms = self.loop.now()
             return True
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -16,10 +16,11 @@
 from marlseam.net.executors import Executors, Order
 from marlseam.net.log import Log
 from marlseam.net.loop import Loop
-from marlseam.net.server import Pending, Server
+from marlseam.net.server import Pending, Room, Server
 
 OWN_SOCKETS = 32  # descriptors for the listener, epoll, signals, discovery, logs and the interpreter
-OWN_MB, CONNECTION_KB = 24.0, 160.0  # memory for the node itself, and for a connection at its fullest
+OWN_MB, CONNECTION_KB = 20.0, 20.0  # memory for the node itself, and for a connection without its body
+BODY_SHARE = 0.5  # of the other memory, for bodies of clients' requests
 PLACES_LEAST = 16  # connections, however tight the limits: fewer could not serve
 CLIENT_SHARE = 0.5  # of the other descriptors, for clients
 LISTEN_MS = 600.0  # how long new connections may still come after SIGTERM
@@ -31,11 +32,19 @@
 
 
 def connections(config: Config) -> int:
-    """Return how many connections the limits on descriptors and memory leave room for."""
+    """Return how many connections the limits on descriptors and memory leave room for, bodies apart."""
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = config.sockets if allowed == resource.RLIM_INFINITY else min(config.sockets, allowed)
-    room = min(sockets - OWN_SOCKETS, (config.memory_mb - OWN_MB) * 1024.0 / CONNECTION_KB)
-    return max(PLACES_LEAST, int(room))
+    free_kb = (1.0 - BODY_SHARE) * (config.memory_mb - OWN_MB) * 1024.0
+    return max(PLACES_LEAST, int(min(sockets - OWN_SOCKETS, free_kb / CONNECTION_KB)))
+
+
+def room(config: Config) -> tuple[Room, int]:
+    """Return what clients may have, and how many connections executors may."""
+    places = connections(config)
+    clients = int(CLIENT_SHARE * places)
+    free = BODY_SHARE * (config.memory_mb - OWN_MB) * 1024.0 * 1024.0
+    return Room(clients, max(free, PLACES_LEAST * protocol.BODY_MOST)), places - clients
 
 
 class Node:
@@ -45,12 +54,11 @@
         self.config = config
         self.loop = Loop(lambda text: self.log.line(text.strip().replace("\n", " | ")))
         self.log = Log(config.name, self.loop.now)
-        places = connections(config)
-        clients = int(CLIENT_SHARE * places)
+        clients, places = room(config)
         self.core = Core()
         self.pending: dict[str, Pending] = {}
         self.refs, self.events, self.busy = 0, deque[Event](), False
-        self.executors = Executors(self.loop, self.log, config.deployment, places - clients, self.post)
+        self.executors = Executors(self.loop, self.log, config.deployment, places, self.post)
         self.discovery = Discovery(self.loop, self.log, config, self.executors, self.post)
         try:
             self.server = Server(self.loop, self.log, config, clients, self.ready, self.take, self.left)
@@ -134,12 +142,11 @@
             if getattr(config, key) != getattr(self.config, key):
                 self.log.line(f"{key}: cannot change in a running node, left as it was")
         config = replace(config, **{key: getattr(self.config, key) for key in FIXED})
-        places = connections(config)
-        clients = int(CLIENT_SHARE * places)
+        clients, places = room(config)
         self.config = config
         self.post(core.Renewed(config.deployment.settings))
         self.server.configure(config.deployment, clients)
-        self.executors.configure(config.deployment, places - clients)
+        self.executors.configure(config.deployment, places)
         self.discovery.configure(config)
         self.log.line(f"new configuration, discovery at {config.discovery[0]}:{config.discovery[1]}")
 
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -1,6 +1,7 @@
 """The protocol's names, and its messages turned into ours and back; no I/O. Its names end in this package."""
 
 import json
+import re
 from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from math import inf, isfinite
@@ -8,7 +9,7 @@
 
 from marlseam.config import Deployment, address_from
 from marlseam.core import Entry
-from marlseam.interface import Listing, Outcome, Report, State
+from marlseam.interface import Effect, Listing, Outcome, Report, State
 
 READY_PATH, LOAD_PATH, LIST_PATH = "/-/ready", "/-/load", "/api/targets"
 ID, TYPE, TIME_LEFT, RECEIPT = "X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key"
@@ -16,7 +17,9 @@
 BODY_MOST = 65536  # bytes of a request's body, and of an executor's answer
 LINE_MOST = 2 * BODY_MOST  # bytes of one line, which is a body in JSON
 LIST_MOST = 1 << 22  # bytes of a whole list
+SINGLE = (ID, TYPE, TIME_LEFT, RECEIPT, FACTS, "Host", "Content-Length", "Transfer-Encoding")
 ID_MOST = 256
+LEFT_MOST = 100.0  # time left that can be meant, in hard limits of the project type
 HEALTH = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
 ENDS = {
     "done": Outcome.COMPLETED,
@@ -87,6 +90,36 @@
 
 # Clients.
 
+HEAD_END = re.compile(rb"\n\r?\n")
+FOLDED = re.compile(rb"\n[ \t]")
+LENGTHS = re.compile(rb"\ncontent-length:[ \t]*([^\r\n]*)", re.IGNORECASE)
+
+
+def head_from(headers: Iterable[tuple[bytes, bytes]], version: bytes, raw: bytes) -> Head:
+    """Read a client's headers, and refuse a head that another reader could understand in another way.
+
+    Guards against a request hidden in another's body. h11 goes by the chunks where a length is given too,
+    takes several equal lengths for one, and joins folded lines; `raw` is the head as it came.
+    """
+    headers = list(headers)
+    head, names = Head(headers), [name for name, _ in headers]
+    for name in SINGLE:
+        if names.count(name.lower().encode()) > 1:
+            raise Malformed(f"{name} comes more than once")
+    if "Transfer-Encoding" in head and ("Content-Length" in head or version != b"1.1"):
+        raise Malformed("Transfer-Encoding where it may not be")
+    end = HEAD_END.search(raw)
+    raw = raw[: end.start()] if end else raw
+    lengths = LENGTHS.findall(raw)
+    if FOLDED.search(raw) or len(lengths) > 1 or not all(length.strip().isdigit() for length in lengths):
+        raise Malformed("a folded line, or a length that is odd")
+    return head
+
+
+def fits(text: str) -> bool:
+    """Return whether a text can go on in a header: short, with nothing but visible characters."""
+    return 0 < len(text) <= ID_MOST and text.isascii() and text.isprintable() and " " not in text
+
 
 def first_part(target: str) -> str:
     """Return the first part of a path, which is the project type's name."""
@@ -110,22 +143,31 @@
 def job_from(target: str, head: Head, body: bytes, deployment: Deployment) -> Job:
     """Read a work unit out of a client's request."""
     id = head.get(ID, "")
-    if not id or len(id) > ID_MOST or not id.isascii() or not id.isprintable() or " " in id:
+    if not fits(id):
         raise Malformed(f"{ID} is missing or bad")
     name = head.get(TYPE, "")
     if name not in deployment.types or first_part(target) != name:
         raise Malformed(f"{TYPE} is missing, unknown or another than the path's")
     left_ms = 1000.0 * number(head.get(TIME_LEFT, ""), TIME_LEFT)
     type = deployment.types[name]
+    of_type = deployment.settings.types[type]
+    limit_ms = of_type.limit_ms or inf
+    if left_ms > LEFT_MOST * limit_ms:
+        raise Malformed(f"{TIME_LEFT} is out of range")
+    receipt = head.get(RECEIPT)
+    if not fits(receipt or "") and (receipt is not None or of_type.effect is Effect.RECEIPTED):
+        raise Malformed(f"{RECEIPT} is missing or bad")
     facts = pairs(head.get(FACTS, ""))
+    if head.get(FACTS) and len(facts) < head[FACTS].count(",") + 1:
+        raise Malformed(f"{FACTS} is bad")
     return Job(
         id=id,
         target=target,
-        receipt=head.get(RECEIPT),
+        receipt=receipt,
         body=body,
         type=type,
         type_name=name,
-        left_ms=min(left_ms, deployment.settings.types[type].limit_ms or inf),
+        left_ms=min(left_ms, limit_ms),
         slots=number(facts.get("slots", "1"), FACTS) or 1.0,
         memory=number(facts.get("memory", "0"), FACTS),
     )
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 from http import HTTPStatus
 from math import inf
 
@@ -13,16 +14,27 @@
 from marlseam.net.connection import Connection, Ended, Headers, Steps
 from marlseam.net.log import Log, Reason
 from marlseam.net.loop import LATE, READ, READY, Cancelled, Coroutine, Loop, Task, sleep
-from marlseam.net.protocol import Head, Job, Malformed
+from marlseam.net.protocol import Job, Malformed
 
 IDLE_MS = 300000.0  # how long a client may keep an unused connection
-READ_MS = 10000.0  # how long a request may take to come, from its first byte
-WRITE_MS = 10000.0  # how long a client may take to read its answer
+READ_MS = (
+    2500.0  # how long a request may take to come: the first from connecting, others from their first byte
+)
+WRITE_MS = 2500.0  # how long a client may take to read its answer
 LINGER_MS = 1000.0  # how long it is read on after a complaint
-PAUSE_MS = 20.0  # how long nothing is accepted when no descriptor is left
+PAUSE_MS = 20.0  # how long what finds no room waits before it looks again
+ACCEPTS = 16  # connections accepted in one turn of the loop
 BACKLOG = 512
 
 
+@dataclass(frozen=True)
+class Room:
+    """What clients may have of the node's limits."""
+
+    clients: int
+    body_bytes: float
+
+
 class Pending:
     """A work unit that is out for its client, and the answer once there is one."""
 
@@ -47,16 +59,19 @@
         loop: Loop,
         log: Log,
         config: Config,
-        places: int,
+        room: Room,
         ready: Callable[[], bool],
         take: Callable[[Pending], str],
         left: Callable[[str], None],
     ) -> None:
         self.loop, self.log = loop, log
-        self.configure(config.deployment, places)
+        self.configure(config.deployment, room)
         self.ready, self.take, self.left = ready, take, left
-        self.idle: dict[Connection, Task] = {}  # those between requests, the longest unused first
         self.open: dict[Connection, None] = {}
+        self.idle: dict[Connection, Task] = {}  # those between requests, the longest unused first
+        self.unproven: dict[Connection, Task] = {}  # those that have sent nothing good, the oldest first
+        self.held: dict[Connection, int] = {}  # bytes set aside for the bodies of requests
+        self.ids: set[str] = set()  # of work units that are out
         self.closing = self.parting = False  # the node ends; and connections do after their next answer
         family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
         self.sock = socket.socket(family, socket.SOCK_STREAM)
@@ -66,9 +81,9 @@
         self.sock.setblocking(False)
         self.accepting = loop.spawn(self.accept())
 
-    def configure(self, deployment: Deployment, places: int) -> None:
-        """Take in settings and how many clients may be connected."""
-        self.deployment, self.places = deployment, places
+    def configure(self, deployment: Deployment, room: Room) -> None:
+        """Take in settings, and for how many clients and bytes of their bodies there is room."""
+        self.deployment, self.room = deployment, room
 
     # Connections.
 
@@ -76,8 +91,8 @@
         """Accept connections for as long as the node listens."""
         while True:
             yield (self.sock.fileno(), READ, inf)
-            while True:
-                while len(self.open) >= self.places and not self.make_room():
+            for _ in range(ACCEPTS):
+                while len(self.open) >= self.room.clients and not self.make_room():
                     # Guards against losing work units: what is not accepted yet waits, what is would be lost.
                     yield from sleep(self.loop.now() + PAUSE_MS)
                 try:
@@ -98,19 +113,35 @@
                 self.loop.spawn(self.serve(connection))
 
     def make_room(self) -> bool:
-        """Close the connection that has stood unused for longest; return whether there was one."""
-        return any(self.drop(connection, Reason.CROWDED) for connection in list(self.idle))
+        """Close a connection without taken work, if there is one; those that sent nothing good go first.
+
+        Guards usual clients against floods of connections that say nothing, or nothing good.
+        """
+        return any(self.drop(connection, Reason.CROWDED) for connection in {**self.unproven, **self.idle})
 
     def drop(self, connection: Connection, reason: Reason) -> bool:
-        """Close a connection unless a request has begun to come on it."""
-        task = self.idle.pop(connection)
-        if not connection.quiet():
+        """Close a connection unless it was idle and a request has begun to come; return whether it is."""
+        task = self.unproven.get(connection) or self.idle[connection]
+        if connection in self.idle and not connection.quiet():
+            del self.idle[connection]
             task.wake()
             return False
         connection.close(reason)
         task.cancel()
         return True
 
+    def set_aside(self, connection: Connection, size: int, until_ms: float) -> Steps:
+        """Wait for room for a request's body; those that have sent nothing good give up theirs first."""
+        while sum(self.held.values()) + size > self.room.body_bytes:
+            held = next((c for c in self.unproven if self.held.get(c)), None)
+            if held is not None:
+                self.drop(held, Reason.CROWDED)
+            elif self.loop.now() < until_ms:
+                yield from sleep(self.loop.now() + PAUSE_MS)
+            else:
+                raise Ended(Reason.CROWDED, 408)
+        self.held[connection] = size
+
     def part(self) -> None:
         """Close all connections on which nothing is under way, and the others after their answers."""
         self.parting = True
@@ -127,25 +158,30 @@
     def serve(self, connection: Connection) -> Coroutine:
         """Serve a client's requests one after the other."""
         reason = Reason.FAULT
+        self.unproven[connection] = self.loop.current
         try:
             while (yield from self.request(connection)):
-                pass
+                # Guards the others' turns against a client that sends many requests ahead.
+                yield from sleep(self.loop.now())
             reason = Reason.DRAINING if self.parting else Reason.DONE
         except Ended as ended:
             reason = ended.reason
+            self.held.pop(connection, None)
             if ended.status:
-                yield from self.complain(connection, ended.status, ended.reason.value)
+                yield from self.complain(connection, ended)
         except Cancelled:
             reason = Reason.DRAINING
             raise
         finally:
-            self.idle.pop(connection, None)
-            self.open.pop(connection, None)
+            for table in (self.unproven, self.idle, self.held, self.open):
+                table.pop(connection, None)
             connection.close(reason)
 
     def first_byte(self, connection: Connection) -> Steps:
         """Wait for a request to begin; meanwhile the connection may be closed to make room."""
         until = self.loop.now() + IDLE_MS
+        if connection in self.unproven:
+            until = connection.opened_ms + READ_MS
         while not len(connection.buffer) and not connection.eof:
             if connection.fill():
                 continue
@@ -161,16 +197,19 @@
         """Serve one request; return whether another may follow."""
         yield from self.first_byte(connection)
         began = self.loop.now()
-        until = began + READ_MS
+        until = (connection.opened_ms if connection in self.unproven else began) + READ_MS
         try:
             request = yield from connection.event(until)
             if type(request) is not h11.Request:
                 raise Ended(Reason.PEER_CLOSED)
-            head, target = Head(request.headers), request.target.decode("latin-1")
+            head = protocol.head_from(request.headers, request.http_version, bytes(connection.head))
+            connection.head.clear()
+            target = request.target.decode("latin-1")
             path = protocol.route(request.method.decode("latin-1"), target, self.deployment.types)
-            length = head.get("Content-Length", "0")
-            if len(length) > 9 or int(length) > protocol.BODY_MOST:
+            size = protocol.BODY_MOST if "Transfer-Encoding" in head else int(head.get("Content-Length", "0"))
+            if size > protocol.BODY_MOST:
                 raise Ended(Reason.TOO_LARGE, 413)
+            yield from self.set_aside(connection, size, until)
             body = yield from connection.body(protocol.BODY_MOST, until)
             if path == protocol.READY_PATH:
                 status, headers, body = (200 if self.ready() else 503), [], b""
@@ -178,8 +217,8 @@
                 job = protocol.job_from(target, head, body, self.deployment)
                 status, headers, body = yield from self.work_unit(connection, Pending(job, began))
         except Malformed as error:
-            yield from self.complain(connection, error.status, str(error))
-            raise Ended(Reason.BAD_MESSAGE) from None
+            raise Ended(Reason.BAD_MESSAGE, error.status, str(error)) from None
+        del self.held[connection]
         if self.parting:
             headers = [*headers, ("Connection", "close")]
         yield from self.answer(connection, status, headers, body)
@@ -187,8 +226,22 @@
 
     def work_unit(self, connection: Connection, pending: Pending) -> Steps:
         """Hand a work unit to the node and wait for its answer, or for the client to go."""
+        id = pending.job.id
+        if id in self.ids:
+            raise Malformed("a work unit with this id is out", 409)
         pending.task = self.loop.current
-        ref = self.take(pending)
+        self.ids.add(id)
+        self.unproven.pop(connection, None)
+        try:
+            yield from self.wait(connection, pending, self.take(pending))
+        finally:
+            self.ids.discard(id)
+        if pending.answer[0] == HTTPStatus.BAD_REQUEST:
+            raise Malformed("no executor can use this")
+        return pending.answer
+
+    def wait(self, connection: Connection, pending: Pending, ref: str) -> Steps:
+        """Wait for a work unit's answer, or for its client to go."""
         while pending.answer is None:
             came = yield connection.waits()
             if came == READY and pending.answer is None:
@@ -200,7 +253,6 @@
                     self.left(ref)
                     raise Ended(Reason.PEER_CLOSED)
         pending.task = None
-        return pending.answer
 
     def answer(self, connection: Connection, status: int, headers: Headers, body: bytes) -> Steps:
         """Write an answer."""
@@ -208,13 +260,14 @@
         head = h11.Response(status_code=status, headers=headers, reason=HTTPStatus(status).phrase)
         yield from connection.message(head, body, self.loop.now() + WRITE_MS)
 
-    def complain(self, connection: Connection, status: int, text: str) -> Steps:
+    def complain(self, connection: Connection, ended: Ended) -> Steps:
         """Tell a client what is wrong with its request, if its connection still allows it."""
-        headers = [("Connection", "close")]
-        if status == 405:
+        headers, text = [("Connection", "close")], str(ended)
+        if ended.status == 405:
             headers.append(("Allow", "GET" if "GET" in text else "POST"))
+        self.unproven[connection] = self.loop.current
         try:
-            yield from self.answer(connection, status, headers, text.encode() + b"\n")
+            yield from self.answer(connection, ended.status, headers, text.encode() + b"\n")
             yield from connection.linger(self.loop.now() + LINGER_MS)
         except (Ended, h11.LocalProtocolError):
             return
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -19,13 +19,14 @@
 from marlseam.net import discovery as discovery_module
 from marlseam.net import executors as executors_module
 from marlseam.net import node as node_module
+from marlseam.net import server as server_module
 from marlseam.net.buffer import Buffer
 from marlseam.net.connection import Connection, Ended, connect
 from marlseam.net.executors import Order
 from marlseam.net.log import BURST, Log, Reason
 from marlseam.net.loop import LATE, READ, WOKEN, Cancelled
 from marlseam.net.protocol import Job, Malformed
-from marlseam.net.server import Pending
+from marlseam.net.server import Pending, Room
 
 JOB = Job("9b", "/statement", "k", b"abc", 0, "statement", 5000.0, 1.0, 0.0)
 LINES = b'{"id":"9b","from":"e1","state":"started"}\n{"id":"9b","from":"e1","state":"done","result":"r"}\n'
@@ -52,6 +53,10 @@
     return [word[5:] for word in capsys.readouterr().err.split() if word.startswith("code=")]
 
 
+CHUNKED = REQUEST.replace(b"Content-Length: 3", b"Transfer-Encoding: chunked").replace(
+    b"abc", b"3\r\nabc\r\n0\r\n\r\n"
+)
+
 # Buffer.
 
 
@@ -396,7 +401,8 @@
 
 
 @pytest.mark.parametrize(
-    ("sockets", "memory_mb", "places"), [(1024, 192, 992), (96, 192, 64), (1024, 32, 51), (40, 8, 16)]
+    ("sockets", "memory_mb", "places"),
+    [(1024, 192, 992), (96, 192, 64), (256, 32, 224), (1024, 32, 307), (40, 8, 16)],
 )
 def test_connections_fit_the_limits(node, monkeypatch, sockets, memory_mb, places):
     unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
@@ -427,10 +433,132 @@
             400,
         ),
         (b"GET / HTTP/1.1\r\nX: " + b"x" * 40000, 431),
+        (REQUEST.replace(b"Length: 3", b"Length: 60000000") + b"x" * 100000, 413),
+        (REQUEST.replace(b"Length: 3", b"Length: -3"), 400),
+        (REQUEST.replace(b"Length: 3", b"Length: 3\r\nContent-Length: 3"), 400),
+        (REQUEST.replace(b"Length: 3", b"Length: 3, 3"), 400),
+        (REQUEST.replace(b"Length: 3", b"Length: 3\r\n , 3"), 400),
+        (REQUEST.replace(b"Length: 3", b"Length: 3\r\nTransfer-Encoding: chunked"), 400),
+        (REQUEST.replace(b"Length: 3", b"Length: 3\nTransfer-Encoding: chunked"), 400),
+        (CHUNKED.replace(b"HTTP/1.1", b"HTTP/1.0"), 400),
+        (CHUNKED.replace(b"chunked", b"gzip, chunked"), 501),
+        (CHUNKED.replace(b"Host: h", b"Host: h\r\n folded"), 400),
+        (REQUEST.replace(b"Host: h", b"Host: h\r\nX-Correlation-Id: 8c"), 400),
+        (REQUEST.replace(b"Host: h", b"Host: h\r\nx-time-left: 9"), 400),
+        (REQUEST.replace(b"Host: h", b"Host: h\r\nX-Service-Class: posting"), 400),
+        (CHUNKED.replace(b"abc\r\n0", b"abc\r\n%x\r\n%b\r\n0" % (65536, b"x" * 65536)), 413),
     ],
 )
-def test_bad_input_has_its_status(client, reply, data, status):
-    assert reply(client(data)).startswith(b"HTTP/1.1 %d " % status)
+def test_bad_input_has_its_status_and_goes_no_further(node, client, reply, data, status):
+    assert reply(client(data)).startswith(b"HTTP/1.1 %d " % status) and not node.refs
+
+
+def test_a_request_may_come_in_chunks(node, client):
+    client(CHUNKED)
+    while not node.pending:
+        node.loop.turn()
+    assert node.pending["1"].job.body == b"abc"
+
+
+def test_an_id_that_is_out_is_refused_and_the_first_goes_on(node, client, reply):
+    first = client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    assert reply(client(REQUEST)).startswith(b"HTTP/1.1 409 ")
+    node.answer("1", 200, [], b"result")
+    assert reply(first).endswith(b"result") and not node.server.ids
+
+
+@pytest.mark.parametrize(
+    ("data", "drop", "code"),
+    [(b"", b"", "idle"), (REQUEST[:60], b"X", "timed-out"), (REQUEST[:-2], b"X", "timed-out")],
+)
+def test_a_first_request_has_its_time_from_connecting(node, client, capsys, monkeypatch, data, drop, code):
+    monkeypatch.setattr(server_module, "READ_MS", 500.0)
+    sock = client(data)
+    while not node.server.open:
+        node.loop.turn()
+    (connection,) = node.server.open
+    connection.opened_ms -= 500.0
+    node.loop.at(node.loop.now(), lambda: sock.send(drop))
+    while node.server.open:
+        node.loop.turn()
+    assert reasons(capsys)[-1] == code
+
+
+def test_a_usual_clients_connection_may_stand_idle(node, client, reply, monkeypatch):
+    monkeypatch.setattr(server_module, "READ_MS", 200.0)
+    sock = client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    node.answer("1", 200, [], b"")
+    reply(sock)
+    end = node.loop.now() + 400.0
+    node.loop.at(end, lambda: None)
+    while node.loop.now() < end:
+        node.loop.turn()
+    assert node.server.idle
+
+
+def test_connections_without_a_good_request_make_room_first(node, client, reply, capsys):
+    usual = client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    node.answer("1", 200, [], b"")
+    reply(usual)
+    silent, half = client(b""), client(REQUEST[:60])
+    while len(node.server.open) < 3:
+        node.loop.turn()
+    node.server.room = Room(3, 1e9)
+    for left in (half, usual):
+        client(REQUEST[:60])
+        while "crowded" not in reasons(capsys):
+            node.loop.turn()
+        assert all(c.fileno() >= 0 for c in (left, usual))
+    assert silent.recv(1) == half.recv(1) == b"" and len(node.server.idle) == 1
+
+
+def test_bodies_are_bounded_and_those_without_a_good_request_give_up_theirs(node, client, capsys):
+    slow = client(REQUEST.replace(b"Length: 3", b"Length: 900"))
+    while not node.server.held:
+        node.loop.turn()
+    node.server.room = Room(9, 901.0)
+    client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    assert slow.recv(1) == b"" and "crowded" in reasons(capsys)
+    assert list(node.server.held.values()) == [3]
+
+
+def test_a_body_waits_for_room_that_taken_work_has(node, client, reply):
+    node.server.room = Room(9, 3.0)
+    client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    client(REQUEST.replace(b"9b", b"9c"))
+    while len(node.server.open) < 2:
+        node.loop.turn()
+    node.loop.at(node.loop.now() + 50.0, lambda: node.answer("1", 200, [], b""))
+    while "2" not in node.pending:
+        node.loop.turn()
+    assert "1" not in node.pending
+
+
+def test_no_client_holds_the_loop(node, client):
+    asked = 50
+    client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n" * asked)
+    for _ in range(5):
+        node.loop.at(node.loop.now(), lambda: None)
+        node.loop.turn()
+    (connection,) = node.server.open
+    assert connection.messages < 10
+
+
+def test_a_flood_of_connections_is_accepted_in_parts(node, client):
+    for _ in range(2 * server_module.ACCEPTS):
+        client(b"")
+    node.loop.turn()
+    assert len(node.server.open) <= server_module.ACCEPTS
 
 
 @pytest.mark.parametrize(
@@ -439,7 +567,7 @@
         (core.Complete("1", b"result"), b"HTTP/1.1 200 ", b"\r\n\r\nresult"),
         (core.Defer("1", 250.0), b"HTTP/1.1 503 ", b"Retry-After: 0.250\r\n"),
         (core.Abort("1"), b"HTTP/1.1 500 ", b"Content-Length: 0\r\n"),
-        (core.Abort("1", unfit=True), b"HTTP/1.1 400 ", b"Content-Length: 0\r\n"),
+        (core.Abort("1", unfit=True), b"HTTP/1.1 400 ", b"Connection: close\r\n"),
     ],
 )
 def test_a_final_answer_reaches_the_client(node, client, reply, effect, start, part):
@@ -487,7 +615,7 @@
     first = client(b"")
     while not node.server.idle:
         node.loop.turn()
-    node.server.places = 1
+    node.server.room = Room(1, 1e9)
     client(b"")
     while "crowded" not in reasons(capsys):
         node.loop.turn()
@@ -498,7 +626,7 @@
     client(REQUEST)
     while not node.pending:
         node.loop.turn()
-    node.server.places = 1
+    node.server.room = Room(1, 1e9)
     second = client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n")
     node.answer("1", 200, [("Connection", "close")], b"")
     assert reply(second).startswith(b"HTTP/1.1 200 ")
@@ -646,7 +774,7 @@
 
 def test_limits_follow_a_new_configuration(node, rewrite):
     rewrite(limits={"sockets": 96, "memory_mb": 192})
-    assert (node.server.places, node.executors.places) == (32, 32)
+    assert (node.server.room.clients, node.executors.places) == (32, 32)
 
 
 def test_what_cannot_change_is_told_and_left(node, rewrite, capsys):
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -1,10 +1,11 @@
 """The codecs: clients' requests, executors' lines and reports, discovery's lists."""
 
 import json
+from dataclasses import replace
 
 import pytest
 
-from marlseam.interface import Listing, Outcome, Report, State
+from marlseam.interface import Effect, Listing, Outcome, Report, State
 from marlseam.net import protocol
 from marlseam.net.protocol import Head, Lines, Malformed
 
@@ -31,7 +32,7 @@
 
 
 def test_time_left_is_capped_by_the_types_hard_limit(deployment):
-    assert protocol.job_from("/statement", head(x_time_left="1e9"), b"", deployment).left_ms == 5000.0
+    assert protocol.job_from("/statement", head(x_time_left="400"), b"", deployment).left_ms == 5000.0
 
 
 @pytest.mark.parametrize(
@@ -41,6 +42,8 @@
         {"x_correlation_id": "a" * 300}, {"x_service_class": None}, {"x_service_class": "posting"},
         {"x_service_class": "odd"}, {"x_time_left": None}, {"x_time_left": "soon"}, {"x_time_left": "nan"},
         {"x_time_left": "-1"}, {"x_time_left": "inf"}, {"x_time_left": "1_0"}, {"x_facts": "slots=wide"},
+        {"x_time_left": "1e9"}, {"x_facts": "slots"}, {"x_facts": "slots=2,slots=3"},
+        {"idempotency_key": ""}, {"idempotency_key": "a\x01"}, {"idempotency_key": "\xe9"},
     ],
 )  # fmt: skip
 def test_a_bad_work_unit_is_told_400(deployment, changes):
@@ -49,6 +52,14 @@
     assert raised.value.status == 400
 
 
+def test_a_receipted_work_unit_needs_its_receipt(deployment):
+    receipted = replace(deployment.settings.types[0], effect=Effect.RECEIPTED)
+    deployment = replace(deployment, settings=replace(deployment.settings, types=(receipted,)))
+    with pytest.raises(Malformed, match="Idempotency-Key is missing"):
+        protocol.job_from("/statement", head(), b"", deployment)
+    assert protocol.job_from("/statement", head(idempotency_key="k"), b"", deployment).receipt == "k"
+
+
 @pytest.mark.parametrize(
     ("method", "target", "status"),
     [
