--- a/marlseam/__main__.py
+++ b/marlseam/__main__.py
@@ -3,7 +3,6 @@
 import gc
 import signal
 import sys
-from importlib import metadata
 
 import click
 
@@ -55,6 +54,8 @@
 @main.command()
 def version() -> None:
     """Print the version."""
+    from importlib import metadata  # here alone, as a node that restarts should be back soon
+
     print(f"marlseam {__version__}, click {metadata.version('click')}, h11 {metadata.version('h11')}")
 
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,6 +2,8 @@
 
 import copy
 import json
+import subprocess
+import sys
 
 import pytest
 from click.testing import CliRunner
@@ -92,6 +94,11 @@
     assert CliRunner().invoke(main, ["serve"]).exit_code == 2
 
 
+def test_the_command_line_loads_nothing_that_only_the_version_needs():
+    code = "import sys, marlseam.__main__; sys.exit('importlib.metadata' in sys.modules)"
+    assert subprocess.run([sys.executable, "-c", code], check=False).returncode == 0
+
+
 def test_check_of_a_good_configuration_ends_with_0(write):
     assert CliRunner().invoke(main, ["check", "--config", write()]).exit_code == 0
 
