--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -94,7 +94,8 @@
         """Return how long the work unit may still wait at an executor of some pace and be in time."""
         run = self.work.hint_ms or self.node.run[self.work.type]
         spare = self.type.promised_ms + max(0.0, self.type.stretch - pace) * SHORT * run
-        spare = min(spare, self.work.expires_ms - self.taken - run * pace)
+        # Guards clients that give up early: a mean run that does not fit says little of runs that vary.
+        spare = min(spare, self.work.expires_ms - self.taken - SHORT * run * pace)
         return self.taken + spare - self.node.port.now()
 
     def may_defer(self) -> bool:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -460,3 +460,10 @@
     wu.settled(0, Outcome.UNFIT, False, None)
     assert node.port.acts == [("abort", wu.work.ref)]
     assert node.evidence[0] == 0.0 and node.sign_ms[0] == node.port.now()
+
+
+def test_a_short_time_left_is_tried_where_a_short_run_still_fits(make):
+    node = make(0.0)
+    node.run[0] = 400.0
+    node.take(WorkUnit("w", 0, node.port.now() + 150.0))
+    assert node.port.did("send") and not node.port.did("defer")
