Allocations on connections that fall silent are given up early and sought another place

Seen: ten work units of 444 deferred or aborted at their hard limits of 5 to 20 s. Checked by a trace of the lines of each: five had no head of an answer, five the line of the start and nothing more, on executors that served others meanwhile. Lines at fault: Executors.allocation waited to the hard limit for each word; logic.py's standing counts silence by executor, and one old silent allocation both barred the trial (usable) and renewed the rest (an executor was left out for 5 s). Now: one urgent promise for the head, 2.5 progress periods for a started one; that speaks as a failed outcome; exclusive work waits. Probes that hear nothing for half their time are made once more on a new connection. Ruled out: executors' health (each answered probes) and clients that left (their allocations are withdrawn at once).

--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -85,11 +85,15 @@
     def clear(self, e: int) -> None:
         """Put an executor on record as one of which nothing is known."""
         self.state[e], self.kind[e], self.zone[e], self.cell[e], self.born[e] = State.GONE, -1, -1, -1, None
-        self.others[e], self.room[e], self.free_memory[e] = None, 0.0, None
-        self.heard_ms[e], self.sign_ms[e], self.asked_ms[e] = -1e18, -1e18, None
+        self.room[e], self.free_memory[e], self.sign_ms[e], self.asked_ms[e] = 0.0, None, -1e18, None
+        self.tokens[e] = self.token_ms[e] = self.ours[e] = 0.0
+        self.unlearn(e)
+
+    def unlearn(self, e: int) -> None:
+        """Drop what was heard of an executor's load and health."""
+        self.others[e], self.heard_ms[e] = None, -1e18
         self.full[e] = self.passed[e] = self.silent[e] = False
         self.evidence[e], self.out_until[e], self.rest[e] = 0.0, None, self.rest_ms
-        self.tokens[e] = self.token_ms[e] = self.ours[e] = 0.0
 
     def enter(self, m: Member) -> None:
         """Note an entry of the roster."""
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -327,9 +327,8 @@
         """Start afresh with an executor whose process has: it is cold and its old counts are void."""
         now = self.port.now()
         self.tally(e, -1)
-        self.born[e], self.others[e], self.heard_ms[e] = born, None, -1e18
-        self.full[e] = self.passed[e] = self.silent[e] = False
-        self.evidence[e], self.out_until[e], self.rest[e] = 0.0, None, self.rest_ms
+        self.unlearn(e)
+        self.born[e] = born
         self.tally(e, 1)
         self.tokens[e], self.token_ms[e] = -self.chance(), now  # so that the nodes do not all begin at once
         self.rescue(e, born)
@@ -402,7 +401,7 @@
             return False
         if asked is not None and now - asked > self.ask_ms:
             return False  # a probe overdue: a cut link, a machine gone silent, a long pause
-        if until is not None and (now < until or (self.own[e] and not self.silent[e])):
+        if until is not None and (now < until or (self.on_trial(e) and not self.silent[e])):
             return False  # a sick one rests, then gets one work unit at a time on trial
         return self.warm(e)
 
@@ -506,7 +505,7 @@
             self.testify(e, log((1.0 - SICK_ERROR) / (1.0 - WELL_ERROR)))
             if self.evidence[e] <= 0.0 and self.out_until[e] is not None:
                 self.recover(e)
-        elif outcome in (Outcome.ERROR, Outcome.BROKEN):
+        elif outcome in (Outcome.ERROR, Outcome.BROKEN, Outcome.TIMED_OUT):
             self.testify(e, log(SICK_ERROR / WELL_ERROR))
 
     def testify(self, e: int, weight: float) -> None:
@@ -515,6 +514,11 @@
         if self.evidence[e] >= TRIP:
             self.suspend(e, "outcomes", False)
 
+    def on_trial(self, e: int) -> list[Alloc]:
+        """Return our allocations at an executor, without those sent before the end of its last rest."""
+        since = self.out_until[e] or -inf  # guards one that is well against old work that stays silent
+        return [wu.allocs[i] for wu, i in self.own[e] if wu.allocs[i].sent_ms >= since]
+
     def standing(self, e: int) -> bool:
         """Return whether work stands at an executor: nothing heard of any of it though something was due.
 
@@ -522,8 +526,7 @@
         """
         now, sign = self.port.now(), self.sign_ms[e]
         all_free = self.room[e] + 0.5 >= self.slots(e)
-        for wu, i in self.own[e]:
-            a = wu.allocs[i]
+        for a in self.on_trial(e):
             quiet = now - max(sign, a.sent_ms)
             if a.started_ms is None and now - a.sent_ms > 4.0 * self.queue_ms:
                 self.waited(a, inf)
@@ -535,10 +538,7 @@
         return False
 
     def suspend(self, e: int, why: str, lost: bool) -> None:
-        """Let a sick executor rest, and see to what it holds where that seems lost.
-
-        Guards running work against withdrawal where single connections break: it tells its own end.
-        """
+        """Let a sick executor rest, and see to what it holds where that seems lost."""
         now = self.port.now()
         if self.out_until[e] is None or now >= self.out_until[e]:
             held = len(self.own[e])
@@ -548,7 +548,7 @@
             self.wake(e)
             self.rest[e] = min(2.0 * self.rest[e], 8.0 * self.rest_ms)
             self.evidence[e] = TRIP / 2.0
-        if lost:
+        if lost:  # guards what runs against being called back for single breaks: it tells its own end
             self.rescue(e)
 
     def recover(self, e: int) -> None:
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
+from math import inf
 
 import h11
 
 from marlseam.config import Deployment
 from marlseam.core import Event, Probed, Progress, Settled, Started
-from marlseam.interface import Outcome, Report
+from marlseam.interface import Effect, Outcome, Report
 from marlseam.net import protocol
 from marlseam.net.connection import Connection, Ended, Steps, connect
 from marlseam.net.log import Log, Reason
@@ -16,8 +17,11 @@
 
 IDLE_SHARE = 0.7  # of the settings' time, after which an unused connection is closed
 PROBE_SHARE = 2.0  # how long a probe may take, in promised turnarounds of the most urgent project type
+TAKE_SHARE = 1.0  # how long an executor may take to say that it has a job, likewise
+GAP_PERIODS = 2.5  # how long it may say nothing of one that has started, in progress periods
 END_SHARE = 1.0  # how long the end of an answer may take after its last line, likewise
 PROBE_PLACES = 4  # connections to an executor that probes may open beyond those of allocations
+FIRST_LOOK = 0.5  # of a probe's time, after which it is made once more on a new connection
 CUT = (Reason.PEER_CLOSED, Reason.PEER_RESET, Reason.REFUSED)  # what ends one connection, and maybe no other
 FAILED = {  # what a probe's end says of its executor; any other is a break
     Reason.TIMED_OUT: Outcome.TIMED_OUT,
@@ -66,7 +70,12 @@
         self.deployment, self.places = deployment, places
         urgent = min(t.promised_ms for t in deployment.settings.types) or deployment.connect_ms
         self.idle_ms = IDLE_SHARE * deployment.keepalive_ms
-        self.probe_ms, self.end_ms = PROBE_SHARE * urgent, END_SHARE * urgent
+        self.probe_ms, self.end_ms, self.take_ms = (
+            PROBE_SHARE * urgent,
+            END_SHARE * urgent,
+            TAKE_SHARE * urgent,
+        )
+        self.gap_ms = GAP_PERIODS * deployment.settings.progress_ms or inf
 
     # The list.
 
@@ -201,7 +210,7 @@
             request = h11.Request(method="POST", target=job.target, headers=headers)
             yield from connection.message(request, job.body, until)
             written = True
-            answer = yield from connection.answer(until)
+            answer = yield from connection.answer(self.patience(job, until, self.take_ms))
             kept, head = False, Head(answer.headers)
             if answer.status_code == 200:
                 line = yield from self.last_line(connection, order)
@@ -233,17 +242,28 @@
             self.forget(peer)
             tell(Outcome.BROKEN if written else Outcome.VOID)
 
+    def patience(self, job: Job, until_ms: float, silence_ms: float) -> float:
+        """Return until when to wait for an executor's next word.
+
+        Guards against connections that fall silent while their executor goes on. Only exclusive work, which
+        cannot go elsewhere, waits to the end.
+        """
+        if self.deployment.settings.types[job.type].effect is Effect.EXCLUSIVE:
+            return until_ms
+        return min(until_ms, self.loop.now() + silence_ms)
+
     def last_line(self, connection: Connection, order: Order) -> Steps:
         """Read an answer's lines, tell of starts and progress, and return the last one."""
-        lines, names = protocol.Lines(), self.deployment.report_names
+        lines, names, until = protocol.Lines(), self.deployment.report_names, order.until_ms
         while True:
-            event = yield from connection.event(order.until_ms)
+            event = yield from connection.event(until)
             if type(event) is not h11.Data:
                 raise Ended(Reason.PEER_CLOSED)
             for raw in lines.feed(bytes(event.data)):
                 line = protocol.line_from(raw, order.job.id, order.executor, names)
                 if line.end is not None:
                     return line
+                until = self.patience(order.job, order.until_ms, self.gap_ms)
                 if line.started:
                     self.post(Started(order.ref, order.alloc))
                 elif line.share is not None:
@@ -262,9 +282,9 @@
         until = began + self.probe_ms
         try:
             try:
-                outcome, report = yield from self.look(peer, until)
+                outcome, report = yield from self.look(peer, began + FIRST_LOOK * self.probe_ms)
             except Ended as ended:
-                if ended.reason not in CUT:
+                if ended.reason not in (*CUT, Reason.TIMED_OUT):
                     raise
                 # Guards executors against blame for one connection, such as a kept one that they had closed.
                 began = self.loop.now()
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -225,10 +225,11 @@
 # Health.
 
 
-def test_fast_failing_executor_stops_getting_work(make, unit):
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.BROKEN, Outcome.TIMED_OUT])
+def test_fast_failing_executor_stops_getting_work(make, unit, outcome):
     node = make(0.0, 0.0)
     for _ in range(2):
-        unit(node, allocs=((0, None),)).settled(0, Outcome.ERROR, False, None)
+        unit(node, allocs=((0, None),)).settled(0, outcome, False, None)
     assert 0 not in ready(node)
 
 
@@ -484,3 +485,16 @@
     assert 0 not in ready(node) and not node.port.did("cancel")
     node.probed(0, Outcome.TIMED_OUT, 1.0, None)
     assert node.port.did("cancel") == [("cancel", "w0", 0)]
+
+
+def test_an_old_silent_allocation_bars_no_trial(make, unit):
+    node = make(0.0)
+    unit(node, allocs=((0, None),))
+    node.port.clock += 3.0 * node.fresh_ms
+    node.heard_ms[0], node.room[0] = node.port.clock, 4.0
+    assert node.standing(0)
+    node.suspend(0, "test", True)
+    node.port.clock = node.out_until[0] + 3.0 * node.fresh_ms
+    assert ready(node) == [0] and not node.standing(0)
+    unit(node, 1, ((0, None),))
+    assert ready(node) == []
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -282,6 +282,33 @@
     assert not parts.out and not parts.peers["e1"].count
 
 
+@pytest.mark.parametrize(
+    ("begun", "type", "outcome"),
+    [
+        (b"", 0, Outcome.TIMED_OUT),
+        (ANSWER[: ANSWER.index(b"done")], 0, Outcome.TIMED_OUT),
+        (b"", 1, None),
+        (ANSWER[: ANSWER.index(b"\r\n\r\n") + 4], 0, None),
+    ],
+)
+def test_a_connection_that_falls_silent_is_given_up_before_the_limit(executors, until, begun, type, outcome):
+    parts = executors(*filter(None, [begun]), silent=True)
+    parts.take_ms = parts.gap_ms = 5.0
+    now = parts.loop.now()
+    parts.send(Order("1", 0, "e1", replace(JOB, type=type), now + 90000.0, now + 90000.0))
+    parts.loop.at(now + 51.0, lambda: None)
+    until(lambda: parts.loop.now() > now + 50.0)
+    assert outcomes(parts) == ([outcome] if outcome else [])
+
+
+def test_a_probe_looks_again_where_a_connection_falls_silent(executors, until):
+    parts = executors(silent=True)
+    parts.probe_ms = 10.0
+    parts.probe("e1")
+    until(lambda: parts.events)
+    assert len(parts.connections) == 2 and parts.events[0].outcome is Outcome.TIMED_OUT
+
+
 def test_giving_up_closes_the_connection(executors):
     parts = executors(silent=True)
     sent(parts)
