Watches are short in small fleets, so that one that falls silent is missed within seconds

Seen: the log shows 'discovery ended code=timed-out' at 22.4 s for a watch that fell silent at 0.4 s, and allocations to executors that drain and go in between. Line at fault: Discovery.wait_ms was twice the time after which a node must ask (20 s). Now 0.3 times it for up to three nodes, growing with the fleet, so that large ones make no more calls than before. Ruled out: the module's back-off (it asks again 0.1 to 0.3 s after a failure).

--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -18,7 +18,8 @@
 
 CALL_SHARE = 0.2  # how long a call may take beyond its wait, in times after which one must ask
 GAP_MS = 100.0  # least time between two calls of a watch, which goes on for 200 ms without one
-WATCH_SHARE, WATCH_MOST_MS = 2.0, 60000.0  # how long discovery may hold a watch, likewise, and at most
+# How long discovery may hold a watch, likewise: for each node, at least and at most, and in all.
+WATCH_SHARE, WATCH_LEAST, WATCH_MOST, WATCH_MOST_MS = 0.1, 0.3, 2.0, 60000.0
 
 
 class Discovery:
@@ -38,8 +39,11 @@
     def set(self, config: Config) -> None:
         """Note a configuration."""
         self.config = config
-        must_ask = config.deployment.settings.must_ask_ms
-        self.call_ms, self.wait_ms = CALL_SHARE * must_ask, min(WATCH_SHARE * must_ask, WATCH_MOST_MS)
+        settings = config.deployment.settings
+        self.call_ms = CALL_SHARE * settings.must_ask_ms
+        # Guards against a watch that falls silent and is missed for long; large fleets make fewer calls each.
+        share = min(max(WATCH_LEAST, WATCH_SHARE * settings.nodes), WATCH_MOST)
+        self.wait_ms = min(share * settings.must_ask_ms, WATCH_MOST_MS)
 
     def configure(self, config: Config) -> None:
         """Take in a new configuration; the list that is held serves until discovery has told another.
