--- a/marlseam/__main__.py
+++ b/marlseam/__main__.py
@@ -1,6 +1,7 @@
 """The command line of marlseam."""
 
 import gc
+import importlib
 import signal
 import sys
 
@@ -13,8 +14,40 @@
 CONFIG = click.option("--config", "path", help="Configuration file; else the one that EDGE_CONFIG names.")
 
 
+GROUPS = {  # of marlseam/cli: imported only when named, so that a node stays small
+    "experiment": "Run experiments, list and compare them.",
+    "load": "Send load to nodes; write traces.",
+    "standin": "Run parts of the world on loopback.",
+}
+
+
 class Commands(click.Group):
-    """Ends with one message where a command finds the configuration at fault."""
+    """Ends with one message where a command finds the configuration at fault.
+
+    Imports groups when they are named.
+    """
+
+    def list_commands(self, context: click.Context) -> list[str]:
+        """Return the names of all commands."""
+        return sorted([*super().list_commands(context), *GROUPS])
+
+    def get_command(self, context: click.Context, name: str) -> click.Command | None:
+        """Return a command; of a group only its name and help."""
+        return click.Group(name, help=GROUPS[name]) if name in GROUPS else super().get_command(context, name)
+
+    def resolve_command(
+        self, context: click.Context, args: list[str]
+    ) -> tuple[str | None, click.Command | None, list[str]]:
+        """Return the command that is to run, with its group imported."""
+        name, command, rest = super().resolve_command(context, args)
+        if name in GROUPS:
+            try:
+                command = importlib.import_module(f"marlseam.cli.{name}").group
+            except ModuleNotFoundError as error:
+                raise click.ClickException(
+                    f"{name} needs the libraries of the extra 'bench': {error}"
+                ) from None
+        return name, command, rest
 
     def invoke(self, context: click.Context) -> object:
         """Run a command."""
--- /dev/null
+++ b/marlseam/cli/standin.py
@@ -0,0 +1,120 @@
+"""`marlseam standin`: parts of the world on loopback, started by experiments or by hand."""
+
+import json
+from collections.abc import Callable
+from pathlib import Path
+
+import click
+
+from marlseam.cli import common
+
+DAY = click.argument("day", type=click.Path(path_type=Path, exists=True, dir_okay=False))
+SEED = click.option("--seed", default=1, show_default=True, help="Seed of all chance.")
+RECORDS = click.option(
+    "--records", type=click.Path(path_type=Path, file_okay=False, exists=True), help="Folder for records."
+)
+NOW = click.option("--now", is_flag=True, help="Begin at once, and leave standard input alone.")
+
+
+def options(*more: Callable) -> Callable:
+    """Return a decorator with a stand-in's common options and some more."""
+
+    def decorate(command: Callable) -> Callable:
+        for option in (*reversed(more), NOW, RECORDS, SEED, DAY):
+            command = option(command)
+        return command
+
+    return decorate
+
+
+@click.group()
+def group() -> None:
+    """Run parts of the world on loopback: executors, roster, network, load."""
+
+
+@group.command()
+@options(
+    click.option(
+        "--part", default="1/1", show_default=True, help="Which part of the executors, of how many."
+    ),
+    click.option(
+        "--nodelay/--nagle", default=True, show_default=True, help="Whether small writes go out at once."
+    ),
+)
+def executors(day: Path, seed: int, records: Path | None, now: bool, part: str, nodelay: bool) -> None:
+    """Run a day's executors; the ready line holds their addresses."""
+    from marlseam.standin.executors import serve
+
+    serve(common.day(day), seed, records, now, nodelay, part)
+
+
+@group.command()
+@options(
+    click.option(
+        "--dials",
+        type=click.Path(path_type=Path, exists=True),
+        required=True,
+        help="Addresses, by zone, as JSON.",
+    )
+)
+def roster(day: Path, seed: int, records: Path | None, now: bool, dials: Path) -> None:
+    """Run a day's roster; the ready line holds an address for each node."""
+    from marlseam.standin.roster import serve
+
+    serve(common.day(day), seed, json.loads(dials.read_text()), records, now)
+
+
+@group.command()
+@options(
+    click.option(
+        "--addresses",
+        type=click.Path(path_type=Path, exists=True),
+        required=True,
+        help="Executors' addresses as JSON.",
+    )
+)
+def network(day: Path, seed: int, records: Path | None, now: bool, addresses: Path) -> None:
+    """Run the network between zones and executors; the ready line holds the addresses to dial, by zone."""
+    from marlseam.standin.network import serve
+
+    serve(common.day(day), seed, json.loads(addresses.read_text()), records, now)
+
+
+@group.command()
+@options(
+    click.option(
+        "--nodes",
+        type=click.Path(path_type=Path, exists=True),
+        required=True,
+        help="Zone and address by node, as JSON.",
+    ),
+    click.option("--part", default="1/1", show_default=True, help="Which part of the arrivals, of how many."),
+    click.option(
+        "--connections", default=0, show_default=True, help="Most connections at once, 0 for as needed."
+    ),
+)
+def load(
+    day: Path, seed: int, records: Path | None, now: bool, nodes: Path, part: str, connections: int
+) -> None:
+    """Send a day's work units as its clients.
+
+    The ready line is empty, the last one holds what was counted.
+    """
+    from marlseam.load.process import serve
+
+    serve(common.day(day), seed, json.loads(nodes.read_text()), records, now, part, connections)
+
+
+@group.command()
+@click.option(
+    "--stall",
+    "stalls",
+    type=(float, float),
+    multiple=True,
+    help="Stand still: from which second, for how many.",
+)
+def echo(stalls: list[tuple[float, float]]) -> None:
+    """Run a node that completes everything at once; the ready line holds its address."""
+    from marlseam.standin.echo import serve
+
+    serve(list(stalls))
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -201,6 +201,7 @@
     """What one node knows, and the decision module's port."""
 
     node: Node
+    decider: type[Node] = Node  # experiments set baselines here
 
     def __init__(self) -> None:
         self.clock, self.marks = 0.0, 0
@@ -265,7 +266,7 @@
 
     def begin(self, event: Begin) -> None:
         """Make the module's node."""
-        self.node = Node(event.settings, event.seed, self)
+        self.node = self.decider(event.settings, event.seed, self)
 
     def renewed(self, event: Renewed) -> None:
         """Hand new settings on."""
--- /dev/null
+++ b/marlseam/experiment/sockets.py
@@ -0,0 +1,245 @@
+"""The sockets driver: stand-ins, real node processes and generators on loopback, then the judge's records.
+
+Simulated are executors' work, the roster's lag and the network; real are nodes, sockets and time.
+"""
+
+import http.client
+import json
+import select
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from marlseam import records
+from marlseam.experiment.processes import Failed, Process
+from marlseam.net.protocol import READY_PATH
+from marlseam.records import Streams
+from marlseam.world import fleet, plan, troubles
+from marlseam.world.chance import stream
+from marlseam.world.model import Day, nodes, settings
+
+SLACK_MS = 50.0
+LEAD_S = 0.3  # between the begin line and the run's zero
+LOOK_S = 0.05
+TAIL_S = 5.0  # after the longest hard limit
+RESTART_S = 0.05
+Progress = Callable[[float], None]
+
+
+class Sockets:
+    """Plays one day on loopback."""
+
+    def __init__(
+        self,
+        day: Day,
+        seed: int,
+        out: Path,
+        generators: int = 1,
+        connections: int = 0,
+        proxied: bool | None = None,
+        parts: int = 1,
+        profile: Path | None = None,
+    ) -> None:
+        """Make one.
+
+        `proxied` says whether the network stands between, by default where zones are cut or apart.
+        """
+        self.day, self.seed, self.out = day, seed, out
+        self.generators, self.connections, self.parts = generators, connections, parts
+        self.schedule = troubles.schedule(day, seed)
+        cut = any(met.trouble.what == "zone_cut" for met in self.schedule)
+        self.proxied = (cut or len(day.fleet.zones) > 1) if proxied is None else proxied
+        self.profile = profile
+        self.started: list[Process] = []
+        self.nodes: dict[str, Process] = {}
+        self.addresses: dict[str, str] = {}
+        for name in ("records", "logs"):
+            (out / name).mkdir(parents=True, exist_ok=True)
+        for old in (out / "records").glob("*.jsonl"):
+            old.unlink()
+        self.file = out / "day.json"
+        self.file.write_bytes(msgspec.json.encode(day))
+        self.streams = Streams(out / "records", "driver", fleet.rules(day, SLACK_MS))
+        self.cpu_s: dict[str, float] = {}
+
+    def start(self, what: str, *words: str) -> Process:
+        """Start a stand-in."""
+        common = [str(self.file), "--seed", str(self.seed), "--records", str(self.out / "records")]
+        process = Process(["standin", what, *common, *words], self.out / "logs" / f"{what}.log")
+        self.started.append(process)
+        return process
+
+    def node(self, name: str, zone: str, listen: str) -> Process:
+        """Start a node, and return once it says where it listens."""
+        config = {
+            "name": name, "listen": listen, "discovery": self.rosters[name],
+            "seed": f"{int(stream(self.seed, 'node', name, time.monotonic_ns()).integers(1 << 62)):x}",
+            "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": {"seq": 0, "whole": True, "hosts": []}, "settings": settings(self.day, zone),
+        }  # fmt: skip
+        path = self.out / f"{name}.json"
+        path.write_text(json.dumps(config))
+        log = self.out / "logs" / f"{name}.log"
+        before = log.stat().st_size if log.exists() else 0
+        process = Process(["serve", "--config", str(path)], log, profile=self.profile)
+        self.started.append(process)
+        end = time.monotonic() + 30.0
+        while True:
+            with log.open("rb") as file:
+                file.seek(before)
+                text = file.read().decode(errors="replace")
+            if "listens on " in text:
+                self.addresses[name] = text.partition("listens on ")[2].split()[0]
+                return process
+            if process.process.poll() is not None or time.monotonic() > end:
+                raise Failed(f"node {name} did not start: {process.tail()}")
+            time.sleep(0.02)
+
+    def ready(self, name: str) -> None:
+        """Wait until a node says that clients may come."""
+        end, address = time.monotonic() + 20.0, self.addresses[name]
+        while time.monotonic() < end:
+            call = http.client.HTTPConnection(address, timeout=2.0)
+            try:
+                call.request("GET", READY_PATH)
+                if call.getresponse().status == 200:
+                    return
+            except OSError:
+                pass
+            finally:
+                call.close()
+            time.sleep(0.02)
+        raise Failed(f"node {name} was not ready in 20 s")
+
+    def run(self, arrivals: list[plan.Arrival] | None = None, progress: Progress | None = None) -> list[dict]:
+        """Play the day; return what each generator counted. The records lie in the folder `records`."""
+        driver = self.streams.of("driver")
+        try:
+            return self.play(arrivals, driver, progress)
+        finally:
+            for process in reversed(self.started):
+                process.end()
+            self.streams.end(self.now() if hasattr(self, "zero") else 0.0)
+
+    def now(self) -> float:
+        """Return ms since the run's zero."""
+        return (time.monotonic() - self.zero) * 1000.0
+
+    def play(
+        self, arrivals: list[plan.Arrival] | None, driver: records.Writer, progress: Progress | None
+    ) -> list[dict]:
+        """Start all, tell the zero, do what troubles ask of nodes, and wait for the generators."""
+        parts = [self.start("executors", "--part", f"{i + 1}/{self.parts}") for i in range(self.parts)]
+        found = {name: a for part in parts for name, a in part.line()["executors"].items()}
+        stands = list(parts)
+        dials = dict.fromkeys(self.day.fleet.zones, found)
+        if self.proxied:
+            addresses = self.out / "executors.json"
+            addresses.write_text(json.dumps(found))
+            network = self.start("network", "--addresses", str(addresses))
+            dials = network.line()["dials"]
+            stands.append(network)
+        path = self.out / "dials.json"
+        path.write_text(json.dumps(dials))
+        roster = self.start("roster", "--dials", str(path))
+        self.rosters = roster.line()["rosters"]
+        stands.append(roster)
+        for name, zone in nodes(self.day):
+            self.nodes[name] = self.node(name, zone, "127.0.0.1:0")
+        for name in self.nodes:
+            self.ready(name)
+        if arrivals is None:
+            arrivals = plan.make(self.day, self.seed, troubles.surges(self.schedule))
+        path = self.out / "nodes.json"
+        path.write_text(json.dumps({name: (zone, self.addresses[name]) for name, zone in nodes(self.day)}))
+        players = [
+            self.start(
+                "load",
+                "--nodes",
+                str(path),
+                "--part",
+                f"{i + 1}/{self.generators}",
+                "--connections",
+                str(self.connections),
+            )
+            for i in range(self.generators)
+        ]
+        for player in players:
+            player.line()
+        self.zero = time.monotonic() + LEAD_S
+        for process in (*stands, *players):
+            process.begin(self.zero)
+        before = {name: process.cpu_s() for name, process in self.nodes.items()}
+        for name, zone in nodes(self.day):
+            driver.add(records.Node(t=0.0, by="driver", node=name, state="began", zone=zone))
+        self.follow(driver, players, progress)
+        counts = [player.line(TAIL_S) for player in players]
+        self.cpu_s = {
+            name: process.cpu_s() - before.get(name, 0.0)
+            for name, process in self.nodes.items()
+            if process.process.poll() is None
+        }
+        return counts
+
+    def follow(self, driver: records.Writer, players: list[Process], progress: Progress | None) -> None:
+        """Do what the schedule asks of nodes until the generators are done."""
+        steps = []
+        for met in self.schedule:
+            steps.append((met.at, "begin", met, ""))
+            if met.trouble.what.startswith("node_"):
+                steps += [(met.at, met.trouble.what, met, name) for name in met.targets]
+        steps.sort(key=lambda step: step[0])
+        zones = dict(nodes(self.day))
+        back: list[tuple[float, str]] = []
+        end = self.zero + self.day.seconds + max(type.limit_ms for type in self.day.types) / 1000.0 + TAIL_S
+        told = 0.0
+        while any(player.process.poll() is None and not self.spoke(player) for player in players):
+            now = self.now()
+            if time.monotonic() > end:
+                raise Failed("the generators did not end")
+            while steps and steps[0][0] <= now:
+                _, what, met, name = steps.pop(0)
+                if what == "begin":
+                    driver.add(
+                        records.Trouble(
+                            t=now,
+                            by="driver",
+                            kind=met.trouble.what,
+                            until=met.until,
+                            targets=met.targets,
+                            size=met.trouble.size,
+                        )
+                    )
+                elif what == "node_reload":
+                    self.nodes[name].signal(signal.SIGHUP)
+                else:
+                    self.nodes[name].signal(signal.SIGKILL if what == "node_kill" else signal.SIGTERM)
+                    state = "killed" if what == "node_kill" else "closing"
+                    driver.add(records.Node(t=now, by="driver", node=name, state=state, zone=zones[name]))
+                    back.append((now + 1000.0 * RESTART_S, name))
+            for row in [
+                row for row in back if row[0] <= now and self.nodes[row[1]].process.poll() is not None
+            ]:
+                back.remove(row)
+                name = row[1]
+                driver.add(
+                    records.Node(t=self.now(), by="driver", node=name, state="ended", zone=zones[name])
+                )
+                self.nodes[name] = self.node(name, zones[name], self.addresses[name])
+                driver.add(
+                    records.Node(t=self.now(), by="driver", node=name, state="began", zone=zones[name])
+                )
+            for name, process in self.nodes.items():
+                if process.process.poll() is not None and not any(row[1] == name for row in back):
+                    raise Failed(f"node {name} ended by itself: {process.tail()}")
+            if progress is not None and now - told > 500.0:
+                told = now
+                progress(now)
+            time.sleep(LOOK_S)
+
+    def spoke(self, player: Process) -> bool:
+        """Return whether a generator has printed its counts."""
+        return bool(select.select([player.process.stdout], [], [], 0.0)[0])
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -72,7 +72,8 @@
         """Serve until told to end."""
         calls = {signal.SIGTERM: self.close, signal.SIGINT: self.close, signal.SIGHUP: self.reload}
         self.loop.on_signals(calls)
-        self.log.line(f"listens on {self.config.listen[0]}:{self.config.listen[1]}")
+        # As bound: a configured port 0 leaves the choice to the system.
+        self.log.line("listens on {}:{}".format(*self.server.sock.getsockname()[:2]))
         self.loop.run()
         self.busy = True  # nothing is decided any more
         self.executors.close()
--- /dev/null
+++ b/marlseam/world/roster.py
@@ -0,0 +1,58 @@
+"""The roster, pure: a list with versions, learned late; calls worked through in turn; outages.
+
+A driver hands in changes with `change`, and calls with `call`; `news` says what a call that is served brings.
+"""
+
+from math import inf
+from typing import NamedTuple
+
+from marlseam.interface import State
+
+
+class Row(NamedTuple):
+    """One executor as listed."""
+
+    executor: str
+    state: State
+    kind: int
+    zone: int
+    cell: int
+    born_ms: float | None
+
+
+class Roster:
+    """What is listed, by version, and when a call is served."""
+
+    def __init__(self, rows: list[Row], calls_per_s: float, timeout_ms: float) -> None:
+        self.rows = {row.executor: row for row in rows}
+        self.log: list[Row] = list(rows)  # version v is the state after the first v entries
+        self.cost_ms, self.timeout_ms = 1000.0 / calls_per_s, timeout_ms
+        self.busy_until = 0.0
+        self.outages: list[tuple[float, float]] = []
+
+    def version(self) -> int:
+        """Return the newest version."""
+        return len(self.log)
+
+    def change(self, row: Row) -> None:
+        """List a change."""
+        self.rows[row.executor] = row
+        self.log.append(row)
+
+    def out(self, now: float) -> float:
+        """Return until when the roster is down, or minus infinity."""
+        return max((b for a, b in self.outages if a <= now < b), default=-inf)
+
+    def call(self, now: float) -> float | None:
+        """Take a call; return when it is served, or None where it fails: down, or too long a line."""
+        if self.out(now) > now:
+            return None
+        self.busy_until = max(self.busy_until, now) + self.cost_ms
+        return None if self.busy_until - now > self.timeout_ms else self.busy_until
+
+    def news(self, since: int) -> tuple[bool, list[Row]]:
+        """Return whether the answer is the whole list, and its rows: what changed since, last state only."""
+        if since <= 0 or since > len(self.log):
+            return True, [row for row in self.rows.values() if row.state is not State.GONE]
+        changed = dict.fromkeys(row.executor for row in self.log[since:])
+        return False, [self.rows[name] for name in changed]
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,247 @@
+"""The judge can fail.
+
+A dispatcher that breaks a rule is caught by name, and records with holes are not judged.
+"""
+
+import msgspec
+import pytest
+from worlds import day, played
+
+from marlseam import records
+from marlseam.core import Core
+from marlseam.interface import Effect, Outcome
+from marlseam.judge.book import Book
+from marlseam.judge.rules import judge
+from marlseam.judge.service import figures
+from marlseam.logic import Handle, Node
+from marlseam.records import Answered, Asked, Begin, End, Tried
+
+
+def dispatcher(handle, **node):
+    """Return a maker of reducers with another handle, and other methods of the node."""
+
+    class Wrong(Node):
+        def take(self, work):
+            wu = handle(self, work)
+            self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
+            wu.place()
+            return wu
+
+    for name, method in node.items():
+        setattr(Wrong, name, method)
+
+    class WrongCore(Core):
+        decider = Wrong
+
+    return WrongCore
+
+
+class Mute(Handle):
+    """Gives no answer to what it gives up."""
+
+    def answer(self):
+        self.done = True
+
+
+class Twice(Handle):
+    """Sends receipted work on to anybody once it has run anywhere."""
+
+    def fits(self, e):
+        return True
+
+    def may_send(self):
+        return not self.done and len(self.allocs) < 3
+
+    def settled(self, alloc, outcome, final, report):
+        super().settled(
+            alloc, Outcome.ERROR if self.type.effect is Effect.RECEIPTED else outcome, False, report
+        )
+
+
+class Copies(Handle):
+    """Sends each work unit to two executors at once."""
+
+    def may_send(self):
+        return not self.done and len(self.allocs) < 2
+
+    def send(self, e):
+        super().send(e)
+        if len(self.allocs) == 1:
+            super().send((e + 1) % len(self.node.state))
+
+
+class Late(Handle):
+    """Goes on sending what is answered."""
+
+    def left(self):
+        super().left()
+        if self.allocs and len(self.allocs) < 3:
+            self.done = False
+            self.send((self.allocs[-1].executor + 1) % len(self.node.state))
+            self.done = True
+
+
+def always(self, *_):
+    return True
+
+
+def nothing(self, *_):
+    return None
+
+
+def deaf(node, listing, members):
+    """Hear of the first list alone."""
+    if not node.near and not node.far:
+        Node.roster(node, listing, members)
+
+
+CRASH = {"what": "crash", "at_s": 3, "for_s": 2, "share": 0.4}
+DRAIN = {"what": "shrink", "at_s": 2, "for_s": 8, "share": 0.4}
+WRONG = {
+    "mute": ("one answer", dispatcher(Mute), {"rate": 60.0}),
+    "late": ("one answer", dispatcher(Late), {}),
+    "twice": ("no effect twice", dispatcher(Twice), {}),
+    "copies": ("no effect twice", dispatcher(Copies), {}),
+    "deaf": ("drains kept", dispatcher(Handle, roster=deaf), {"troubles": [DRAIN]}),
+    "rash": ("cold spared", dispatcher(Handle, warm=always, cost=lambda self, work: 0.0, in_time=always), {
+        "troubles": [CRASH], "rate": 40.0, "rules": {"fall_multiple": 0.7, "fall_ms": 2000.0},
+    }),
+}  # fmt: skip
+
+
+@pytest.mark.parametrize("name", WRONG)
+def test_a_dispatcher_that_breaks_a_rule_is_caught_by_name(name):
+    rule, core, changes = WRONG[name]
+    assert not played(day(**changes))[0].broken
+    verdict, book, _, _ = played(day(**changes), make_core=core)
+    broken = {r.name: r.broken for r in verdict.rules}
+    assert verdict.judged and broken[rule], {name: rows[:2] for name, rows in broken.items()}
+    who, what = broken[rule][0]
+    assert what and (book.story(who) or who in book.took or any(t.by == who for t in book.records))
+
+
+# Records as such.
+
+
+def run(*rows):
+    """Return whole streams that hold some records: of clients, and empty ones of the others."""
+    found = []
+    for system in ("clients", "executors", "roster", "driver"):
+        mine = [r for r in rows if r.by == system]
+        rules = {"slack_ms": 10.0, "grace_ms": 100.0, "effects": {"t": ("exclusive", "cell")}}
+        stream = [Begin(t=0.0, by=system, system=system, rules=rules if system == "driver" else {}), *mine]
+        stream.append(End(t=99.0, by=system))
+        for n, record in enumerate(stream, 1):
+            record.n = n
+        found += stream
+    return found
+
+
+def tried(id="a", first="a", number=0, t=0.0, **more):
+    values = {"node": "n0", "zone": "z", "type": "t", "intended": 0.0, "expires": 1000.0, "promised": 100.0}
+    return Tried(
+        t=t, by="clients", id=id, first=first, number=number, credit=2.0, late_credit=0.5, **values | more
+    )
+
+
+def answered(t, how="completed", id="a"):
+    return Answered(t=t, by="clients", id=id, how=how)
+
+
+def rules(*rows):
+    verdict, book = judge(run(*rows))
+    assert verdict.judged
+    return {rule.name: rule for rule in verdict.rules}, book
+
+
+@pytest.mark.parametrize("spoil", ["number", "begin", "end", "system", "line"])
+def test_records_with_holes_are_not_judged(spoil):
+    found = run(tried(), answered(50.0))
+    wrong = ["clients.jsonl: line 3: odd"] if spoil == "line" else []
+    match spoil:
+        case "number":
+            found = [r for r in found if not isinstance(r, Answered)]
+        case "begin":
+            del found[0]
+        case "end":
+            found = [r for r in found if not (isinstance(r, End) and r.by == "clients")]
+        case "system":
+            found = [r for r in found if r.by != "roster"]
+    verdict, _ = judge(found, wrong)
+    assert not verdict.judged and not verdict.rules and verdict.missing
+
+
+@pytest.mark.parametrize(
+    ("ends", "what"),
+    [
+        ([], "no answer"), ([answered(50.0, "lost")], "ended without"),
+        ([answered(1020.0)], "after its"),
+        ([answered(50.0), answered(60.0, "aborted")], "2 final answers"),
+        ([records.Quit(t=1010.0, by="clients", id="a")], "no answer"),
+    ],
+)  # fmt: skip
+def test_a_work_unit_without_its_one_answer_in_time_breaks_the_first_rule(ends, what):
+    found, _ = rules(tried(), *ends)
+    assert [who for who, _ in found["one answer"].broken] == ["a"] and what in found["one answer"].broken[0][
+        1
+    ]
+
+
+@pytest.mark.parametrize(
+    "ends",
+    [
+        [answered(1005.0)], [answered(0.0, "unsent")],
+        [records.Quit(t=90.0, by="clients", id="a", early=True)],
+        [answered(50.0, "lost"), records.Node(t=48.0, by="driver", node="n0", state="killed")],
+    ],
+)  # fmt: skip
+def test_what_is_no_breach_of_the_first_rule(ends):
+    assert not rules(tried(), *ends)[0]["one answer"].broken
+
+
+def ran(t, by, id="a"):
+    return [
+        records.Took(t=t, by="executors", id=id), records.Ran(t=t, by="executors", id=id),
+        records.Ended(t=t + 1.0, by="executors", id=id, how="done"),
+    ]  # fmt: skip
+
+
+def test_an_exclusive_effect_counts_over_all_tries_and_bars_a_deferral():
+    found, book = rules(
+        tried(), *ran(1.0, "e"), answered(5.0, "deferred"), tried("a.1", "a", 1, 10.0),
+        *ran(12.0, "e", "a.1"),
+        answered(20.0, id="a.1"),
+    )  # fmt: skip
+    texts = [what for _, what in found["no effect twice"].broken]
+    assert any("2 effects" in text for text in texts) and any("deferred though" in text for text in texts)
+    assert len(book.story("a")) == 10
+
+
+def test_a_send_after_the_grace_breaks_the_third_rule_until_it_is_ready_again():
+    told = [
+        records.Told(t=t, by="roster", node="n0", executor="executors", state=state)
+        for t, state in ((10.0, "draining"), (400.0, "ready"))
+    ]
+    for sent, broken in ((100.0, False), (300.0, True), (500.0, False)):
+        found, _ = rules(tried(), *told, records.Took(t=sent, by="executors", id="a"), answered(600.0))
+        assert bool(found["drains kept"].broken) == broken
+
+
+def test_service_counts_retries_with_their_first_try_from_the_intended_send():
+    rows = run(
+        tried(intended=0.0, t=30.0), answered(40.0, "deferred"), tried("a.1", "a", 1, 60.0),
+        answered(90.0, id="a.1"),
+        tried("b", "b", intended=0.0, t=50.0), answered(130.0, id="b"), tried("c", "c"),
+        answered(50.0, "aborted", "c"),
+        Asked(t=1.0, by="executors"),
+    )  # fmt: skip
+    found = figures(Book(rows))
+    assert (found["work_units"], found["tries"]) == (3.0, 4.0)
+    assert found["service"] == pytest.approx(2.0 / 6.0) and found["late"] == pytest.approx(1.0 / 6.0)
+    assert found["latency_max"] == 130.0 and found["aborted"] == 1.0
+
+
+def test_an_odd_line_is_told_with_its_number(tmp_path):
+    (tmp_path / "x.jsonl").write_bytes(msgspec.json.encode(Begin(t=0.0, by="x", n=1)) + b"\nnonsense\n")
+    _, wrong = records.read_folder(tmp_path)
+    assert len(wrong) == 1 and "line 2" in wrong[0]
