--- a/marlseam/cli/experiment.py
+++ b/marlseam/cli/experiment.py
@@ -41,10 +41,11 @@
 
     Ends with 0 if all that it expects holds, 1 if a rule or an expectation does not, 2 if the file is wrong.
     """
-    from marlseam.experiment import file, measures, plays  # noqa: F401 - measures registers its plays
+    from marlseam.experiment import file, measures, plays
     from marlseam.experiment.processes import Failed
     from marlseam.load.trace import BadTrace
 
+    measures.register()
     try:
         experiment = file.load(path)
         changes = {
@@ -107,8 +108,9 @@
 @click.argument("folder", type=FOLDER, default=Path("experiments"))
 def list(folder: Path) -> None:  # noqa: A001 - the command's name
     """List the experiments of a folder."""
-    from marlseam.experiment import file
+    from marlseam.experiment import file, measures
 
+    measures.register()
     for path in sorted(folder.glob("*.toml")):
         try:
             head = file.load(path).head
--- a/marlseam/experiment/report.py
+++ b/marlseam/experiment/report.py
@@ -9,7 +9,8 @@
 from marlseam.judge.service import turnarounds
 from marlseam.records import Took, Trouble
 
-WIDTH, HEIGHT, LEFT, BOTTOM, TOP = 940, 240, 64, 26, 14
+WIDTH, HEIGHT, LEFT, BOTTOM, TOP = 940, 270, 64, 26, 52
+LANES = 4  # of the names of troubles, above a chart
 STYLE = """
 :root { color-scheme: light dark; --ink:#1d2430; --dim:#667085; --line:#d7dce5; --bg:#fbfcfe; --card:#fff;
   --a:#2563eb; --b:#d97706; --c:#dc2626; --d:#059669; --band:#f59e0b33; }
@@ -39,9 +40,10 @@
 
     def __init__(self, seconds: float, low: float, high: float, log: bool = False) -> None:
         self.seconds, self.log = max(seconds, 1e-9), log
-        self.low, self.high = (
-            (log10(low), log10(max(high, low * 10.0))) if log else (low, max(high, low + 1e-9))
-        )
+        if log:
+            self.low, self.high = float(np.floor(log10(low))), float(np.ceil(log10(max(high, 2.0 * low))))
+        else:
+            self.low, self.high = low, max(high, low + 1e-9)
         self.parts: list[str] = []
         self.axes()
 
@@ -58,7 +60,7 @@
     def axes(self) -> None:
         """Draw the grid and its figures."""
         if self.log:
-            marks = [10.0**p for p in range(int(np.floor(self.low)), int(np.ceil(self.high)) + 1)]
+            marks = [10.0**p for p in range(int(self.low), int(self.high) + 1)]
         else:
             marks = [self.low + (self.high - self.low) * i / 4.0 for i in range(5)]
         for mark in marks:
@@ -75,13 +77,12 @@
         """Draw troubles."""
         for i, trouble in enumerate(troubles):
             a, b = self.x(trouble.t / 1000.0), self.x(trouble.until / 1000.0)
-            shown = trouble.kind.replace("_", " ") + (
-                f" {', '.join(trouble.targets[:4])}" if trouble.targets else ""
-            )
+            name = trouble.kind.replace("_", " ")
+            shown = escape(f"{name} {', '.join(trouble.targets)}".strip())
             self.parts.append(
                 f'<rect x="{a:.1f}" y="{TOP}" width="{max(2.0, b - a):.1f}" height="{HEIGHT - BOTTOM - TOP}" '
-                f'fill="var(--band)"><title>{escape(shown)}</title></rect>'
-                f'<text x="{a + 3:.1f}" y="{TOP + 11 + 12 * (i % 4)}">{escape(shown)}</text>'
+                f'fill="var(--band)"><title>{shown}</title></rect>'
+                f'<text x="{a:.1f}" y="{12 + 12 * (i % LANES)}">{escape(name)}<title>{shown}</title></text>'
             )
 
     def line(self, xs: np.ndarray, ys: np.ndarray, colour: str) -> None:
--- a/marlseam/standin/echo.py
+++ b/marlseam/standin/echo.py
@@ -18,8 +18,8 @@
 class Protocol(asyncio.Protocol):
     """One connection."""
 
-    def __init__(self) -> None:
-        self.id = b""
+    def __init__(self, stalls: list[tuple[float, float]]) -> None:
+        self.id, self.stalls = b"", stalls
         self.parser = httptools.HttpRequestParser(self)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
@@ -39,15 +39,21 @@
             self.id = value
 
     def on_message_complete(self) -> None:
-        """Answer."""
+        """Answer; a stall that is due comes before it, and the whole process stands still."""
+        if self.stalls and time.monotonic() >= self.stalls[0][0]:
+            time.sleep(self.stalls.pop(0)[1])
         body = self.id + b" by echo"
         self.transport.write(ANSWER % (len(body), body))
 
 
 async def run(stalls: list[tuple[float, float]]) -> None:
-    """Serve until SIGTERM or the end of standard input, stalling for (at s, for s) from the begin line on."""
-    loop, over = asyncio.get_running_loop(), asyncio.Event()
-    server = await loop.create_server(Protocol, "127.0.0.1", 0, backlog=1024)
+    """Serve until SIGTERM or the end of standard input.
+
+    A stall (at s, for s) begins with the first work unit from its time on, counted from the begin line's
+    zero.
+    """
+    loop, over, ahead = asyncio.get_running_loop(), asyncio.Event(), list[tuple[float, float]]()
+    server = await loop.create_server(lambda: Protocol(ahead), "127.0.0.1", 0, backlog=1024)
     host, port = server.sockets[0].getsockname()
     loop.add_signal_handler(signal.SIGTERM, over.set)
     text = b""
@@ -60,9 +66,7 @@
             over.set()
         elif text.endswith(b"\n"):
             zero = json.loads(text)["zero"]
-            for at, length in stalls:
-                # The whole process stands still, as one does that swaps or is stopped.
-                loop.call_later(max(0.0, zero + at - time.monotonic()), time.sleep, length)
+            ahead.extend((zero + at, length) for at, length in sorted(stalls))
 
     loop.add_reader(sys.stdin.fileno(), line)
     print(json.dumps({"node": f"{host}:{port}"}), flush=True)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -135,3 +135,11 @@
     before = load(write(), {}).deployment
     after = deployment_from(OPTIONS | {"requestClasses": OPTIONS["requestClasses"][1:]}, before=before)
     assert min(range(2), key=lambda i: after.settings.types[i].promised_ms) == 1
+
+
+def test_a_node_loads_nothing_of_the_bench():
+    script = "import sys, marlseam.__main__; print(*{name.partition('.')[0] for name in sys.modules})"
+    loaded = subprocess.run(
+        [sys.executable, "-c", script], capture_output=True, text=True, check=True
+    ).stdout.split()
+    assert "h11" in loaded and not {"numpy", "msgspec", "hdrh", "httptools", "asyncio"} & set(loaded)
--- /dev/null
+++ b/tests/test_experiment.py
@@ -0,0 +1,146 @@
+"""Experiment files, exit codes, comparisons, reports and baselines."""
+
+import json
+from pathlib import Path
+
+import pytest
+from click.testing import CliRunner
+from worlds import KINDS, TYPES, day, played
+
+from marlseam.__main__ import main
+from marlseam.experiment import compare, file, measures, plays
+from marlseam.experiment.policies import POLICIES
+
+DAY = {
+    "seconds": 4, "fleet": {"zones": ["east"], "nodes": 2, "kinds": KINDS}, "types": TYPES,
+    "load": {"rate": 20}, "troubles": [{"what": "slow", "at_s": 1}],
+}  # fmt: skip
+
+
+def data(**more):
+    return {"name": "x", "driver": "virtual", "day": DAY} | more
+
+
+@pytest.mark.parametrize(
+    ("values", "text"),
+    [
+        (data(sed=1), "sed: no such key, the nearest is seed"),
+        (data(day=DAY | {"laod": {}}), "day.laod: no such key, the nearest is load"),
+        (data(day=DAY | {"load": {"rat": 2}}), "day.load.rat: no such key, the nearest is rate"),
+        (data(day=DAY | {"types": [TYPES[0] | {"efect": "x"}]}), r"day.types\[0\].efect: .*effect"),
+        (data(day=DAY | {"load": {"rate": -1}}), "day.load.rate: expected"),
+        (data(day=DAY | {"types": [TYPES[0] | {"effect": "x"}]}), r"day.types\[0\].effect: invalid"),
+        (data(day=DAY | {"types": []}), "day.types: expected"),
+        (data(day=DAY | {"types": [TYPES[0], TYPES[0]]}), "day.types: a name comes twice"),
+        (data(day=DAY | {"troubles": [{"what": "slow", "at_s": 9}]}), r"day.troubles\[0\].at_s"),
+        (data(day=DAY | {"troubles": [{"what": "errors", "at_s": 1, "type": "lokup"}]}), "nearest is lookup"),
+        (data(day=DAY | {"load": {"shape": "trace"}}), "day.load.trace: missing"),
+        (data(day=DAY | {"types": [TYPES[0] | {"slots": [1] * 9}]}), r"day.types\[0\].slots"),
+        (data(expect={"service": {"leest": 1}}), "expect.service.leest: no such key, the nearest is least"),
+    ],
+)
+def test_each_wrong_key_is_named(values, text):
+    with pytest.raises(file.FileError, match=text):
+        file.read(values)
+
+
+def test_all_unknown_keys_are_told_at_once():
+    with pytest.raises(file.FileError) as error:
+        file.read(data(sed=1, day=DAY | {"laod": {}, "fleet": DAY["fleet"] | {"nods": 3}}))
+    assert len(str(error.value).split("\n")) == 3
+
+
+HEAD = """name = "x"
+driver = "virtual"
+play = "{play}"
+[day]
+seconds = 4
+fleet = {{ zones = ["east"], nodes = 2, kinds = [{{ name = "k", executors = 4 }}] }}
+types = [{{ name = "lookup", share = 1, work_ms = 100, promised_ms = 200, limit_ms = 5000 }}]
+load = {{ rate = 20 }}
+{more}
+"""
+
+
+@pytest.fixture
+def run(tmp_path):
+    """Return a function that runs an experiment file by the command line."""
+
+    def call(more="", play="day", text=None):
+        path = tmp_path / "x.toml"
+        path.write_text(text if text is not None else HEAD.format(play=play, more=more))
+        out = tmp_path / f"out-{len(list(tmp_path.iterdir()))}"
+        return CliRunner().invoke(main, ["experiment", "run", str(path), "--out", str(out)]), out
+
+    return call
+
+
+@pytest.mark.parametrize(
+    ("more", "code", "text"),
+    [
+        ("[expect]\nservice = { least = 0.9 }\nrules_broken = { most = 0 }", 0, "holds"),
+        ("[expect]\nservice = { least = 1.1 }", 1, "missed: service: expected at least 1.1, seen"),
+        ("[expect]\nservise = { least = 0.9 }", 2, "expect.servise: no such figure, the nearest is service"),
+        ("[days]", 2, "days: no such key, the nearest is day"),
+    ],
+)
+def test_the_exit_code_says_what_came_of_it(run, more, code, text):
+    result, out = run(more)
+    assert result.exit_code == code and text in result.output
+    if code < 2:
+        summary = json.loads((out / "summary.json").read_text())
+        assert summary["code"] == code and summary["versions"]["numpy"] and summary["seed"] == 1
+
+
+@pytest.mark.parametrize(("play", "text"), [("dya", "play: 'dya' is none, the nearest is day"), ('day"', "")])
+def test_a_wrong_play_or_a_file_that_is_no_toml_ends_with_2(run, play, text):
+    result, _ = run(play=play)
+    assert result.exit_code == 2 and text in result.output and "Traceback" not in result.output
+
+
+def test_the_report_stands_alone_and_shows_what_happened(run):
+    _, out = run('[[day.troubles]]\nwhat = "slow"\nat_s = 1')
+    page = (out / "report.html").read_text()
+    assert "prefers-color-scheme: dark" in page and "://" not in page and "src=" not in page
+    for part in ("Arrivals and answers", "Latency from the intended send", "slow", "one answer", "<svg"):
+        assert part in page
+
+
+def test_runs_compare_paired_and_the_same_run_is_within_noise(run):
+    _, one = run()
+    _, two = run('[[day.troubles]]\nwhat = "slow"\nat_s = 0\nfor_s = 4\nshare = 1.0\nsize = 30')
+    same, paired = compare.differences(one, one)
+    assert paired and all(d.noise for d in same)
+    found, paired = compare.differences(one, two)
+    worse = {d.name: d for d in found}["service"]
+    assert paired and worse.b < worse.a and not worse.noise
+    assert "differs" in compare.text(one, two)
+    with pytest.raises(compare.Unlike):
+        compare.differences(one, one.parent)
+
+
+@pytest.mark.parametrize("name", POLICIES)
+def test_baselines_keep_the_rules_in_the_same_world(name):
+    verdict, _, figures, _ = played(day(seconds=8.0, rate=15.0), make_core=POLICIES[name])
+    assert verdict.judged and not verdict.broken and figures["service"] > 0.4
+
+
+FILES = sorted((Path(__file__).parent.parent / "experiments").glob("*.toml"))
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_the_experiments_of_the_project_read_and_their_days_keep_the_rules(path):
+    measures.register()
+    experiment = file.load(path)
+    assert experiment.head.name == path.stem and experiment.head.play in plays.PLAYS
+    if experiment.head.play == "policies":
+        found = measures.one_run(experiment.day, experiment.head.seed, "marlseam")
+        assert found["judged"] and not found["rules_broken"] and found["none"] == 0.0
+
+
+def test_a_day_whose_records_have_holes_ends_with_1(run, monkeypatch):
+    from marlseam import records
+
+    monkeypatch.setattr(records.Writer, "end", lambda self, t: self.file.flush())
+    result, _ = run()
+    assert result.exit_code == 1 and "not judged" in result.output
