--- a/marlseam/__main__.py
+++ b/marlseam/__main__.py
@@ -14,10 +14,12 @@
 CONFIG = click.option("--config", "path", help="Configuration file; else the one that EDGE_CONFIG names.")
 
 
+OWN = click.option("--settings", "own", help="The operator's own settings, else by MARLSEAM_SETTINGS.")
 GROUPS = {  # of marlseam/cli: imported only when named, so that a node stays small
     "experiment": "Run experiments, list and compare them.",
     "load": "Send load to nodes; write traces.",
     "standin": "Run parts of the world on loopback.",
+    "state": "Show, verify and export a node's state folder.",
 }
 
 
@@ -44,9 +46,8 @@
             try:
                 command = importlib.import_module(f"marlseam.cli.{name}").group
             except ModuleNotFoundError as error:
-                raise click.ClickException(
-                    f"{name} needs the libraries of the extra 'bench': {error}"
-                ) from None
+                text = f"{name} needs libraries of requirements-bench.txt: {error}"
+                raise click.ClickException(text) from None
         return name, command, rest
 
     def invoke(self, context: click.Context) -> object:
@@ -65,20 +66,24 @@
 
 @main.command()
 @CONFIG
-def serve(path: str | None) -> None:
+@OWN
+def serve(path: str | None, own: str | None) -> None:
     """Run one node until SIGTERM; SIGHUP has it read its configuration anew."""
     # What comes before the node can tell them apart waits: a SIGHUP would end the process meanwhile.
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGTERM, signal.SIGINT))
-    node = Node(configuration.load(path))
+    node = Node(configuration.load(path, own=own))
     gc.freeze()
     node.run()
 
 
 @main.command()
 @CONFIG
-def check(path: str | None) -> None:
-    """Read a configuration and say what it holds."""
-    config = configuration.load(path)
+@OWN
+def check(path: str | None, own: str | None) -> None:
+    """Read a configuration and say what it holds; a state folder is tried."""
+    config = configuration.load(path, own=own)
+    if config.store is not None:
+        importlib.import_module("marlseam.store.check").test(config.store, config.name)
     deployment = config.deployment
     print(f"{config.name} listens on {config.listen[0]}:{config.listen[1]}", end=", ")
     print(f"{len(deployment.types)} project types, {len(deployment.kinds)} kinds: good")
--- /dev/null
+++ b/marlseam/cli/state.py
@@ -0,0 +1,70 @@
+"""`marlseam state`: what a node's state folder holds."""
+
+import json
+import time
+from pathlib import Path
+
+import click
+
+from marlseam.store.folder import Disk, Finding, Folder, code_of
+from marlseam.store.state import State
+
+FOLDER = click.argument("folder", type=click.Path(path_type=Path, file_okay=False))
+
+
+@click.group()
+def group() -> None:
+    """Show, verify and export a node's state folder; nothing in it is changed."""
+
+
+def read(folder: Path) -> tuple[State, list[Finding]]:
+    """Read a folder, of whatever node it is."""
+    held = Folder(Disk(folder), None)
+    try:
+        return held.load(time.time() * 1000.0, change=False), held.findings
+    except OSError as error:
+        raise click.ClickException(f"{folder}: {code_of(error)}: {error.strerror}") from None
+
+
+@group.command()
+@FOLDER
+def show(folder: Path) -> None:
+    """Say what is there, in a few lines."""
+    state, findings = read(folder)
+    now = time.time() * 1000.0
+    if state.listed is None:
+        click.echo("no list of executors")
+    else:
+        age = (now - state.listed.heard_ms) / 1000.0
+        click.echo(
+            f"{len(state.listed.rows)} executors, version {state.listed.version}, confirmed {age:.0f} s ago"
+        )
+    last = max((row.until_ms for rows in state.sent.values() for row in rows), default=now)
+    left = max(0.0, last - now) / 1000.0
+    click.echo(f"{len(state.sent)} keys that may have run, the last forgotten in {left:.0f} s")
+    hours = state.turnover.lived_ms / 3.6e6
+    click.echo(f"{state.turnover.departures:.0f} departures in {hours:.1f} executor hours")
+    for finding in findings:
+        click.echo(f"{finding.name} code={finding.code}: {finding.text}")
+
+
+@group.command()
+@FOLDER
+def verify(folder: Path) -> None:
+    """Read everything; ends with 1 if anything could not be used."""
+    _, findings = read(folder)
+    for finding in findings:
+        click.echo(f"{finding.name} code={finding.code}: {finding.text}")
+    if findings:
+        raise SystemExit(1)
+    click.echo("all of it can be read")
+
+
+@group.command()
+@FOLDER
+def export(folder: Path) -> None:
+    """Print the state as JSON, one entry a line."""
+    state, _ = read(folder)
+    for entry in state.entries():
+        row = {name: getattr(entry, name) for name in entry.__struct_fields__}
+        click.echo(json.dumps({"entry": type(entry).__name__.lower(), **row}))
--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import tomllib
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -20,6 +21,7 @@
 REPORT_NAMES = {"outstanding": "held", "inflight": "held", "backlog": "queued", "queue": "queued"}
 FILE = "EDGE_CONFIG"
 OWN = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
+OWN_FILE = "MARLSEAM_SETTINGS"
 REQUIRED = object()
 
 
@@ -46,6 +48,18 @@
     connect_ms: float
 
 
+@dataclass(frozen=True)
+class StoreSettings:
+    """Where and how a node keeps its state."""
+
+    folder: str
+    sync: (
+        str  # durable: on the disk before work goes out; written: with the system, which a killed node needs
+    )
+    journal_mb: float  # at which the journal is replaced by a snapshot
+    wait_ms: float  # how long work waits for the disk
+
+
 @dataclass(frozen=True)
 class Config:
     """A real node's configuration."""
@@ -61,6 +75,8 @@
     sockets: int
     known: dict[str, Any]
     deployment: Deployment
+    store: StoreSettings | None = None
+    settings_path: str | None = None
 
 
 class Table:
@@ -253,7 +269,39 @@
     return (host, int(port)) if fits else None
 
 
-def load(path: str | None, env: Mapping[str, str] = os.environ, before: Config | None = None) -> Config:
+def own_settings(path: str | None) -> StoreSettings | None:
+    """Read the operator's own settings, a table a subsystem; what has no table is off."""
+    if path is None:
+        return None
+    try:
+        values = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        raise ConfigError(OWN_FILE, path, f"a readable TOML file ({error})") from None
+    known = {"store": ("folder", "sync", "journal_mb", "wait_ms")}
+    for name, table in values.items():
+        if name not in known:
+            raise ConfigError(name, table, "one of " + ", ".join(known))
+        for key in Table(table, name).values:
+            if key not in known[name]:
+                raise ConfigError(f"{name}.{key}", table[key], "one of " + ", ".join(known[name]))
+    if "store" not in values:
+        return None
+    store = Table(values["store"], "store")
+    sync = {"durable": "durable", "written": "written"}
+    return StoreSettings(
+        folder=store.text("folder"),
+        sync=store.word("sync", sync, "durable"),
+        journal_mb=store.number("journal_mb", 8.0, least=0.01),
+        wait_ms=store.number("wait_ms", 200.0),
+    )
+
+
+def load(
+    path: str | None,
+    env: Mapping[str, str] = os.environ,
+    before: Config | None = None,
+    own: str | None = None,
+) -> Config:
     """Read a node's configuration from its file; at the start the environment's own variables go before it.
 
     In service the file has the last word: what it newly says holds, and the rest stays as it was before. The
@@ -273,6 +321,7 @@
         number = int(seed, 16)
     except ValueError:
         raise ConfigError("seed", seed, "a hexadecimal number") from None
+    own = own or env.get(OWN_FILE) or (before.settings_path if before else None)
     settings = top.table("settings")
     if not settings.tables("requestClasses"):
         raise ConfigError("settings.requestClasses", [], "one project type at least")
@@ -296,4 +345,6 @@
         sockets=int(limits.number("sockets", 1024.0, least=1.0)),
         known=dict(top.table("known", {}).values),
         deployment=deployment_from(settings.values, before=before.deployment if before else None),
+        store=own_settings(own),
+        settings_path=own,
     )
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -9,9 +9,13 @@
 from math import inf
 from typing import NamedTuple
 
+from marlseam.interface import Effect as Repeat
 from marlseam.interface import Listing, Member, Outcome, Report, Settings, State, WorkUnit
 from marlseam.logic import Handle, Node
+from marlseam.recovery.receipts import Receipts, Trace
 
+RERUNNABLE, RECEIPTED = Repeat.RERUNNABLE, Repeat.RECEIPTED
+KEYS_MOST = 20000  # keys of work that may have run; a new one past that is deferred
 FORGET = 60.0  # how long an executor must be gone to be forgotten, in times after which one must ask
 
 
@@ -43,10 +47,17 @@
 
 
 class Roster(NamedTuple):
-    """The roster's news."""
+    """The roster's news; doubt is the chance that an entry of an old list is no longer true."""
 
     listing: Listing
     entries: list[Entry]
+    doubt: float = 0.0
+
+
+class Recalled(NamedTuple):
+    """What may have run before the node started: sendings by key."""
+
+    traces: list[tuple[str, Trace]]
 
 
 class Arrival(NamedTuple):
@@ -119,6 +130,7 @@
     Begin
     | Renewed
     | Roster
+    | Recalled
     | Arrival
     | Settled
     | Started
@@ -184,6 +196,22 @@
     delay_ms: float
 
 
+class Remember(NamedTuple):
+    """A keyed work unit is about to be sent: it may have run from then on."""
+
+    ref: str
+    key: str
+    trace: Trace
+
+
+class Forget(NamedTuple):
+    """A sending of a keyed work unit provably never ran."""
+
+    key: str
+    executor: str
+    sent_ms: float
+
+
 class Watch(NamedTuple):
     """Ask the roster for its list and its changes."""
 
@@ -194,7 +222,7 @@
     text: str
 
 
-Effect = Send | Cancel | Complete | Defer | Abort | Probe | Timer | Watch | Log
+Effect = Send | Cancel | Complete | Defer | Abort | Probe | Timer | Remember | Forget | Watch | Log
 
 
 class Core:
@@ -209,6 +237,7 @@
         self.index: dict[str, int] = {}
         self.names: list[str] = []
         self.open: dict[str, Handle] = {}
+        self.receipts = Receipts(KEYS_MOST)
         self.timers: dict[int, Callable[[], None]] = {}
         self.closes_ms = inf  # by when all must be answered
         # Indices of forgotten executors, for reuse; since when executors are off the roster.
@@ -229,7 +258,13 @@
         return self.clock
 
     def send(self, wu: Handle, executor: int, limit_ms: float) -> None:
-        """Send a work unit to an executor."""
+        """Send a work unit to an executor; under a key it is noted first, with the pod that it may run on."""
+        key, node, type = wu.work.receipt, self.node, self.node.types[wu.work.type]
+        if key is not None and type.effect is not RERUNNABLE:
+            until = self.clock + (type.memory_ms if type.effect is RECEIPTED else type.limit_ms)
+            trace = Trace(self.names[executor], node.zone[executor], node.cell[executor], self.clock, until)
+            self.receipts.note(key, trace)
+            self.effects.append(Remember(wu.work.ref, key, trace))
         self.effects.append(Send(wu.work.ref, len(wu.allocs) - 1, self.names[executor], limit_ms))
 
     def cancel(self, wu: Handle, alloc: int) -> None:
@@ -254,6 +289,12 @@
         self.timers[self.marks] = call
         self.effects.append(Timer(self.marks, delay_ms))
 
+    def never_ran(self, wu: Handle, executor: int, sent_ms: float) -> None:
+        """Take a sending off the record."""
+        key = wu.work.receipt
+        if key is not None and self.receipts.never_ran(key, self.names[executor], sent_ms):
+            self.effects.append(Forget(key, self.names[executor], sent_ms))
+
     def subscribe(self) -> None:
         """Ask the roster for its changes."""
         self.effects.append(Watch())
@@ -274,7 +315,8 @@
 
     def roster(self, event: Roster) -> None:
         """Hand the roster's news on under dense indices."""
-        self.node.roster(event.listing, [Member(self.executor(e[0]), *e[1:]) for e in event.entries])
+        members = [Member(self.executor(e[0]), *e[1:]) for e in event.entries]
+        self.node.roster(event.listing, members, event.doubt)
         if event.listing is Listing.FAILED:
             return
         here = {e.executor for e in event.entries if e.state is not State.GONE}
@@ -304,6 +346,14 @@
         work = event.work
         if work.expires_ms > self.closes_ms:
             work = replace(work, expires_ms=self.closes_ms)
+        if work.receipt is not None and self.node.types[work.type].effect is not RERUNNABLE:
+            traces = self.receipts.known(work.receipt, self.clock)
+            wait = self.receipts.full(self.clock)
+            if not traces and wait:
+                # Nothing of it ran: it may come back once a key is free. None that may have run is dropped.
+                self.effects.append(Defer(work.ref, min(wait, self.node.set.max_advice_ms)))
+                return
+            work = replace(work, prior=tuple((self.place(trace), trace.sent_ms) for trace in traces))
         wu = self.node.take(work)
         if not wu.done:
             self.open[event.work.ref] = wu
@@ -364,6 +414,19 @@
 
         self.after(event.left_ms, answer)
 
+    def recalled(self, event: Recalled) -> None:
+        """Take in what may have run before the node started."""
+        for key, trace in event.traces:
+            self.receipts.note(key, trace)
+
+    def place(self, trace: Trace) -> int:
+        """Return the index of a sending's executor, which may be gone, with its group on record."""
+        e, node = self.executor(trace.executor), self.node
+        if e >= len(node.state) or (node.state[e] is State.GONE and node.cell[e] != trace.cell):
+            node.enter(Member(e, State.GONE, -1, trace.zone, trace.cell, None))
+            self.gone.setdefault(trace.executor, self.clock)
+        return e
+
     def executor(self, name: str) -> int:
         """Return an executor's index, a spare or new one for a name not seen before."""
         found = self.index.get(name)
@@ -380,6 +443,7 @@
     Begin: Core.begin,
     Renewed: Core.renewed,
     Roster: Core.roster,
+    Recalled: Core.recalled,
     Arrival: Core.arrival,
     Due: Core.due,
     Probed: Core.probed,
--- a/marlseam/experiment/measures.py
+++ b/marlseam/experiment/measures.py
@@ -15,7 +15,7 @@
 from msgspec import Meta
 
 from marlseam import records
-from marlseam.experiment import compare, file, plays
+from marlseam.experiment import compare, file, plays, recovering
 from marlseam.experiment.file import Experiment
 from marlseam.experiment.plays import Played, Say, play
 from marlseam.experiment.policies import POLICIES
@@ -426,3 +426,4 @@
         ("policies", Policies),
     ):  # fmt: skip
         file.register(name, table)
+    recovering.register()
--- a/marlseam/experiment/plays.py
+++ b/marlseam/experiment/plays.py
@@ -97,6 +97,7 @@
     arrivals = arrivals_of(day, experiment.head.seed)
     counts = driver.run(progress=lambda now: say(f"{max(0.0, now) / 1000.0:.0f} s of {day.seconds:g}"))
     counted = merge(counts, len(arrivals))
+    (out / "histograms.json").write_bytes(msgspec.json.encode(counts))
     played = judged(*records.read_folder(out / "records"), driver="sockets")
     played.figures |= {
         "generator_valid": float(counted.valid),
--- a/marlseam/experiment/sockets.py
+++ b/marlseam/experiment/sockets.py
@@ -7,6 +7,7 @@
 import json
 import select
 import signal
+import socket
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -42,6 +43,8 @@
         proxied: bool | None = None,
         parts: int = 1,
         profile: Path | None = None,
+        own: str = "",
+        prepare: Callable[[str, dict[str, str]], None] | None = None,
     ) -> None:
         """Make one.
 
@@ -52,7 +55,8 @@
         self.schedule = troubles.schedule(day, seed)
         cut = any(met.trouble.what == "zone_cut" for met in self.schedule)
         self.proxied = (cut or len(day.fleet.zones) > 1) if proxied is None else proxied
-        self.profile = profile
+        self.profile, self.own, self.prepare = profile, own, prepare
+        self.ready_s: list[float] = []  # from each node's start until clients may come
         self.started: list[Process] = []
         self.nodes: dict[str, Process] = {}
         self.addresses: dict[str, str] = {}
@@ -64,6 +68,7 @@
         self.file.write_bytes(msgspec.json.encode(day))
         self.streams = Streams(out / "records", "driver", fleet.rules(day, SLACK_MS))
         self.cpu_s: dict[str, float] = {}
+        self.held: list[socket.socket] = []
 
     def start(self, what: str, *words: str) -> Process:
         """Start a stand-in."""
@@ -84,7 +89,13 @@
         path.write_text(json.dumps(config))
         log = self.out / "logs" / f"{name}.log"
         before = log.stat().st_size if log.exists() else 0
-        process = Process(["serve", "--config", str(path)], log, profile=self.profile)
+        words = ["serve", "--config", str(path)]
+        if self.own:
+            settings_path = self.out / f"{name}.toml"
+            settings_path.write_text(self.own.format(folder=self.out / "state" / name))
+            words += ["--settings", str(settings_path)]
+        self.began_s = time.monotonic()
+        process = Process(words, log, profile=self.profile)
         self.started.append(process)
         end = time.monotonic() + 30.0
         while True:
@@ -98,6 +109,17 @@
                 raise Failed(f"node {name} did not start: {process.tail()}")
             time.sleep(0.02)
 
+    def reserve(self) -> str:
+        """Return an address for a node, held for it by a socket that is bound and does not listen.
+
+        Guards a node that restarts: while it is away, an outgoing connection could take its port.
+        """
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        self.held.append(held)
+        return "{}:{}".format(*held.getsockname())
+
     def ready(self, name: str) -> None:
         """Wait until a node says that clients may come."""
         end, address = time.monotonic() + 20.0, self.addresses[name]
@@ -122,6 +144,8 @@
         finally:
             for process in reversed(self.started):
                 process.end()
+            for held in self.held:
+                held.close()
             self.streams.end(self.now() if hasattr(self, "zero") else 0.0)
 
     def now(self) -> float:
@@ -148,9 +172,11 @@
         self.rosters = roster.line()["rosters"]
         stands.append(roster)
         for name, zone in nodes(self.day):
-            self.nodes[name] = self.node(name, zone, "127.0.0.1:0")
-        for name in self.nodes:
+            if self.prepare is not None:
+                self.prepare(name, dials[zone])
+            self.nodes[name] = self.node(name, zone, self.reserve())
             self.ready(name)
+            self.ready_s.append(time.monotonic() - self.began_s)
         if arrivals is None:
             arrivals = plan.make(self.day, self.seed, troubles.surges(self.schedule))
         path = self.out / "nodes.json"
@@ -215,6 +241,8 @@
                     )
                 elif what == "node_reload":
                     self.nodes[name].signal(signal.SIGHUP)
+                elif any(row[1] == name for row in back):
+                    pass  # it is being ended already
                 else:
                     self.nodes[name].signal(signal.SIGKILL if what == "node_kill" else signal.SIGTERM)
                     state = "killed" if what == "node_kill" else "closing"
--- a/marlseam/experiment/virtual.py
+++ b/marlseam/experiment/virtual.py
@@ -527,6 +527,8 @@
     def watch(self, seat: Seat, effect: core.Watch) -> None:
         """A node asks for the list and its changes."""
         served = self.roster.call(self.now)
+        called = records.Called(t=self.now, by="roster", node=seat.name, served=served is not None)
+        self.listing.add(called)
         if served is None:
             fail = self.now + min(self.day.roster.timeout_ms, 50.0)
             self.at(fail, self.post_in, seat, seat.life, core.Roster(Listing.FAILED, []))
@@ -543,16 +545,9 @@
         """Tell a node what is news to it."""
         whole, rows = self.roster.news(seat.version)
         seat.version, seat.told_at = self.roster.version(), self.now
-        known = {row.executor for row in rows}
-        if whole:
-            rows_told = rows + [self.roster.rows[n] for n in self.roster.rows if n not in known]
-        else:
-            rows_told = rows
-        for row in rows_told:
+        for executor, state in self.roster.told(seat.name, whole, rows):
             self.listing.add(
-                records.Told(
-                    t=self.now, by="roster", node=seat.name, executor=row.executor, state=row.state.value
-                )
+                records.Told(t=self.now, by="roster", node=seat.name, executor=executor, state=state.value)
             )
         listing = Listing.FULL if whole else Listing.DELTA
         self.post(seat, core.Roster(listing, [self.entry(row) for row in rows]))
--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -39,6 +39,7 @@
         self.out_until: list[float | None] = []
         self.rest: list[float] = []
         self.silent: list[bool] = []
+        self.unsure: list[float] = []  # the chance that an entry of an old list is no longer true
         self.tokens: list[float] = []
         self.token_ms: list[float] = []
         self.watched: dict[int, None] = {}  # those that have work of ours or rest
@@ -75,7 +76,7 @@
         for array in (
             self.state, self.kind, self.zone, self.cell, self.born, self.others, self.heard_ms, self.sign_ms,
             self.room, self.free_memory, self.asked_ms, self.full, self.passed, self.evidence,
-            self.out_until, self.rest, self.silent, self.tokens, self.token_ms, self.ours,
+            self.out_until, self.rest, self.silent, self.tokens, self.token_ms, self.ours, self.unsure,
         ):  # fmt: skip
             array.append(None)
         self.waiters.append([])
@@ -86,7 +87,7 @@
         """Put an executor on record as one of which nothing is known."""
         self.state[e], self.kind[e], self.zone[e], self.cell[e], self.born[e] = State.GONE, -1, -1, -1, None
         self.room[e], self.free_memory[e], self.sign_ms[e], self.asked_ms[e] = 0.0, None, -1e18, None
-        self.tokens[e] = self.token_ms[e] = self.ours[e] = 0.0
+        self.tokens[e] = self.token_ms[e] = self.ours[e] = self.unsure[e] = 0.0
         self.unlearn(e)
 
     def unlearn(self, e: int) -> None:
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -128,6 +128,10 @@
     slots: float = 1.0
     memory: float = 0.0
     hint_ms: float | None = None
+    receipt: str | None = None  # the key under which a repeat is known
+    prior: tuple[
+        tuple[int, float], ...
+    ] = ()  # executors and times of what may have run under this key before
 
 
 @dataclass(slots=True)
@@ -180,6 +184,8 @@
 
     def after(self, delay_ms: float, call: Callable[[], None]) -> None: ...
 
+    def never_ran(self, wu: Handle, executor: int, sent_ms: float) -> None: ...
+
     def subscribe(self) -> None: ...
 
     def log(self, text: str) -> None: ...
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -12,6 +12,7 @@
 from marlseam.figures import MEMORY, Figures
 from marlseam.interface import Alloc, Effect, Group, Listing, Member, Outcome, Port, Report, Settings, State
 from marlseam.interface import WorkUnit as Work
+from marlseam.recovery.lists import ANSWERED, SURE
 
 PROBES = 2  # the paper's probe limit
 LUCK = 4.0  # below the inverse of this share of answers that led to a send, fewer are asked
@@ -37,7 +38,8 @@
     def __init__(self, node: "Node", work: Work) -> None:
         self.node, self.work, self.type = node, work, node.types[work.type]
         self.taken = node.port.now()
-        self.allocs: list[Alloc] = []
+        # Guards keyed work against a second effect where a client tries again under its key.
+        self.allocs = [Alloc(e, sent, sent, outcome=Outcome.BROKEN) for e, sent in work.prior]
         self.done = self.lined = self.waited = self.unfit = False
         self.home, self.round_ms = -1, 0.0
         self.asked: list[int] = []
@@ -74,8 +76,11 @@
             return False
         if node.cost(self.work) > node.allowance(e) * node.set.fall_ms:
             return False  # guards against one heavy work unit that would push a cold executor over
-        if any(a.executor == e and (a.outcome is None or len(traces) < node.set.max_allocs) for a in traces):
+        tried = traces[len(self.work.prior) :]  # what ran before this try is best asked where it ran
+        if any(a.executor == e and (a.outcome is None or len(traces) < node.set.max_allocs) for a in tried):
             return False
+        if self.type.effect is not Effect.RERUNNABLE and node.unsure[e] > SURE:
+            return False  # guards against a pod that has taken over another's address in an old list
         if self.type.effect is not Effect.RECEIPTED or not traces or self.type.group is Group.ALL:
             return True
         group = node.zone if self.type.group is Group.ZONE else node.cell
@@ -231,6 +236,7 @@
         """Note that an allocation began to run."""
         a = self.allocs[alloc]
         a.started_ms = a.sign_ms = self.node.sign_ms[a.executor] = self.node.port.now()
+        self.node.unsure[a.executor] = 0.0  # its word came under its own name
         self.node.waited(a, a.started_ms - a.sent_ms)
 
     def progress(self, alloc: int, share: float) -> None:
@@ -256,6 +262,8 @@
         """Take in how an allocation ended."""
         a, node = self.allocs[alloc], self.node
         a.outcome = outcome
+        if outcome in NEVER_RAN:
+            node.port.never_ran(self, a.executor, a.sent_ms)
         # Guards executors against blame, and others against the same again, for a client's own mistake.
         self.unfit = self.unfit or outcome is Outcome.UNFIT
         node.hold(a.executor, self, alloc, -self.work.slots)
@@ -301,8 +309,8 @@
 
     # The roster.
 
-    def roster(self, listing: Listing, members: list[Member]) -> None:
-        """Take in the roster's news."""
+    def roster(self, listing: Listing, members: list[Member], doubt: float = 0.0) -> None:
+        """Take in the roster's news; doubt is the chance that an entry of an old list is no longer true."""
         if listing is Listing.FAILED:
             self.subscribed = not self.set.asked_roster
             self.backoff = min(2.0 * self.backoff or 0.02 * self.set.must_ask_ms, 0.2 * self.set.must_ask_ms)
@@ -315,8 +323,12 @@
             self.leave(set(range(len(self.state))) - {m.executor for m in members})
         for m in members:
             self.enter(m)
-            if m.born_ms is not None and m.born_ms != self.born[m.executor]:
-                self.reborn(m.executor, m.born_ms)
+            born = self.port.now() if doubt > SURE else m.born_ms  # guards what may have started meanwhile
+            if born is not None and born != self.born[m.executor]:
+                self.reborn(m.executor, born)
+            elif born is None and listing is not Listing.CACHED:
+                self.born[m.executor] = None
+            self.unsure[m.executor] = doubt
         self.near, self.far = self.by_zone(self.set.zone)
         for e in list(self.watched):
             if self.state[e] is State.GONE:
@@ -445,6 +457,7 @@
         self.asked_ms[e] = None
         if outcome is Outcome.COMPLETED:
             self.heard_ms[e] = self.port.now()
+            self.unsure[e] *= ANSWERED  # somebody is there
             if self.silent[e]:
                 self.recover(e)
             if report is not None:
--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -33,6 +33,7 @@
         self.told = False  # by discovery itself
         self.over = Reason.DRAINING  # why a watch is cancelled
         self.held: dict[str, Entry] = {}
+        self.heard: Callable[[bool], None] = lambda changed: None  # told of each word of discovery's
         self.task: Task | None = None
         self.set(config)
 
@@ -66,10 +67,13 @@
             self.task.cancel()
             self.over = Reason.DRAINING
 
-    def begin(self) -> None:
-        """Take in the list that the configuration holds, unless one as new is held."""
+    def begin(self, known: dict[str, Any] | None = None, doubt: float = 0.0) -> None:
+        """Take in the list that the configuration holds, or another that was saved.
+
+        Unless one as new is held.
+        """
         try:
-            self.take(self.config.known, cached=True)
+            self.take(self.config.known if known is None else known, cached=True, doubt=doubt)
         except Malformed as error:
             self.log.line(f"the list in the configuration: {error}")
 
@@ -125,7 +129,7 @@
             raise Malformed("the answer is no JSON") from None
         return self.take(value)
 
-    def take(self, value: Any, cached: bool = False) -> bool:  # noqa: ANN401
+    def take(self, value: Any, cached: bool = False, doubt: float = 0.0) -> bool:  # noqa: ANN401
         """Take in an answer; a change that is older than what is held does not fit, and is left."""
         news = protocol.news_from(value, self.config.deployment, self.loop.clock.from_unix)
         whole = news.listing is Listing.FULL
@@ -144,5 +148,7 @@
             else:
                 self.held[entry.executor] = entry
         self.executors.listed(self.held, news.addresses)
-        self.post(Roster(Listing.CACHED if cached else news.listing, news.entries))
+        self.post(Roster(Listing.CACHED if cached else news.listing, news.entries, doubt))
+        if not cached:
+            self.heard(whole or bool(news.entries))
         return True
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -41,6 +41,7 @@
     job: Job
     until_ms: float
     expires_ms: float
+    gate: Callable[[], Steps] | None = None  # what must be over before anything goes out
 
 
 @dataclass
@@ -204,6 +205,8 @@
 
         reason = Reason.FAULT
         try:
+            if order.gate is not None:
+                yield from order.gate()
             connection = yield from self.acquire(peer, self.limit(), until)
             kept = connection.messages > 0
             headers = protocol.job_headers(job, peer.name, order.expires_ms - self.loop.now())
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -40,6 +40,10 @@
         """Return a Unix time on this clock; the offset never changes, so that equal times stay equal."""
         return unix_ms - self.unix_zero_ms
 
+    def to_unix(self, ms: float) -> float:
+        """Return a time on this clock as Unix time."""
+        return ms + self.unix_zero_ms
+
 
 class Timer:
     """A call that is due at some time unless it is dropped before."""
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -66,7 +66,15 @@
             shown = f"{config.listen[0]}:{config.listen[1]}"
             raise ConfigError("listen", shown, f"a free address ({error.strerror})") from None
         self.post(core.Begin(config.deployment.settings, config.seed))
-        self.discovery.begin()
+        self.memory = None
+        if config.store is None:
+            self.discovery.begin()
+        else:
+            # Imported here: a node without a store needs nothing of it.
+            from marlseam.net.memory import Memory
+
+            self.memory = Memory(self)
+            self.memory.recover()
 
     def run(self) -> None:
         """Serve until told to end."""
@@ -78,6 +86,8 @@
         self.busy = True  # nothing is decided any more
         self.executors.close()
         self.loop.finish()
+        if self.memory is not None:
+            self.memory.keeper.close()
 
     def ready(self) -> bool:
         """Return whether clients should come."""
@@ -103,7 +113,7 @@
         self.refs += 1
         ref, job = str(self.refs), pending.job
         self.pending[ref] = pending
-        work = WorkUnit(ref, job.type, pending.expires_ms, job.slots, job.memory)
+        work = WorkUnit(ref, job.type, pending.expires_ms, job.slots, job.memory, receipt=job.receipt)
         self.post(core.Arrival(work))
         return ref
 
@@ -117,9 +127,15 @@
     def send(self, effect: core.Send) -> None:
         """Send an allocation."""
         pending, until = self.pending[effect.ref], self.loop.now() + effect.limit_ms
-        order = Order(effect.ref, effect.alloc, effect.executor, pending.job, until, pending.expires_ms)
+        gate = self.memory.gate(effect.ref) if self.memory is not None else None
+        order = Order(effect.ref, effect.alloc, effect.executor, pending.job, until, pending.expires_ms, gate)
         self.executors.send(order)
 
+    def remember(self, effect: core.Remember | core.Forget) -> None:
+        """Keep what may have run, or that it never did, where there is a store."""
+        if self.memory is not None:
+            self.memory.keep(effect)
+
     def answer(self, ref: str, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
         """Give a client its one answer, if it is still there."""
         pending = self.pending.pop(ref, None)
@@ -186,6 +202,8 @@
     core.Abort: lambda node, effect: node.answer(effect.ref, 400 if effect.unfit else 500, [], b""),
     core.Probe: lambda node, effect: node.executors.probe(effect.executor),
     core.Timer: Node.timer,
+    core.Remember: Node.remember,
+    core.Forget: Node.remember,
     core.Watch: lambda node, effect: node.discovery.watch(),
     core.Log: lambda node, effect: node.log.line(effect.text),
 }
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -347,6 +347,24 @@
     return entry, address
 
 
+def row_of(
+    entry: Entry, address: tuple[str, int], deployment: Deployment, to_unix: Callable[[float], float]
+) -> dict[str, Any]:
+    """Write an entry as the roster does."""
+    zones, kinds = list(deployment.zones), list(deployment.kinds)
+    host = f"[{address[0]}]" if ":" in address[0] else address[0]
+    return {
+        "host": entry.executor,
+        "dial": f"{host}:{address[1]}",
+        "site": zones[entry.zone] if 0 <= entry.zone < len(zones) else "",
+        "class": kinds[entry.kind] if 0 <= entry.kind < len(kinds) else "",
+        "block": entry.cell,
+        "health": "leaving" if entry.state is State.DRAINING else "active",
+        "share": 1.0,
+        "born_ms": to_unix(entry.born_ms) if entry.born_ms is not None else 0,
+    }
+
+
 def place(value: Any, names: Mapping[str, int]) -> int:  # noqa: ANN401
     """Return a name's index; -1 for what is not among the names."""
     return names.get(value, -1) if isinstance(value, str) else -1
--- a/marlseam/records.py
+++ b/marlseam/records.py
@@ -156,6 +156,13 @@
     state: str
 
 
+class Called(Record, tag="called"):
+    """A node called the roster; `served` unless it was down or its line too long."""
+
+    node: str
+    served: bool
+
+
 class Cut(Record, tag="cut"):
     """The network cut or mended a line between two names or zones."""
 
@@ -183,7 +190,7 @@
 
 AnyRecord = (
     Begin | End | Tried | Answered | Quit | Lagged | Took | Refused | Ran | Ended | Withdrawn | Asked | Born
-    | Fell | Told | Cut | Trouble | Node
+    | Fell | Called | Told | Cut | Trouble | Node
 )  # fmt: skip
 ENCODER, DECODER = msgspec.json.Encoder(), msgspec.json.Decoder(AnyRecord)
 
--- /dev/null
+++ b/marlseam/recovery/receipts.py
@@ -0,0 +1,86 @@
+"""Which receipts may have run, and where.
+
+Rule 2 across the tries of a client, and across a node's restarts.
+
+A receipted or exclusive work unit that was sent may have run. Until the pod's memory ends, another work unit
+under the same key is the same work, and may go only where the repeat is dropped. The number of keys is
+bounded: at the bound new keys are refused at once, which is harmless, as nothing of them ran; no key is
+dropped before its time.
+"""
+
+import heapq
+from collections.abc import Iterator
+from typing import NamedTuple
+
+
+class Trace(NamedTuple):
+    """One sending that may have run.
+
+    Times in ms on the node's clock; `cell` and `zone` are those of its executor.
+    """
+
+    executor: str
+    zone: int
+    cell: int
+    sent_ms: float
+    until_ms: float  # when the pod forgets it
+
+
+class Receipts:
+    """Keys that may have run, each with its sendings in their order."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.traces: dict[str, list[Trace]] = {}
+        self.ends: list[tuple[float, str]] = []
+
+    def __len__(self) -> int:
+        return len(self.traces)
+
+    def note(self, key: str, trace: Trace) -> None:
+        """Note a sending; a key's time is that of its first one, from which the pod's memory counts."""
+        rows = self.traces.setdefault(key, [])
+        if not rows:
+            heapq.heappush(self.ends, (trace.until_ms, key))
+        rows.append(trace)
+
+    def never_ran(self, key: str, executor: str, sent_ms: float) -> bool:
+        """Drop a sending that provably never ran; return whether there was such a one."""
+        rows = self.traces.get(key, [])
+        for i, row in enumerate(rows):
+            if row.executor == executor and row.sent_ms == sent_ms:
+                del rows[i]
+                if rows and i == 0:
+                    heapq.heappush(self.ends, (rows[0].until_ms, key))
+                elif not rows:
+                    del self.traces[key]
+                return True
+        return False
+
+    def expire(self, now: float) -> list[str]:
+        """Drop what pods have forgotten, and return those keys."""
+        gone = []
+        while self.ends and self.ends[0][0] <= now:
+            _, key = heapq.heappop(self.ends)
+            rows = self.traces.get(key)
+            if rows and rows[0].until_ms <= now:
+                del self.traces[key]
+                gone.append(key)
+        return gone
+
+    def known(self, key: str, now: float) -> list[Trace]:
+        """Return a key's sendings that may have run and that pods remember."""
+        self.expire(now)
+        return list(self.traces.get(key, ()))
+
+    def full(self, now: float) -> float:
+        """Return how long until there is room for another key, in ms; 0 where there is some."""
+        self.expire(now)
+        if len(self.traces) < self.most:
+            return 0.0
+        return max(1.0, min(rows[0].until_ms for rows in self.traces.values()) - now)
+
+    def __iter__(self) -> Iterator[tuple[str, Trace]]:
+        for key, rows in self.traces.items():
+            for row in rows:
+                yield key, row
--- a/marlseam/standin/roster.py
+++ b/marlseam/standin/roster.py
@@ -83,6 +83,8 @@
             asked = parse_qs(target.query)
             since = int(asked.get("since", ["0"])[0])
             served = self.roster.call(self.stand.now())
+            called = records.Called(t=self.stand.now(), by="roster", node=node, served=served is not None)
+            self.writer.add(called)
             if served is None:
                 yield from reply(connection, 503, b"")
                 return
@@ -116,12 +118,9 @@
     def news(self, node: str, zone: str, since: int) -> bytes:
         """Return an answer, and note what it tells."""
         whole, rows = self.roster.news(since)
-        told = rows + ([row for row in self.roster.rows.values() if row.state is State.GONE] if whole else [])
-        for row in told:
+        for executor, state in self.roster.told(node, whole, rows):
             self.writer.add(
-                records.Told(
-                    t=self.stand.now(), by="roster", node=node, executor=row.executor, state=row.state.value
-                )
+                records.Told(t=self.stand.now(), by="roster", node=node, executor=executor, state=state.value)
             )
         hosts = [self.entry(row, zone) for row in rows]
         return json.dumps({"seq": self.roster.version(), "whole": whole, "hosts": hosts}).encode()
--- a/marlseam/world/clients.py
+++ b/marlseam/world/clients.py
@@ -48,10 +48,14 @@
         """Return how long to wait before the next try, or None where there is none.
 
         A deferral says that a retry is harmless, and what found no connection never left. What was aborted or
-        lost may have run, so only rerunnable work is tried again.
+        lost may have run, so only rerunnable work is tried again, and receipted work where its clients trust
+        its key.
         """
-        again = how in ("deferred", "unsent") or (
-            how in ("aborted", "lost") and self.type.effect == "rerunnable"
+        resent = self.figures.resend and how == "lost" and self.type.effect == "receipted"
+        again = (
+            resent
+            or how in ("deferred", "unsent")
+            or (how in ("aborted", "lost") and self.type.effect == "rerunnable")
         )
         if not again or self.replayed or self.tries >= self.figures.tries or self.arrival.leaves:
             return None
--- a/marlseam/world/fleet.py
+++ b/marlseam/world/fleet.py
@@ -24,6 +24,7 @@
             (day.rules.fall_multiple, day.rules.fall_ms),
             1000.0 * day.fleet.progress_s,
             1000.0 * day.fleet.checkpoint_s,
+            0.0 if day.fleet.cold else None,
         )
         executor.up = name not in later
     return found
--- a/marlseam/world/model.py
+++ b/marlseam/world/model.py
@@ -68,6 +68,7 @@
     connect_ms: NotNegative = 3.0  # what a new one costs its first allocation
     checkpoint_s: NotNegative = 0.0  # how often a cell saves the state of its runs, 0 for never
     progress_s: NotNegative = 1.0
+    cold: bool = False  # whether all executors start cold with the day
 
 
 class Load(Strict):
@@ -93,6 +94,7 @@
     wait_ms: NotNegative = 40.0
     honour: Share = 0.8
     leave: Share = 0.0
+    resend: bool = False  # whether a receipted try whose connection broke goes out again under its key
     notice_s: NotNegative = 3.0  # after which a front has noticed a node's death
 
 
--- a/marlseam/world/roster.py
+++ b/marlseam/world/roster.py
@@ -28,6 +28,7 @@
         self.log: list[Row] = list(rows)  # version v is the state after the first v entries
         self.cost_ms, self.timeout_ms = 1000.0 / calls_per_s, timeout_ms
         self.busy_until = 0.0
+        self.leaving: dict[str, set[str]] = {}  # by node: what it was last told to be leaving
         self.outages: list[tuple[float, float]] = []
 
     def version(self) -> int:
@@ -56,3 +57,16 @@
             return True, [row for row in self.rows.values() if row.state is not State.GONE]
         changed = dict.fromkeys(row.executor for row in self.log[since:])
         return False, [self.rows[name] for name in changed]
+
+    def told(self, node: str, whole: bool, rows: list[Row]) -> list[tuple[str, State]]:
+        """Return what an answer's rows tell a node that a judge must hear of: leavings, and the end of each.
+
+        A whole list tells of all that are gone by leaving them out; that the others are ready is no news.
+        """
+        leaving = self.leaving.setdefault(node, set())
+        if whole:
+            rows = rows + [row for row in self.rows.values() if row.state is State.GONE]
+        found = [(r.executor, r.state) for r in rows if r.state is not State.READY or r.executor in leaving]
+        for executor, state in found:
+            (leaving.discard if state is State.READY else leaving.add)(executor)
+        return found
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -71,6 +71,9 @@
     def after(self, delay_ms: float, call: Callable[[], None]) -> None:
         self.timers.append((self.clock + delay_ms, call))
 
+    def never_ran(self, wu: Handle, executor: int, sent_ms: float) -> None:
+        self.acts.append(("never_ran", wu.work.ref, executor))
+
     def subscribe(self) -> None:
         self.acts.append(("subscribe",))
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -89,7 +89,7 @@
     return None
 
 
-def deaf(node, listing, members):
+def deaf(node, listing, members, doubt):
     """Hear of the first list alone."""
     if not node.near and not node.far:
         Node.roster(node, listing, members)
