--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -353,7 +353,8 @@
                 # Nothing of it ran: it may come back once a key is free. None that may have run is dropped.
                 self.effects.append(Defer(work.ref, min(wait, self.node.set.max_advice_ms)))
                 return
-            work = replace(work, prior=tuple((self.place(trace), trace.sent_ms) for trace in traces))
+            # The first one stands for all: its group has them, and its time is that of the pod's memory.
+            work = replace(work, prior=tuple((self.place(trace), trace.sent_ms) for trace in traces[:1]))
         wu = self.node.take(work)
         if not wu.done:
             self.open[event.work.ref] = wu
--- a/marlseam/experiment/recovering.py
+++ b/marlseam/experiment/recovering.py
@@ -6,6 +6,7 @@
 import shutil
 import socket
 import time
+from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 from typing import Literal
 
@@ -17,8 +18,11 @@
 from marlseam.experiment.file import Experiment
 from marlseam.experiment.plays import Played, Say, play
 from marlseam.experiment.sockets import Sockets
+from marlseam.experiment.virtual import Old, Virtual
 from marlseam.load.process import arrivals_of
 from marlseam.load.verdict import Counted, merge
+from marlseam.records import Streams
+from marlseam.recovery import lists
 from marlseam.store import format as form
 from marlseam.store.folder import Disk, Folder
 from marlseam.world.chance import stream
@@ -86,6 +90,7 @@
     gone: Share = 0.2
     reused: Share = 0.1
     down_s: NotNegative = 15.0
+    seeds: Count = 20  # in virtual time
 
 
 def closed_port() -> int:
@@ -123,6 +128,8 @@
     table: OldList = experiment.tables["old_list"]
     head, day = experiment.head, experiment.day
     down = Trouble(what="roster_outage", at_s=0.0, for_s=table.down_s)
+    if head.driver == "virtual":
+        return old_list_virtual(experiment, table, down, say)
 
     def prepare(name: str, dials: dict[str, str]) -> None:
         path = out / "down" / "state" / name
@@ -168,6 +175,49 @@
     return Played(found, played.verdict, played.book, [("From an old list", rows)], "sockets")
 
 
+def one_start(day: Day, seed: int, old: Old | None) -> dict[str, float]:
+    """Play one day in virtual time from an old list; return its figures."""
+    streams = Streams(None, "driver")
+    Virtual(day, seed, streams, old=old).run()
+    return plays.judged((r for w in streams.writers.values() for r in w.kept), [], "virtual").figures
+
+
+def old_list_virtual(experiment: Experiment, table: OldList, down: Trouble, say: Say) -> Played:
+    """Start all nodes of a fleet together, over many seeds.
+
+    An address that is another's now counts as gone.
+    """
+    day, seed = experiment.day, experiment.head.seed
+    total = len(executors(day)) / (1.0 - table.gone - table.reused)
+    old = Old(round(total * (table.gone + table.reused)), lists.doubt(1000.0 * table.age_s, lists.Turnover()))
+    troubled = msgspec.structs.replace(day, troubles=[*day.troubles, down])
+    rows = [
+        ["", "service", "late", "worst 10 s", "deferred", "cold margin, mean", "cold margin, most", "broken"]
+    ]
+    found: dict[str, float] = {}
+    with ProcessPoolExecutor() as pool:
+        sets = {
+            "up": [pool.submit(one_start, day, seed + i, None) for i in range(table.seeds)],
+            "down": [pool.submit(one_start, troubled, seed + i, old) for i in range(table.seeds)],
+        }
+        for name, runs in sets.items():
+            say(f"the roster {name}")
+            done = [run.result() for run in runs]
+            mean = {key: float(np.mean([run[key] for run in done])) for key in done[0]}
+            margins = [run["margin_cold_spared"] for run in done]
+            found |= {f"{name}_{key}": value for key, value in mean.items()}
+            found |= {
+                f"{name}_cold_most": max(margins),
+                f"{name}_rules_broken": sum(r["rules_broken"] for r in done),
+            }
+            shown = [f"{mean[key]:.4f}" for key in ("service", "late", "worst_10s")]
+            shown += [f"{mean['deferred']:.0f}", f"{np.mean(margins):.3f}", f"{max(margins):.3f}"]
+            rows.append([f"roster {name}", *shown, f"{found[f'{name}_rules_broken']:.0f}"])
+    found["rules_broken"] = found["up_rules_broken"] + found["down_rules_broken"]
+    found["service_lost"] = found["up_service"] - found["down_service"]
+    return Played(found, tables=[(f"From an old list, {table.seeds} seeds", rows)], driver="virtual")
+
+
 class Cost(Strict):
     """What keeping state costs a node, at some rate of work with receipts."""
 
--- a/marlseam/experiment/virtual.py
+++ b/marlseam/experiment/virtual.py
@@ -36,6 +36,14 @@
 ENDS = {"done": Outcome.COMPLETED, "failed": Outcome.ERROR, "lost": Outcome.BROKEN, "returned": Outcome.FULL}
 
 
+@dataclass(frozen=True)
+class Old:
+    """Nodes start from an old list: so many entries of it are gone, and so much is the doubt in each."""
+
+    gone: int
+    doubt: float
+
+
 @dataclass
 class Flight:
     """One allocation between its node and its executor. Times in ms."""
@@ -103,7 +111,14 @@
 class Virtual:
     """Plays one day; `make_core` gives a node's reducer, so that experiments can play other policies."""
 
-    def __init__(self, day: Day, seed: int, streams: Streams, make_core: Callable[[], Core] = Core) -> None:
+    def __init__(
+        self,
+        day: Day,
+        seed: int,
+        streams: Streams,
+        make_core: Callable[[], Core] = Core,
+        old: Old | None = None,
+    ) -> None:
         self.day, self.seed, self.make_core = day, seed, make_core
         self.heap: list[tuple[float, int, Callable, tuple]] = []
         self.count, self.now, self.events = 0, 0.0, 0
@@ -125,6 +140,13 @@
             self.writer(name, "executors")
             if host.executor.up:
                 rows.append(self.row(name, State.READY, None))
+        self.doubt, self.ghosts = (old.doubt, []) if old is not None else (0.0, [])
+        for i in range(old.gone if old is not None else 0):
+            name, (_, kind, number, zone, _) = f"gone-{i}", executors(day)[i % len(made)]
+            ghost = fleet.executor(day, seed, name, kind, {})
+            ghost.up = False
+            self.hosts[name] = Host(ghost, number, zone, 9000 + i)
+            self.ghosts.append(self.row(name, State.READY, None))
         self.roster = Roster(rows, day.roster.calls_per_s, day.roster.timeout_ms)
         self.seats = {name: self.seat(name, zone) for name, zone in nodes(day)}
         by_zone: dict[str, list[str]] = {}
@@ -180,7 +202,8 @@
         self.driver.add(records.Node(t=self.now, by="driver", node=seat.name, state="began", zone=seat.zone))
         number = int(stream(self.seed, "node", seat.name, seat.life).integers(1 << 62))
         self.post(seat, core.Begin(seat.deployment.settings, number))
-        self.post(seat, core.Roster(Listing.CACHED, [self.entry(row) for row in self.roster.news(0)[1]]))
+        listed = [*self.roster.news(0)[1], *self.ghosts]
+        self.post(seat, core.Roster(Listing.CACHED, [self.entry(row) for row in listed], self.doubt))
         self.front.back(seat.name) if seat.life > 1 else None
 
     def post(self, seat: Seat, event: core.Event) -> None:
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -57,7 +57,8 @@
     def may_send(self) -> bool:
         """Return whether another allocation is allowed now, to some executor at least."""
         node, now = self.node, self.node.port.now()
-        if self.done or self.unfit or len(self.allocs) >= node.set.max_allocs:
+        sent = len(self.allocs) - len(self.work.prior)
+        if self.done or self.unfit or sent >= node.set.max_allocs:
             return False
         if now >= self.work.expires_ms - node.margin:
             return False
--- a/marlseam/recovery/lists.py
+++ b/marlseam/recovery/lists.py
@@ -62,6 +62,6 @@
 
     The live roster is no candidate here: once it answers, its list replaces any other.
     """
-    if file is None or known is None or not known.rows:
-        return file if file is not None and file.rows else known
-    return known if known.version > file.version else file
+    if file is None or not file.rows:
+        return known
+    return known if known is not None and known.rows and known.version > file.version else file
--- a/marlseam/world/fleet.py
+++ b/marlseam/world/fleet.py
@@ -4,7 +4,7 @@
 
 from marlseam.world.chance import stream
 from marlseam.world.executor import Executor, Job, Memory
-from marlseam.world.model import Day, Type, executors
+from marlseam.world.model import Day, Kind, Type, executors
 from marlseam.world.plan import Arrival
 from marlseam.world.troubles import Met
 
@@ -15,21 +15,27 @@
     memories: dict[object, Memory] = defaultdict(Memory)
     found = {}
     for name, kind, _, zone, cell in executors(day):
-        found[name] = executor = Executor(
-            name,
-            kind,
-            {"all": memories["all"], "zone": memories[zone], "cell": memories[cell]},
-            stream(seed, "executor", name),
-            (day.reports.period_ms, day.reports.late_ms, day.reports.queue),
-            (day.rules.fall_multiple, day.rules.fall_ms),
-            1000.0 * day.fleet.progress_s,
-            1000.0 * day.fleet.checkpoint_s,
-            0.0 if day.fleet.cold else None,
-        )
-        executor.up = name not in later
+        groups = {"all": memories["all"], "zone": memories[zone], "cell": memories[cell]}
+        found[name] = executor(day, seed, name, kind, groups)
+        found[name].up = name not in later
     return found
 
 
+def executor(day: Day, seed: int, name: str, kind: Kind, memories: dict[str, Memory]) -> Executor:
+    """Return one executor of a day; `memories` are those of its groups."""
+    return Executor(
+        name,
+        kind,
+        memories,
+        stream(seed, "executor", name),
+        (day.reports.period_ms, day.reports.late_ms, day.reports.queue),
+        (day.rules.fall_multiple, day.rules.fall_ms),
+        1000.0 * day.fleet.progress_s,
+        1000.0 * day.fleet.checkpoint_s,
+        0.0 if day.fleet.cold else None,
+    )
+
+
 def job(arrival: Arrival, type: Type, id: str, alloc: object) -> Job:
     """Return an arrival's job as one allocation of a try hands it to an executor."""
     return Job(
