--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -28,7 +28,7 @@
 KEEP_SHARE = 0.4  # of that time, in which clients may go on using the connections that they have
 ANSWER_MS, EXIT_MS = 300.0, 500.0  # by when after that all is answered, and the node ends at the latest
 LOOK_MS = 20.0  # how often it looks whether it may end
-FIXED = ("name", "listen", "seed")  # what a node keeps for as long as it runs
+FIXED = ("name", "listen", "seed", "store")  # what a node keeps for as long as it runs
 
 
 def connections(config: Config) -> int:
