--- a/marlseam/experiment/file.py
+++ b/marlseam/experiment/file.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from marlseam.world.model import Day, Strict
+from marlseam.world.model import Day, Strict, executors, nodes
 
 
 class FileError(Exception):
@@ -141,7 +141,13 @@
     for names, key in ((types, "day.types"), ([k.name for k in day.fleet.kinds], "day.fleet.kinds")):
         if len(set(names)) < len(names):
             raise FileError(f"{key}: a name comes twice")
+    known = {name for name, *_ in (*executors(day), *nodes(day))} | set(day.fleet.zones)
     for i, trouble in enumerate(day.troubles):
+        for name in trouble.targets:
+            if name not in known:
+                raise FileError(
+                    f"day.troubles[{i}].targets: nobody is called {name!r}{nearest(name, list(known))}"
+                )
         if trouble.type and trouble.type not in types:
             raise FileError(f"day.troubles[{i}].type: no such project type{nearest(trouble.type, types)}")
         if trouble.at_s >= day.seconds:
--- a/marlseam/experiment/sockets.py
+++ b/marlseam/experiment/sockets.py
@@ -247,7 +247,8 @@
                     self.nodes[name].signal(signal.SIGKILL if what == "node_kill" else signal.SIGTERM)
                     state = "killed" if what == "node_kill" else "closing"
                     driver.add(records.Node(t=now, by="driver", node=name, state=state, zone=zones[name]))
-                    back.append((now + 1000.0 * RESTART_S, name))
+                    away_s = max(RESTART_S, self.day.fleet.roll_s if state == "closing" else 0.0)
+                    back.append((now + 1000.0 * away_s, name))
             for row in [
                 row for row in back if row[0] <= now and self.nodes[row[1]].process.poll() is not None
             ]:
--- a/marlseam/experiment/virtual.py
+++ b/marlseam/experiment/virtual.py
@@ -14,7 +14,7 @@
 
 from marlseam import core, records
 from marlseam.config import Deployment, deployment_from
-from marlseam.core import Core
+from marlseam.core import Core, Entry
 from marlseam.interface import Listing, Outcome, State, WorkUnit
 from marlseam.net.executors import GAP_PERIODS, PROBE_SHARE, TAKE_SHARE
 from marlseam.net.node import ANSWER_MS, DRAIN_MOST_MS
@@ -25,7 +25,7 @@
 from marlseam.world.executor import Executor, Happening
 from marlseam.world.model import Day, executors, nodes, settings
 from marlseam.world.network import Lines
-from marlseam.world.roster import Roster, Row
+from marlseam.world.roster import Roster
 from marlseam.world.troubles import Listed, Met
 
 SLACK_TICKS = 5.0  # that answers and sends may come late by, for the way between client and node
@@ -93,6 +93,7 @@
     watching: bool = False
     told_at: float = -inf
     word_due: bool = False
+    starts_ms: float = 0.0  # when it may start again at the earliest
     idle: dict[str, int] = field(default_factory=dict)
     tries: dict[str, "Try"] = field(default_factory=dict)
 
@@ -203,7 +204,7 @@
         number = int(stream(self.seed, "node", seat.name, seat.life).integers(1 << 62))
         self.post(seat, core.Begin(seat.deployment.settings, number))
         listed = [*self.roster.news(0)[1], *self.ghosts]
-        self.post(seat, core.Roster(Listing.CACHED, [self.entry(row) for row in listed], self.doubt))
+        self.post(seat, core.Roster(Listing.CACHED, listed, self.doubt))
         self.front.back(seat.name) if seat.life > 1 else None
 
     def post(self, seat: Seat, event: core.Event) -> None:
@@ -233,7 +234,7 @@
                 self.give_up(flight)
         for out in list(seat.tries.values()):
             self.at(self.now + self.lines.client_delay(), self.answered, out, "lost", 0.0)
-        self.at(self.now + RESTART_MS, self.begin_node, seat)
+        self.at(max(self.now + RESTART_MS, seat.starts_ms), self.begin_node, seat)
 
     # Clients.
 
@@ -523,14 +524,10 @@
 
     # The roster.
 
-    def row(self, name: str, state: State, born: float | None) -> Row:
+    def row(self, name: str, state: State, born: float | None) -> Entry:
         """Return an executor as it is listed."""
         host = self.hosts[name]
-        return Row(name, state, host.kind, self.day.fleet.zones.index(host.zone), host.cell, born)
-
-    def entry(self, row: Row) -> core.Entry:
-        """Return a row of the roster as the reducer takes it."""
-        return core.Entry(*row)
+        return Entry(name, state, host.kind, self.day.fleet.zones.index(host.zone), host.cell, born)
 
     def listed(self, news: Listed) -> None:
         """The roster has learned of a change, and tells who watches."""
@@ -573,7 +570,7 @@
                 records.Told(t=self.now, by="roster", node=seat.name, executor=executor, state=state.value)
             )
         listing = Listing.FULL if whole else Listing.DELTA
-        self.post(seat, core.Roster(listing, [self.entry(row) for row in rows]))
+        self.post(seat, core.Roster(listing, rows))
 
     # Troubles.
 
@@ -648,6 +645,7 @@
             self.end_node(seat, "killed")
         elif what == "node_roll" and seat.up:
             seat.closing = True
+            seat.starts_ms = self.now + 1000.0 * self.day.fleet.roll_s
             drain = min(DRAIN_MOST_MS, max(type.limit_ms for type in self.day.types)) + ANSWER_MS
             self.post(seat, core.Closing(drain))
             self.at(self.now + ROLL_OPEN_MS, self.front.died, seat.name, -inf)
--- a/marlseam/standin/roster.py
+++ b/marlseam/standin/roster.py
@@ -12,6 +12,7 @@
 import h11
 
 from marlseam import records
+from marlseam.core import Entry
 from marlseam.interface import State
 from marlseam.net.connection import Connection, Steps
 from marlseam.net.loop import READ, READY, Task, sleep
@@ -19,7 +20,7 @@
 from marlseam.standin.base import Door, Stand, reply
 from marlseam.world import troubles
 from marlseam.world.model import Day, executors, nodes
-from marlseam.world.roster import Roster, Row
+from marlseam.world.roster import Roster
 
 HEALTH = {State.READY: "active", State.DRAINING: "leaving", State.GONE: "left"}
 
@@ -58,11 +59,11 @@
         for begin, _ in self.roster.outages:
             stand.at(begin, self.wake)
 
-    def row(self, name: str, state: State, born: float | None) -> Row:
+    def row(self, name: str, state: State, born: float | None) -> Entry:
         """Return an executor as it is listed."""
-        return Row(name, state, *self.numbers[name], born)
+        return Entry(name, state, *self.numbers[name], born)
 
-    def change(self, row: Row) -> None:
+    def change(self, row: Entry) -> None:
         """List a change and tell who waits."""
         self.roster.change(row)
         self.wake()
@@ -125,7 +126,7 @@
         hosts = [self.entry(row, zone) for row in rows]
         return json.dumps({"seq": self.roster.version(), "whole": whole, "hosts": hosts}).encode()
 
-    def entry(self, row: Row, zone: str) -> dict:
+    def entry(self, row: Entry, zone: str) -> dict:
         """Return a row as the protocol writes it."""
         kind, site, cell = self.places[row.executor]
         born = 0.0
--- a/marlseam/world/model.py
+++ b/marlseam/world/model.py
@@ -68,6 +68,7 @@
     connect_ms: NotNegative = 3.0  # what a new one costs its first allocation
     checkpoint_s: NotNegative = 0.0  # how often a cell saves the state of its runs, 0 for never
     progress_s: NotNegative = 1.0
+    roll_s: NotNegative = 0.0  # from telling a node to end to its next start, at least
     cold: bool = False  # whether all executors start cold with the day
 
 
@@ -150,6 +151,7 @@
     share: Share = 0.2  # of the executors or nodes that it meets
     size: NotNegative = 4.0
     type: str = ""  # for errors: the one project type that fails, all where empty
+    targets: tuple[str, ...] = ()  # whom it meets, by name; drawn from the seed where none are named
 
 
 class Drawn(Strict):
--- a/marlseam/world/roster.py
+++ b/marlseam/world/roster.py
@@ -4,28 +4,17 @@
 """
 
 from math import inf
-from typing import NamedTuple
 
+from marlseam.core import Entry
 from marlseam.interface import State
 
 
-class Row(NamedTuple):
-    """One executor as listed."""
-
-    executor: str
-    state: State
-    kind: int
-    zone: int
-    cell: int
-    born_ms: float | None
-
-
 class Roster:
     """What is listed, by version, and when a call is served."""
 
-    def __init__(self, rows: list[Row], calls_per_s: float, timeout_ms: float) -> None:
+    def __init__(self, rows: list[Entry], calls_per_s: float, timeout_ms: float) -> None:
         self.rows = {row.executor: row for row in rows}
-        self.log: list[Row] = list(rows)  # version v is the state after the first v entries
+        self.log: list[Entry] = list(rows)  # version v is the state after the first v entries
         self.cost_ms, self.timeout_ms = 1000.0 / calls_per_s, timeout_ms
         self.busy_until = 0.0
         self.leaving: dict[str, set[str]] = {}  # by node: what it was last told to be leaving
@@ -35,7 +24,7 @@
         """Return the newest version."""
         return len(self.log)
 
-    def change(self, row: Row) -> None:
+    def change(self, row: Entry) -> None:
         """List a change."""
         self.rows[row.executor] = row
         self.log.append(row)
@@ -51,14 +40,14 @@
         self.busy_until = max(self.busy_until, now) + self.cost_ms
         return None if self.busy_until - now > self.timeout_ms else self.busy_until
 
-    def news(self, since: int) -> tuple[bool, list[Row]]:
+    def news(self, since: int) -> tuple[bool, list[Entry]]:
         """Return whether the answer is the whole list, and its rows: what changed since, last state only."""
         if since <= 0 or since > len(self.log):
             return True, [row for row in self.rows.values() if row.state is not State.GONE]
         changed = dict.fromkeys(row.executor for row in self.log[since:])
         return False, [self.rows[name] for name in changed]
 
-    def told(self, node: str, whole: bool, rows: list[Row]) -> list[tuple[str, State]]:
+    def told(self, node: str, whole: bool, rows: list[Entry]) -> list[tuple[str, State]]:
         """Return what an answer's rows tell a node that a judge must hear of: leavings, and the end of each.
 
         A whole list tells of all that are gone by leaving them out; that the others are ready is no news.
--- a/marlseam/world/troubles.py
+++ b/marlseam/world/troubles.py
@@ -44,7 +44,9 @@
     found = []
     for i, trouble in enumerate([*day.troubles, *drawn(day, seed)]):
         chance = stream(seed, "targets", i)
-        if trouble.what == "zone_cut":
+        if trouble.targets:
+            targets = list(trouble.targets)
+        elif trouble.what == "zone_cut":
             targets = [day.fleet.zones[int(chance.integers(len(day.fleet.zones)))]]
         elif trouble.what in ("roster_outage", "surge"):
             targets = []
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -34,6 +34,10 @@
         (data(day=DAY | {"types": [TYPES[0], TYPES[0]]}), "day.types: a name comes twice"),
         (data(day=DAY | {"troubles": [{"what": "slow", "at_s": 9}]}), r"day.troubles\[0\].at_s"),
         (data(day=DAY | {"troubles": [{"what": "errors", "at_s": 1, "type": "lokup"}]}), "nearest is lookup"),
+        (
+            data(day=DAY | {"troubles": [{"what": "slow", "at_s": 1, "targets": ["fast-9"]}]}),
+            "nearest is fast-",
+        ),
         (data(day=DAY | {"load": {"shape": "trace"}}), "day.load.trace: missing"),
         (data(day=DAY | {"types": [TYPES[0] | {"slots": [1] * 9}]}), r"day.types\[0\].slots"),
         (data(expect={"service": {"leest": 1}}), "expect.service.leest: no such key, the nearest is least"),
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -15,6 +15,7 @@
 from hypothesis import strategies as st
 from worlds import day, played
 
+from marlseam.core import Entry
 from marlseam.interface import State
 from marlseam.records import ENCODER
 from marlseam.world import plan, troubles
@@ -22,7 +23,7 @@
 from marlseam.world.clients import Client, Front
 from marlseam.world.executor import Executor, Ills, Job, Memory
 from marlseam.world.model import TROUBLES, Kind, Load, Trouble
-from marlseam.world.roster import Roster, Row
+from marlseam.world.roster import Roster
 
 
 def executor(born=None, memory=None, **kind):
@@ -151,7 +152,7 @@
 
 
 def row(name, state=State.READY, born=None):
-    return Row(name, state, 0, 0, 0, born)
+    return Entry(name, state, 0, 0, 0, born)
 
 
 def test_a_roster_tells_the_whole_list_then_changes_alone():
