--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -216,3 +216,37 @@
     decider = node.core.node
     assert decider.unsure[e] == 0.0 and decider.allowance(e) == float("inf")
     assert decider.state[node.core.index["b"]] is State.GONE
+
+
+def test_a_drain_told_during_recovery_is_kept_though_the_old_list_says_ready(node):
+    node(1.0, core.Roster(Listing.CACHED, [entry("x", 5), entry("y", 6)], 0.6))
+    node(2.0, core.Roster(Listing.FULL, [entry("x", 5, State.DRAINING), entry("y", 6)]))
+    for i in range(6):
+        effects = answered(node, 3.0 + i, node(3.0 + i, unit(str(i), type=0, key=None)))
+        assert sends(effects) in (["y"], [])
+
+
+def test_a_live_list_older_than_the_saved_one_still_replaces_it(node, deployment, loop, executors):
+    from marlseam.net.discovery import Discovery
+
+    parts = executors()
+    heard = []
+
+    class Config:
+        known = {}
+        discovery = ("127.0.0.1", 1)
+
+    Config.deployment = deployment
+    live = Discovery(loop, parts.log, Config, parts, heard.append)
+    row = {
+        "dial": "127.0.0.1:9",
+        "site": "here",
+        "class": "plain",
+        "block": 0,
+        "health": "active",
+        "born_ms": 0,
+    }
+    assert live.take({"seq": 90, "whole": True, "hosts": [row | {"host": "old"}]}, cached=True, doubt=0.6)
+    assert heard[-1].listing is Listing.CACHED and heard[-1].doubt == 0.6
+    assert live.take({"seq": 3, "whole": True, "hosts": [row | {"host": "new"}]})
+    assert set(live.held) == {"new"} and heard[-1].listing is Listing.FULL and heard[-1].doubt == 0.0
