--- a/marlseam/experiment/policies.py
+++ b/marlseam/experiment/policies.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 
 from marlseam.core import Core
-from marlseam.interface import WorkUnit
 from marlseam.logic import Handle, Node
 
 
@@ -42,16 +41,8 @@
 class Dispatcher(Node):
     """A node that places its work by one of the baselines."""
 
-    handle: type[Baseline]
     turn = -1
 
-    def take(self, work: WorkUnit) -> Handle:
-        """Take a work unit."""
-        wu = self.handle(self, work)
-        self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
-        wu.place()
-        return wu
-
 
 class AtRandom(Baseline):
     """Any usable executor, at random."""
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -280,6 +280,8 @@
 class Node(Figures):
     """One dispatcher: executors in parallel arrays, what its own traffic has taught it, and its lines."""
 
+    handle: type[Handle] = Handle  # baselines in experiments set another
+
     def __init__(self, settings: Settings, seed: int, port: Port) -> None:
         super().__init__()
         self.port, self.seed, self.draws = port, seed, 0
@@ -618,7 +620,7 @@
     def take(self, work: Work) -> Handle:
         """Take a work unit, to be answered before this try's hard limit whatever is out by then."""
         self.widest = max(self.widest, work.memory)
-        wu = Handle(self, work)
+        wu = self.handle(self, work)
         self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
         wu.place()
         return wu
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -20,18 +20,10 @@
 def dispatcher(handle, **node):
     """Return a maker of reducers with another handle, and other methods of the node."""
 
-    class Wrong(Node):
-        def take(self, work):
-            wu = handle(self, work)
-            self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
-            wu.place()
-            return wu
-
-    for name, method in node.items():
-        setattr(Wrong, name, method)
+    wrong = type("Wrong", (Node,), {"handle": handle, **node})
 
     class WrongCore(Core):
-        decider = Wrong
+        decider = wrong
 
     return WrongCore
 
