--- a/marlseam/experiment/policies.py
+++ b/marlseam/experiment/policies.py
@@ -21,7 +21,11 @@
         self.lined = False
         if not self.may_send():
             self.again()
-            return
+        else:
+            self.pick()
+
+    def pick(self) -> None:
+        """Send to the policy's choice, or wait in line."""
         e = self.choice()
         if e < 0:
             self.hold()
@@ -81,12 +85,8 @@
 class TwoChoices(Baseline):
     """Two at random are really probed, and the one with the smaller count by its report is taken."""
 
-    def place(self) -> None:
+    def pick(self) -> None:
         """Ask two at random, then send."""
-        self.lined = False
-        if not self.may_send():
-            self.again()
-            return
         ready = self.ready()
         chosen: list[int] = []
         while ready and len(chosen) < 2:
--- a/marlseam/experiment/virtual.py
+++ b/marlseam/experiment/virtual.py
@@ -33,7 +33,7 @@
 RESTART_MS = 300.0  # how long a killed node is away
 ROLL_OPEN_MS = 350.0  # how long a front deals to a node that was told to end
 CLIENT_ENDS = {core.Complete: "completed", core.Defer: "deferred", core.Abort: "aborted"}
-ENDS = {"done": Outcome.COMPLETED, "failed": Outcome.ERROR, "lost": Outcome.BROKEN, "returned": Outcome.FULL}
+ENDS = {"done": Outcome.COMPLETED, "failed": Outcome.ERROR, "lost": Outcome.BROKEN}
 
 
 @dataclass(frozen=True)
@@ -88,7 +88,6 @@
     core: Core
     life: int = 0
     up: bool = True
-    closing: bool = False
     version: int = 0
     watching: bool = False
     told_at: float = -inf
@@ -198,7 +197,7 @@
     def begin_node(self, seat: Seat) -> None:
         """Start a node from nothing, with the list as it was."""
         seat.life += 1
-        seat.core, seat.up, seat.closing, seat.watching = self.make_core(), True, False, False
+        seat.core, seat.up, seat.watching = self.make_core(), True, False
         seat.idle, seat.tries, seat.version = {}, {}, 0
         self.driver.add(records.Node(t=self.now, by="driver", node=seat.name, state="began", zone=seat.zone))
         number = int(stream(self.seed, "node", seat.name, seat.life).integers(1 << 62))
@@ -448,8 +447,6 @@
         writer = self.streams.writers[name]
         if h.what == "started":
             writer.add(records.Ran(t=h.t, by=name, id=ref, effect=h.value > 0.0))
-        elif h.what == "returned":
-            writer.add(records.Refused(t=h.t, by=name, id=ref))
         elif h.what != "progress":
             writer.add(records.Ended(t=h.t, by=name, id=ref, how=h.what, work=h.value))
         flight = host.flights.get(h.id)
@@ -644,7 +641,6 @@
         elif what == "node_kill" and seat.up:
             self.end_node(seat, "killed")
         elif what == "node_roll" and seat.up:
-            seat.closing = True
             seat.starts_ms = self.now + 1000.0 * self.day.fleet.roll_s
             drain = min(DRAIN_MOST_MS, max(type.limit_ms for type in self.day.types)) + ANSWER_MS
             self.post(seat, core.Closing(drain))
--- a/marlseam/standin/executors.py
+++ b/marlseam/standin/executors.py
@@ -65,8 +65,6 @@
         ref = h.id.rpartition("/")[0]
         if h.what == "started":
             self.note(records.Ran, id=ref, effect=h.value > 0.0)
-        elif h.what == "returned":
-            self.note(records.Refused, id=ref)
         elif h.what != "progress":
             self.note(records.Ended, id=ref, how=h.what, work=h.value)
         call = self.calls.get(h.id)
@@ -171,7 +169,7 @@
             row |= {"state": "running", "share": h.value}
         elif h.what == "done":
             row["result"] = f"{self.job.unit} by {self.host.name}"
-        self.over = self.over or h.what in ("done", "failed", "lost", "returned")
+        self.over = self.over or h.what in ("done", "failed", "lost")
         self.lines.append(row)
         self.task.wake()
 
--- a/marlseam/store/keeper.py
+++ b/marlseam/store/keeper.py
@@ -55,7 +55,7 @@
         self.out = bytearray()
         self.channel: socket.socket | None = None
         self.process: subprocess.Popen | None = None
-        self.back_ms, self.size, self.code = BACK_MS, 0, ""
+        self.back_ms, self.code = BACK_MS, ""
         self.writer: Task | None = None
         self.lock: int | None = None
 
@@ -229,8 +229,7 @@
             if not self.told:
                 self.log.line(f"state is kept in {self.path}")
             self.works, self.told, self.back_ms, self.code = True, True, BACK_MS, ""
-            self.size = row["size"]
-            if self.size <= self.settings.journal_mb * (1 << 20):
+            if row["size"] <= self.settings.journal_mb * (1 << 20):
                 self.compacting = False
             elif not self.compacting:
                 self.compacting = True
--- a/marlseam/world/executor.py
+++ b/marlseam/world/executor.py
@@ -312,12 +312,6 @@
             self.happened.append(Happening(self.at, "lost", job.id, 0.0))
         self.state, self.up = State(), False
 
-    def hand_back(self) -> None:
-        """Hand back what has not started, as one does that drains."""
-        for job in self.state.queue:
-            self.happened.append(Happening(self.at, "returned", job.id, 0.0))
-        self.state.queue.clear()
-
     # Reports.
 
     def sample(self) -> Report:
--- a/marlseam/world/plan.py
+++ b/marlseam/world/plan.py
@@ -10,7 +10,6 @@
 from marlseam.world.chance import lognormal, stream
 from marlseam.world.model import Day, Load, nodes
 
-SURGE = "surge"  # the trouble that raises the rate
 SIZE_MOST = 12.0  # largest work, in means of its type
 
 
