Lines are heaps by kind and width, and looks in vain are bounded

Node.pump put a whole line in order at every outcome and drew over all executors for each that waits; the adapter itself is not at fault (the other drills pass, the wire is read in a small part of that time). Work bound to one kind also closed the line for work that may run elsewhere. Change: one heap for each (further allocation, kind needed, slots), by the time until which a work unit can be in time; at most four looks in vain at a serving.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -7,6 +7,7 @@
 
 import zlib
 from collections.abc import Callable
+from heapq import heappop, heappush
 from math import ceil, inf, log
 
 from marlseam.figures import MEMORY, Figures
@@ -27,6 +28,7 @@
 CROSSING = 1500.0  # how much likelier an executor nearby is drawn for new work, by the price of crossing
 SHORT = 0.3  # the run, in means of its type, that a wait must still leave in time
 QUEUE = 1.0  # the longest wait at an executor that work is sent into, in urgent promises
+LOOKS = 4  # looks in vain in one serving of the lines
 DOUBT = 30.0  # how much a doubtful report counts less
 COLD = 0.6  # part of a cold executor's budget that the nodes plan to use
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
@@ -208,7 +210,7 @@
         """Wait in line for an executor: first allocations in one, further ones in another served after it."""
         if not self.lined:
             self.lined = self.waited = True
-            self.node.lines[bool(self.allocs)].append(self)
+            self.node.queue(self)
             self.node.wake()
 
     def again(self) -> None:
@@ -288,7 +290,10 @@
         self.configure(settings)
         # Most memory needed so far; the unseen wait where less is free; share of reports found to be late.
         self.widest, self.hidden, self.doubt = 0.0, 0.0, 0.0
-        self.lines: tuple[list[Handle], list[Handle]] = ([], [])
+        # Heaps by (further allocation, kind that it needs, slots): until when one can be in time, a number.
+        self.lines: dict[tuple[bool, int, float], list[tuple[float, int, Handle]]] = {}
+        self.aside: list[tuple[float, int, Handle]] | None = None  # looked in vain, while others do
+        self.count_lined = 0
         self.subscribed, self.next_ask = not settings.asked_roster, 0.0
         self.tells_queue = self.awake = False
         self.looking: Handle | None = None  # of those in line, whose home is being asked
@@ -651,27 +656,59 @@
             elif now >= until and self.standing(e):
                 self.suspend(e, "trial stands", True)
         self.pump(inf if self.chance() < max(0.1, LUCK * self.luck) else 0.0)
-        if self.watched or any(self.lines) or not self.subscribed:
+        if self.watched or self.lines or not self.subscribed:
             self.wake()
 
+    def queue(self, wu: Handle) -> None:
+        """Put a work unit in line; lines stand apart by what a look for one of them says of the others."""
+        self.count_lined += 1
+        due = self.port.now() + wu.slack(min(self.kind_pace))
+        entry = (due, self.count_lined, wu)
+        if self.aside is not None:
+            self.aside.append(entry)
+        else:
+            heappush(self.lines.setdefault((bool(wu.allocs), wu.type.kind, wu.work.slots), []), entry)
+
     def pump(self, hopeless: float = inf) -> None:
         """Serve the lines: first allocations, then further ones; give up what has waited too long.
 
         One looks at a time, and after one in vain only narrower work, until the next sweep. Guards against a
         probe storm: on a node with little traffic every home must be asked, and all in line would ask theirs.
+        Looks in vain are bounded. Guards against a burst that has thousands wait: each outcome once put all
+        of them in order and drew over all executors for each.
         """
-        best = min(self.kind_pace)
-        for line in self.lines:
-            for wu in sorted(line, key=lambda wu: wu.slack(best)):
-                slack = wu.slack(best)
-                if slack < 0.0 and not wu.out() and not wu.done:
+        now, vain = self.port.now(), 0
+        if self.aside is not None:
+            return
+        self.aside, closed = [], dict.fromkeys({key[1] for key in self.lines}, hopeless)
+        while True:
+            heads = [(key[0], line[0][0], key) for key, line in self.lines.items() if line]
+            heads = [head for head in heads if head[1] < now or self.open_for(head[2], closed, vain)]
+            if not heads:
+                break
+            _, due, key = min(heads)
+            wu = heappop(self.lines[key])[2]
+            wu.lined = False
+            if wu.done:
+                continue
+            if due < now:
+                if not wu.out():
                     wu.answer()
-                if wu.done:
-                    line.remove(wu)
-                elif (wu.work.slots < hopeless or wu.allocs) and (self.looking is None or self.looking.done):
-                    line.remove(wu)
-                    wu.place()
-                    if wu.lined and slack >= self.queue_ms:
-                        hopeless = min(hopeless, wu.work.slots)
-                    elif not (wu.lined or wu.done or wu.out()):
-                        self.looking = wu
+                continue
+            wu.place()
+            if wu.lined:
+                vain += 1
+                if due - now >= self.queue_ms:
+                    closed[key[1]] = min(closed[key[1]], key[2])
+            elif not (wu.done or wu.out()):
+                self.looking = wu
+        relined, self.aside = self.aside, None
+        for _, _, wu in relined:
+            self.queue(wu)
+        self.lines = {key: line for key, line in self.lines.items() if line}
+
+    def open_for(self, key: tuple[bool, int, float], closed: dict[int, float], vain: int) -> bool:
+        """Return whether one of a line may look for an executor now."""
+        if vain > LOOKS or not (self.looking is None or self.looking.done):
+            return False
+        return key[0] or key[2] < closed[key[1]]
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -1,5 +1,7 @@
 """The decisions one by one: the ordinary path, the four rules, and each failure found so far."""
 
+from dataclasses import replace
+
 import pytest
 
 from marlseam.interface import Alloc, Listing, Member, Outcome, Report, State, WorkUnit
@@ -12,6 +14,10 @@
     return [e for e in range(len(node.state)) if node.usable(e)]
 
 
+def waiting(node, further=False):
+    return sum(len(line) for key, line in node.lines.items() if key[0] is further)
+
+
 # The ordinary path.
 
 
@@ -289,13 +295,13 @@
 def test_work_that_would_be_late_waits_in_line(make, unit):
     node = make(40.0)
     unit(node).place()
-    assert not node.port.did("send") and len(node.lines[0]) == 1
+    assert not node.port.did("send") and waiting(node) == 1
 
 
 def test_further_allocations_wait_in_a_line_of_their_own(make, unit):
     node = make(40.0)
     unit(node, 0, ((0, Outcome.FULL),)).hold()
-    assert not node.lines[0] and len(node.lines[1]) == 1
+    assert not waiting(node) and waiting(node, True) == 1
 
 
 def test_wide_work_waits_for_all_its_slots(make, unit):
@@ -396,6 +402,26 @@
     assert len(node.port.did("probe")) == 1
 
 
+def test_looks_in_vain_are_bounded_however_many_wait(make, unit):
+    node = make(*[40.0] * 5)
+    for _ in range(200):
+        unit(node).hold()
+    looks = []
+    node.draw = lambda test, waited=False: looks.append(1) or -1
+    node.pump()
+    assert len(looks) < 10 and waiting(node) == 200
+
+
+def test_a_look_in_vain_by_work_for_one_kind_holds_up_no_other_work(make, unit):
+    node = make(0.0)
+    bound = unit(node)
+    bound.type = replace(bound.type, kind=1, promised_ms=100.0)
+    bound.hold()
+    unit(node).hold()
+    node.pump()
+    assert len(node.port.did("send")) == 1 and waiting(node) == 1
+
+
 def test_after_a_look_that_found_room_the_next_one_looks(make, unit):
     node = make(40.0, asked_roster=False)
     for _ in range(2):
@@ -451,7 +477,7 @@
     wu = unit(node)
     wu.home = 0
     wu.at_home()
-    assert not node.port.did("probe") and len(node.lines[0]) == 1
+    assert not node.port.did("probe") and waiting(node) == 1
 
 
 @pytest.mark.parametrize("type", range(3))
