Counts from peers' words or late weights, homes by key, draws that lean by kind

Change: homes are not asked first where reports come with answers; where nodes may talk each tells what it has where (4 bytes a change, every quarter promise) and the others' part of a count is the sum; else a weight counts as a departure from its kind's level; new keyed work is drawn from its key's points on a ring; a kind that other work needs is drawn less often.

--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -22,6 +22,9 @@
 FILE = "EDGE_CONFIG"
 OWN = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
 OWN_FILE = "MARLSEAM_SETTINGS"
+WEIGHTS = {"none": False, "nominal": False, "rough": False, "live": True}
+REPORTS = {"none": False, "probe": False, "answers": True}
+WORTH = {"request": False, "work": True}
 REQUIRED = object()
 
 
@@ -203,6 +206,7 @@
             group=row.word("dedupScope", Group, "cell"),
             memory_ms=row.ms("memorySpanUs", 0.0),
             kind=int(class_kinds[i]) if i < len(class_kinds) else -1,
+            credit=row.number("worth", 1.0),
         )
     settings = Settings(
         types=tuple(known.values()),
@@ -224,6 +228,11 @@
         fall_multiple=rules.number("fallMultiple", 1.0),
         fall_ms=rules.ms("tipAfterUs", 1000.0),
         cross_price=prices.number("crossZone", 0.0),
+        answers_report=answers_report(top),
+        live_weights=top.word("weights", WEIGHTS, "none"),
+        may_tell=limits.flag("peers"),
+        fetch_price=prices.number("origin", 0.0),
+        by_size=top.word("worthBy", WORTH, "request"),
     )
     return Deployment(
         settings=settings,
@@ -237,6 +246,18 @@
     )
 
 
+def answers_report(top: Table) -> bool:
+    """Return whether executors tell their load with answers; then it must be said what they tell."""
+    reports = top.table("loadReport", {})
+    found = reports.word("how", REPORTS, "probe")
+    fields = reports.get("fields", [])
+    if not isinstance(fields, list) or not all(isinstance(name, str) for name in fields):
+        raise ConfigError(reports.path("fields"), fields, "a list of names")
+    if found and not fields:
+        raise ConfigError(reports.path("fields"), fields, "one name at least where reports come with answers")
+    return found
+
+
 def report_names(info: Table) -> dict[str, str]:
     """Return which of a load report's names mean which of our figures."""
     names = dict(REPORT_NAMES)
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -8,6 +8,7 @@
 from dataclasses import replace
 from math import inf
 from typing import NamedTuple
+from zlib import crc32
 
 from marlseam.interface import Effect as Repeat
 from marlseam.interface import Listing, Member, Outcome, Report, Settings, State, WorkUnit
@@ -28,6 +29,7 @@
     zone: int
     cell: int
     born_ms: float | None
+    weight: float | None = None
 
 
 # Events.
@@ -114,6 +116,13 @@
     report: Report | None
 
 
+class Told(NamedTuple):
+    """Another node's message."""
+
+    peer: int
+    message: bytes
+
+
 class Due(NamedTuple):
     """A timer has come due."""
 
@@ -138,6 +147,7 @@
     | Streaming
     | Left
     | Probed
+    | Told
     | Due
     | Closing
 )
@@ -216,13 +226,19 @@
     """Ask the roster for its list and its changes."""
 
 
+class Tell(NamedTuple):
+    """Send all other nodes a message."""
+
+    message: bytes
+
+
 class Log(NamedTuple):
     """Write a line for staff."""
 
     text: str
 
 
-Effect = Send | Cancel | Complete | Defer | Abort | Probe | Timer | Remember | Forget | Watch | Log
+Effect = Send | Cancel | Complete | Defer | Abort | Probe | Timer | Remember | Forget | Watch | Tell | Log
 
 
 class Core:
@@ -299,6 +315,10 @@
         """Ask the roster for its changes."""
         self.effects.append(Watch())
 
+    def tell(self, message: bytes) -> None:
+        """Send all other nodes a message."""
+        self.effects.append(Tell(message))
+
     def log(self, text: str) -> None:
         """Write a line for staff."""
         self.effects.append(Log(text))
@@ -315,7 +335,7 @@
 
     def roster(self, event: Roster) -> None:
         """Hand the roster's news on under dense indices."""
-        members = [Member(self.executor(e[0]), *e[1:]) for e in event.entries]
+        members = [Member(self.executor(e[0]), *e[1:], crc32(e[0].encode())) for e in event.entries]
         self.node.roster(event.listing, members, event.doubt)
         if event.listing is Listing.FAILED:
             return
@@ -370,6 +390,10 @@
         e = self.index[event.executor]
         self.node.probed(e, event.outcome, event.lag_ms, event.report)
 
+    def told(self, event: Told) -> None:
+        """Hand another node's message on."""
+        self.node.told(event.peer, event.message)
+
     def settled(self, event: Settled) -> None:
         """Hand an allocation's end on, and its result to the client that still waits for it."""
         wu = self.open.get(event.ref)
@@ -447,6 +471,7 @@
     Arrival: Core.arrival,
     Due: Core.due,
     Probed: Core.probed,
+    Told: Core.told,
     Settled: Core.settled,
     Started: Core.sign,
     Progress: Core.sign,
--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Callable
 from typing import Any
+from zlib import crc32
 
 from marlseam.interface import Member, State, WorkUnit
 
 GUESS_WEIGHT = 5.0  # runs that a guess counts for against those seen
 MEMORY = 50.0  # runs that a mean remembers
+ASKED = 200.0  # work units taken that shares are reckoned from
+KEYED = 400.0  # the same for keys; at twice that they fade
+POINTS = 8  # of an executor on the ring
 
 
 class Figures:
@@ -21,6 +25,10 @@
         self.zone: list[int] = []
         self.cell: list[int] = []
         self.born: list[float | None] = []
+        self.mark: list[int] = []
+        self.by_mark: dict[int, int] = {}
+        self.period_ms = 0.0  # how often the list comes with new weights
+        self.listed_ms = 0.0
         # As heard: what the others have there, free slots and memory, when; the probe that is out.
         self.others: list[float | None] = []
         self.room: list[float] = []
@@ -53,16 +61,28 @@
         self.most_free: list[float] = []  # most slots ever reported free
         self.kind_pace: list[float] = []  # run over the project type's mean
         self.paced: list[float] = []  # runs that this rests on
+        self.top_weight: list[float] = []  # that of an executor that holds nothing
+        self.level: list[float] = []  # what the others have at an executor, by our own part of all work
         # By project type: mean run, and how many were seen; run times slots over all types.
         self.run: list[float] = []
         self.seen: list[float] = []
         self.mean_area = 0.0
+        self.mean_slots = 1.0  # of a work unit
+        # Work units taken: by project type, and by the key that they need, the latest counting most.
+        self.asked_for: list[float] = []
+        self.keys: dict[str, float] = {}
+        self.keyed = 0.0
+        # What other nodes have at executors, as they told: by node, then by mark; when they last told.
+        self.peers: dict[int, dict[int, int]] = {}
+        self.peer_ms: dict[int, float] = {}
+        self.ring: dict[int, list[tuple[int, int]]] = {}  # by kind (-1: all): points of executors, in order
 
     def grow(self, kinds: int, guesses: list[float]) -> None:
         """Make room for kinds (the last place is that of unknown ones) and for project types."""
         blanks = (
             (self.members, 0), (self.known, 0), (self.others_sum, 0.0), (self.ours_sum, 0.0),
             (self.most_free, 0.0), (self.kind_pace, 1.0), (self.paced, GUESS_WEIGHT),
+            (self.top_weight, 0.0), (self.level, 0.0),
         )  # fmt: skip
         for array, blank in blanks:
             array[-1:-1] = [blank] * (kinds + 1 - len(array))
@@ -70,12 +90,13 @@
             self.mean_area = sum(guesses) / max(1, len(guesses))
         self.run += guesses[len(self.run) :]
         self.seen += [GUESS_WEIGHT] * (len(self.run) - len(self.seen))
+        self.asked_for += [1.0] * (len(self.run) - len(self.asked_for))
 
     def add(self) -> None:
         """Make room for one more executor."""
         for array in (
-            self.state, self.kind, self.zone, self.cell, self.born, self.others, self.heard_ms, self.sign_ms,
-            self.room, self.free_memory, self.asked_ms, self.full, self.passed, self.evidence,
+            self.state, self.kind, self.zone, self.cell, self.born, self.mark, self.others, self.heard_ms,
+            self.sign_ms, self.room, self.free_memory, self.asked_ms, self.full, self.passed, self.evidence,
             self.out_until, self.rest, self.silent, self.tokens, self.token_ms, self.ours, self.unsure,
         ):  # fmt: skip
             array.append(None)
@@ -86,6 +107,7 @@
     def clear(self, e: int) -> None:
         """Put an executor on record as one of which nothing is known."""
         self.state[e], self.kind[e], self.zone[e], self.cell[e], self.born[e] = State.GONE, -1, -1, -1, None
+        self.mark[e] = 0
         self.room[e], self.free_memory[e], self.sign_ms[e], self.asked_ms[e] = 0.0, None, -1e18, None
         self.tokens[e] = self.token_ms[e] = self.ours[e] = self.unsure[e] = 0.0
         self.unlearn(e)
@@ -103,6 +125,8 @@
             self.add()
         self.tally(e, -1)
         self.state[e], self.kind[e], self.zone[e], self.cell[e] = m.state, m.kind, m.zone, m.cell
+        self.mark[e] = m.mark & 0xFFFFFF
+        self.by_mark[self.mark[e]] = e
         self.tally(e, 1)
 
     def leave(self, executors: set[int]) -> None:
@@ -149,6 +173,46 @@
         self.paced[kind] = min(self.paced[kind] + 1.0, MEMORY)
         self.kind_pace[kind] += (run / self.run[t] - self.kind_pace[kind]) / self.paced[kind]
 
+    def note(self, work: WorkUnit) -> None:
+        """Count a work unit that was taken, by its type, its slots and its key."""
+        self.asked_for = [count * (1.0 - 1.0 / ASKED) for count in self.asked_for]
+        self.asked_for[work.type] += 1.0
+        self.mean_slots += (work.slots - self.mean_slots) / ASKED
+        if work.key is not None:
+            self.keyed += 1.0
+            self.keys[work.key] = self.keys.get(work.key, 0.0) + 1.0
+            if self.keyed >= KEYED:
+                self.keyed /= 2.0
+                self.keys = {key: count / 2.0 for key, count in self.keys.items() if count >= 1.0}
+
+    def told(self, peer: int, now: float, message: bytes) -> None:
+        """Note what another node has at executors: a mark of three bytes and the slots in one, for each."""
+        held = self.peers.setdefault(peer, {})
+        self.peer_ms[peer] = now
+        for at in range(0, len(message) - 3, 4):
+            mark, slots = int.from_bytes(message[at : at + 3], "big"), message[at + 3]
+            before, e = held.pop(mark, 0), self.by_mark.get(mark)
+            if slots:
+                held[mark] = slots
+            if e is not None and slots != before:
+                self.hear(e, max(0.0, (self.others[e] or 0.0) + slots - before))
+
+    def sum_told(self, now: float, most_ms: float) -> None:
+        """Reckon anew what the others have, without nodes that have long told nothing."""
+        for peer in [peer for peer, at in self.peer_ms.items() if now - at > most_ms]:
+            del self.peers[peer], self.peer_ms[peer]
+        for e, mark in enumerate(self.mark):
+            self.hear(e, float(sum(held.get(mark, 0) for held in self.peers.values())))
+
+    def set_ring(self) -> None:
+        """Lay out the points of all ready executors, by kind and all together."""
+        ready = [e for e, state in enumerate(self.state) if state is State.READY]
+        self.ring = {
+            -1: sorted((crc32(b"%d:%d" % (self.mark[e], i)), e) for e in ready for i in range(POINTS))
+        }
+        for point in self.ring[-1]:
+            self.ring.setdefault(self.kind[point[1]], []).append(point)
+
     def found(self, room: bool) -> None:
         """Learn how often asking finds room: under overload it seldom does, and each probe has its price."""
         self.luck += (float(room) - self.luck) / 20.0
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -69,6 +69,7 @@
     group: Group
     memory_ms: float
     kind: int
+    credit: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -94,6 +95,13 @@
     fall_multiple: float
     fall_ms: float
     cross_price: float
+    answers_report: bool = (
+        False  # executors tell their load with answers: a probe brings the last report again
+    )
+    live_weights: bool = False  # the roster's weights move with load
+    may_tell: bool = False  # nodes may send each other messages
+    fetch_price: float = 0.0  # what it costs to fetch the thing that a work unit needs
+    by_size: bool = False  # a work unit earns credit for its size
 
 
 @dataclass(frozen=True)
@@ -106,6 +114,8 @@
     zone: int
     cell: int
     born_ms: float | None
+    weight: float | None = None
+    mark: int = 0  # the same at every node
 
 
 @dataclass(frozen=True)
@@ -129,6 +139,8 @@
     memory: float = 0.0
     hint_ms: float | None = None
     receipt: str | None = None  # the key under which a repeat is known
+    key: str | None = None  # the thing that it needs
+    tenant: int = -1
     prior: tuple[
         tuple[int, float], ...
     ] = ()  # executors and times of what may have run under this key before
@@ -188,4 +200,6 @@
 
     def subscribe(self) -> None: ...
 
+    def tell(self, message: bytes) -> None: ...
+
     def log(self, text: str) -> None: ...
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -6,11 +6,12 @@
 """
 
 import zlib
-from collections.abc import Callable
+from bisect import bisect
+from collections.abc import Callable, Iterator
 from heapq import heappop, heappush
 from math import ceil, inf, log
 
-from marlseam.figures import MEMORY, Figures
+from marlseam.figures import KEYED, MEMORY, POINTS, Figures
 from marlseam.interface import Alloc, Effect, Group, Listing, Member, Outcome, Port, Report, Settings, State
 from marlseam.interface import WorkUnit as Work
 from marlseam.recovery.lists import ANSWERED, SURE
@@ -28,6 +29,10 @@
 CROSSING = 1500.0  # how much likelier an executor nearby is drawn for new work, by the price of crossing
 SHORT = 0.3  # the run, in means of its type, that a wait must still leave in time
 QUEUE = 1.0  # the longest wait at an executor that work is sent into, in urgent promises
+LATE = 0.35  # how old a weight of the list is when it comes, in the times between lists
+TRUST = 0.3  # what remains by now of a departure from the mean that a late weight shows
+SPREAD = 2.0  # executors that a key is drawn to first, over its share of the work times the fleet
+NEAREST = 6  # points of a key that are looked at
 LOOKS = 4  # looks in vain in one serving of the lines
 DOUBT = 30.0  # how much a doubtful report counts less
 COLD = 0.6  # part of a cold executor's budget that the nodes plan to use
@@ -120,7 +125,7 @@
         if not self.may_send():
             self.again()
             return
-        self.home = self.node.draw(lambda e: self.fits(e) and self.in_time(e), self.waited)
+        self.home = self.node.draw(lambda e: self.fits(e) and self.in_time(e), self.waited, self.work)
         if self.home < 0:
             self.hold()
         elif self.node.stale(self.home):
@@ -138,7 +143,7 @@
         # Guards against a probe storm under overload: what waits probes no others, and new work fewer.
         most = round(PROBES * min(1.0, LUCK * node.luck)) if node.set.may_probe and not self.waited else 0
         while len(chosen) < most:
-            e = node.draw(lambda e: e != self.home and e not in chosen and self.fits(e))
+            e = node.draw(lambda e: e != self.home and e not in chosen and self.fits(e), False, self.work)
             if e < 0:
                 break
             chosen.append(e)
@@ -287,6 +292,7 @@
     def __init__(self, settings: Settings, seed: int, port: Port) -> None:
         super().__init__()
         self.port, self.seed, self.draws = port, seed, 0
+        self.changed: dict[int, None] = {}
         self.configure(settings)
         # Most memory needed so far; the unseen wait where less is free; share of reports found to be late.
         self.widest, self.hidden, self.doubt = 0.0, 0.0, 0.0
@@ -307,6 +313,9 @@
         self.ask_ms = max(ASK * urgent, 4.0 * settings.tick_ms)
         self.fresh_ms, self.sweep_ms = FRESH * urgent, SWEEP * urgent
         self.queue_ms, self.margin = QUEUE * urgent, 2.0 * settings.tick_ms
+        self.bound = any(t.kind >= 0 for t in self.types)
+        self.longest_ms = 2.0 * max((t.limit_ms for t in self.types if t.limit_ms < inf), default=1000.0)
+        self.period_ms = self.period_ms or settings.progress_ms
         self.grow(settings.kinds, [FIRST_GUESS * t.promised_ms for t in self.types])
         self.near, self.far = self.by_zone(settings.zone)
 
@@ -329,6 +338,11 @@
             self.subscribed, self.backoff = True, 0.0
         if listing is not Listing.DELTA:
             self.leave(set(range(len(self.state))) - {m.executor for m in members})
+        now = self.port.now()
+        if self.set.live_weights and listing is Listing.DELTA and len(members) > len(self.near) / 2:
+            if self.listed_ms:
+                self.period_ms += (min(now - self.listed_ms, 4.0 * self.period_ms) - self.period_ms) / 5.0
+            self.listed_ms = now
         for m in members:
             self.enter(m)
             born = self.port.now() if doubt > SURE else m.born_ms  # guards what may have started meanwhile
@@ -337,7 +351,14 @@
             elif born is None and listing is not Listing.CACHED:
                 self.born[m.executor] = None
             self.unsure[m.executor] = doubt
+        if self.set.live_weights:
+            self.weigh([(m.executor, m.weight) for m in members if m.weight and m.state is State.READY])
+        before = self.near, self.far
         self.near, self.far = self.by_zone(self.set.zone)
+        if self.set.fetch_price and (self.near, self.far) != before:
+            self.set_ring()
+        if self.peers:
+            self.sum_told(now, self.longest_ms)
         for e in list(self.watched):
             if self.state[e] is State.GONE:
                 self.rescue(e)
@@ -353,6 +374,53 @@
         self.tokens[e], self.token_ms[e] = -self.chance(), now  # so that the nodes do not all begin at once
         self.rescue(e, born)
 
+    def weigh(self, weights: list[tuple[int, float]]) -> None:
+        """Take weights that move with load, size over one plus the work units held a core, for reports.
+
+        Each counts as a small departure from its kind's level, since it says little of now. The level is half
+        the list's, half our own work's as that of one node of many. Guards against late lists: by these alone
+        all nodes once found a whole kind full, kept away from it together, and came back together.
+        """
+        taken, found = self.port.now() - LATE * self.period_ms, {}
+        for e, weight in weights:
+            kind = self.kind[e]
+            self.top_weight[kind] = max(self.top_weight[kind], weight)
+            self.full[e] = self.passed[e] = False
+            held = self.slots(e) * (self.top_weight[kind] / weight - 1.0) * self.mean_slots
+            mine = sum(wu.work.slots for wu, i in self.own[e] if wu.allocs[i].sent_ms < taken)
+            found.setdefault(kind, []).append((e, held - mine))
+        if self.peers:
+            return
+        for kind, rows in found.items():
+            listed = sum(others for _, others in rows) / len(rows)
+            own = self.ours_sum[kind] * (self.set.nodes - 1) / max(1, self.members[kind])
+            self.level[kind] += (own - self.level[kind]) / 2.0
+            for e, others in rows:
+                self.hear(e, max(0.0, (self.level[kind] + listed) / 2.0 + TRUST * (others - listed)))
+
+    # What nodes tell each other.
+
+    def hold(self, e: int, wu: Handle, alloc: int, slots: float) -> None:
+        """Note an allocation of ours at an executor or its end, to be told to the other nodes."""
+        super().hold(e, wu, alloc, slots)
+        if self.set.may_tell:
+            if not self.changed:
+                self.port.after(self.ask_ms, self.tell)
+            self.changed[e] = None
+
+    def tell(self) -> None:
+        """Tell the other nodes what we have at each executor where that has changed."""
+        words = [
+            self.mark[e].to_bytes(3, "big") + bytes([min(255, ceil(self.ours[e]))]) for e in self.changed
+        ]
+        self.changed.clear()
+        for at in range(0, len(words), 64):
+            self.port.tell(b"".join(words[at : at + 64]))
+
+    def told(self, peer: int, message: bytes) -> None:  # type: ignore[override]
+        """Take in what another node has at executors: it stands for what reports would say, only sooner."""
+        super().told(peer, self.port.now(), message)
+
     # What an executor's figures say.
 
     def slots(self, e: int) -> float:
@@ -425,11 +493,57 @@
             return False  # a sick one rests, then gets one work unit at a time on trial
         return self.warm(e)
 
-    def draw(self, test: Callable[[int], bool], waited: bool = False) -> int:
-        """Draw a usable executor that passes a test, or -1; new work draws the own zone more often.
-
-        What has waited is drawn evenly: a zone may have more work than its own executors carry.
+    def draw(self, test: Callable[[int], bool], waited: bool = False, work: Work | None = None) -> int:
+        """Draw a usable executor that passes a test, or -1; kinds that others need are drawn less often."""
+        free = self.bound and work is not None and self.types[work.type].kind == -1
+        leans, second = self.leans() if free else [], -1
+        for e in self.candidates(waited, work):
+            if self.usable(e) and test(e):
+                if not leans or self.lot(e, work) < leans[self.kind[e]]:
+                    return e
+                second = e if second < 0 else second
+        return second
+
+    def lot(self, e: int, work: Work) -> float:
+        """Return a number in [0, 1): by chance, or the same each time for an executor and a key."""
+        return (
+            self.chance()
+            if work.key is None
+            else zlib.crc32(b"%d" % self.mark[e], zlib.crc32(work.key.encode())) / 2.0**32
+        )
+
+    def leans(self) -> list[float]:
+        """Return for each kind how likely one that was drawn is taken for work that any kind may run.
+
+        Guards the one kind that some project types can run on: drawn evenly, work that may go anywhere took
+        part of it, and the others waited there beside kinds that had room.
         """
+        areas = [n * run for n, run in zip(self.asked_for, self.run, strict=True)]
+        kinds = range(len(self.members))
+        bound = [sum(a for a, t in zip(areas, self.types, strict=True) if t.kind == k) for k in kinds]
+        room = [self.members[k] * self.most_free[k] / self.kind_pace[k] for k in kinds]
+        use = sum(areas) / (sum(room) or 1.0)
+        spare = [max(0.0, use * room[k] - bound[k]) / max(1, self.members[k]) for k in range(len(room))]
+        most = max(spare) or 1.0
+        return [s / most for s in spare]
+
+    def candidates(self, waited: bool, work: Work | None) -> Iterator[int]:
+        """Yield executors in the order in which they are drawn.
+
+        New work comes first to where the thing that it needs is likely to be kept: to points that its key
+        gives on a ring, the more of them the more often it is asked for, the same at every node. Then at
+        random, the own zone more often; what has waited is drawn evenly there: a zone may have more work
+        than its own executors carry.
+        """
+        ring = (
+            self.ring.get(self.types[work.type].kind) if work is not None and work.key is not None else None
+        )
+        if ring and self.set.fetch_price:
+            share = self.keys.get(work.key, 0.0) / max(self.keyed, KEYED / 2.0)
+            first = int(self.chance() * (1.0 + SPREAD * share * len(ring) / POINTS))
+            for i in range(first, first + NEAREST):
+                at = bisect(ring, (zlib.crc32(b"%s:%d" % (work.key.encode(), i)),))
+                yield ring[at % len(ring)][1]
         weight = 1.0 if waited else 1.0 + CROSSING * self.set.cross_price
         near, far = list(self.near), list(self.far)
         while near or far:
@@ -438,9 +552,7 @@
             i = min(int(i), len(pool) - 1)
             e, pool[i] = pool[i], pool[-1]
             pool.pop()
-            if self.usable(e) and test(e):
-                return e
-        return -1
+            yield e
 
     # Probes.
 
@@ -451,6 +563,8 @@
         probes of the silent in their own time once paid more for these than for all others.
         """
         age = self.port.now() - self.heard_ms[e]
+        if self.set.answers_report:
+            return self.set.may_probe and self.silent[e]  # a probe would bring the last report once more
         return self.set.may_probe and (self.silent[e] or age > self.fresh_ms * (1.0 + DOUBT * self.doubt))
 
     def ask(self, e: int, then: Callable[[int | None], None]) -> None:
@@ -484,6 +598,8 @@
         self.hidden *= 1.0 - 1.0 / MEMORY
         held, kind = report.held, self.kind[e]
         self.tells_queue = held is not None or report.queued is not None
+        if self.set.answers_report:
+            sampled_ms -= self.period_ms
         own = [(wu.work.slots, wu.allocs[i]) for wu, i in self.own[e]]
         running = sum(slots for slots, a in own if a.started_ms is not None)
         mine = running + sum(a.started_ms is None and a.sent_ms < sampled_ms for _, a in own)
@@ -498,7 +614,7 @@
                 held += report.queued
             else:
                 mine = running
-        if held is not None:
+        if held is not None and not (self.set.live_weights or self.peers):
             # Guards against reports that come late: one that misses what has long been running here is old.
             settled = sampled_ms - 2.0 * self.ask_ms
             known = sum(slots for slots, a in own if a.started_ms is not None and a.started_ms < settled)
@@ -625,6 +741,7 @@
     def take(self, work: Work) -> Handle:
         """Take a work unit, to be answered before this try's hard limit whatever is out by then."""
         self.widest = max(self.widest, work.memory)
+        self.note(work)
         wu = self.handle(self, work)
         self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
         wu.place()
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -10,7 +10,7 @@
 from marlseam import core
 from marlseam.config import Config, ConfigError
 from marlseam.core import Core, Effect, Event
-from marlseam.interface import WorkUnit
+from marlseam.interface import Settings, WorkUnit
 from marlseam.net import protocol
 from marlseam.net.discovery import Discovery
 from marlseam.net.executors import Executors, Order
@@ -31,6 +31,11 @@
 FIXED = ("name", "listen", "seed", "store")  # what a node keeps for as long as it runs
 
 
+def alone(settings: Settings) -> Settings:
+    """Return settings without messages between nodes: the platform's protocol has none."""
+    return replace(settings, may_tell=False)
+
+
 def connections(config: Config) -> int:
     """Return how many connections the limits on descriptors and memory leave room for, bodies apart."""
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
@@ -65,7 +70,7 @@
         except OSError as error:
             shown = f"{config.listen[0]}:{config.listen[1]}"
             raise ConfigError("listen", shown, f"a free address ({error.strerror})") from None
-        self.post(core.Begin(config.deployment.settings, config.seed))
+        self.post(core.Begin(alone(config.deployment.settings), config.seed))
         self.memory = None
         if config.store is None:
             self.discovery.begin()
@@ -161,7 +166,7 @@
         config = replace(config, **{key: getattr(self.config, key) for key in FIXED})
         clients, places = room(config)
         self.config = config
-        self.post(core.Renewed(config.deployment.settings))
+        self.post(core.Renewed(alone(config.deployment.settings)))
         self.server.configure(config.deployment, clients)
         self.executors.configure(config.deployment, places)
         self.discovery.configure(config)
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -325,6 +325,7 @@
     if not isinstance(row, dict):
         raise Malformed("no object")
     name, state, block, born = row.get("host"), row.get("health"), row.get("block"), row.get("born_ms")
+    share = row.get("share")
     if not isinstance(name, str) or not name:
         raise Malformed("no host")
     if not isinstance(state, str) or state not in HEALTH:
@@ -338,6 +339,7 @@
         zone=place(row.get("site"), deployment.zones),
         cell=block if isinstance(block, int) else -1,
         born_ms=from_unix(born) if born else None,
+        weight=share if isinstance(share, int | float) and isfinite(share) and share > 0 else None,
     )
     if entry.state is State.GONE:
         return entry, None
--- a/marlseam/simhost/instance.py
+++ b/marlseam/simhost/instance.py
@@ -1,5 +1,6 @@
 """One simulated node: the wire's events become the reducer's, and its effects the wire's actions."""
 
+from base64 import b64encode
 from collections.abc import Callable
 from typing import Any
 
@@ -41,10 +42,10 @@
             event = core.Probed(wire.need(values, "executor"), outcome, lag, self.report(values))
         elif name == "left":
             event = core.Left(wire.need(values, "opId"))
-        elif name != "mail":
-            event = self.allocation_event(name, values)
+        elif name == "mail":
+            event = core.Told(wire.whole(values, "neighbour"), wire.message(values))
         else:
-            return
+            event = self.allocation_event(name, values)
         if event is not None:
             self.reduce(event)
 
@@ -78,6 +79,7 @@
             slots=wire.number(values, "needs", 1.0) or 1.0,
             memory=wire.number(values, "memNeeded", 0.0),
             hint_ms=wire.ms(values, "workHintUs"),
+            key=values["pathKey"],
         )
 
     def entry(self, values: dict[str, str | None]) -> Entry:
@@ -89,6 +91,7 @@
             zone=self.deployment.zones.get(values["dc"], -1),
             cell=int(wire.number(values, "cohort", -1)),
             born_ms=wire.ms(values, "bornUs"),
+            weight=wire.number(values, "weight", 0.0) or None,
         )
 
 
@@ -111,5 +114,6 @@
     core.Probe: lambda name, effect: f"inspect {name} {effect.executor}",
     core.Timer: lambda name, effect: f"wake_me {name} {effect.mark} {max(0, us(effect.delay_ms))}",
     core.Watch: lambda name, effect: f"watch {name} 1",
+    core.Tell: lambda name, effect: f"notify {name} all {b64encode(effect.message).decode()}",
     core.Log: lambda name, effect: f"print {name} {effect.text}",
 }
--- a/marlseam/simhost/wire.py
+++ b/marlseam/simhost/wire.py
@@ -1,6 +1,7 @@
 """The simulator's wire: its lines taken apart, its words turned into ours, and our actions into its lines."""
 
 import json
+from base64 import b64decode
 from collections.abc import Iterator
 from typing import Any
 
@@ -118,6 +119,14 @@
     return Report(**found)
 
 
+def message(values: dict[str, str | None]) -> bytes:
+    """Read another node's message."""
+    try:
+        return b64decode(values.get("msg") or "", validate=True)
+    except ValueError:
+        raise Malformed(f"msg is no base64: {values['msg']!r}") from None
+
+
 def options_of(values: dict[str, str | None]) -> dict[str, Any]:
     """Read the settings' JSON text."""
     try:
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -407,7 +407,7 @@
     for _ in range(200):
         unit(node).hold()
     looks = []
-    node.draw = lambda test, waited=False: looks.append(1) or -1
+    node.draw = lambda *_: looks.append(1) or -1
     node.pump()
     assert len(looks) < 10 and waiting(node) == 200
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -180,7 +180,7 @@
 
 def test_an_entry_is_read(deployment):
     found = protocol.news_from(news(HOST), deployment, lambda ms: ms - 1000.0)
-    assert found.entries == [("e1", State.READY, 0, 1, 3, 4000.0)] and found.addresses == {
+    assert found.entries == [("e1", State.READY, 0, 1, 3, 4000.0, None)] and found.addresses == {
         "e1": ("127.0.0.1", 9)
     }
 
