Waits that plans do not see are learned from our own; work with time waits for its key's executors

Change: the wait learned beside little free memory (struck deployments alone told memory) becomes one learned by kind from each of our own sends, and fades with each list; keyed work looks only at its key's points while it has time.

--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -157,7 +157,7 @@
     share: float = 0.0
     outcome: Outcome | None = None
     cancelled: bool = False
-    free: bool = False
+    planned_ms: float | None = None  # how long it should wait there, until that is known
 
 
 class Handle(Protocol):
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -11,7 +11,7 @@
 from heapq import heappop, heappush
 from math import ceil, inf, log
 
-from marlseam.figures import KEYED, MEMORY, POINTS, Figures
+from marlseam.figures import KEYED, POINTS, Figures
 from marlseam.interface import Alloc, Effect, Group, Listing, Member, Outcome, Port, Report, Settings, State
 from marlseam.interface import WorkUnit as Work
 from marlseam.recovery.lists import ANSWERED, SURE
@@ -33,6 +33,8 @@
 TRUST = 0.3  # what remains by now of a departure from the mean that a late weight shows
 SPREAD = 2.0  # executors that a key is drawn to first, over its share of the work times the fleet
 NEAREST = 6  # points of a key that are looked at
+FADE = 0.8  # what is left of a learned wait by the next list
+LESSONS = 10.0  # waits of our own that a mean of them remembers
 LOOKS = 4  # looks in vain in one serving of the lines
 DOUBT = 30.0  # how much a doubtful report counts less
 COLD = 0.6  # part of a cold executor's budget that the nodes plan to use
@@ -125,7 +127,9 @@
         if not self.may_send():
             self.again()
             return
-        self.home = self.node.draw(lambda e: self.fits(e) and self.in_time(e), self.waited, self.work)
+        self.home = self.node.draw(
+            lambda e: self.fits(e) and self.in_time(e), self.waited, self.work, self.patient()
+        )
         if self.home < 0:
             self.hold()
         elif self.node.stale(self.home):
@@ -133,6 +137,10 @@
         else:
             self.at_home()
 
+    def patient(self) -> bool:
+        """Return whether there is time to wait for one of those where the thing needed is likely kept."""
+        return self.slack(min(self.node.kind_pace)) > self.node.queue_ms
+
     def at_home(self) -> None:
         """Home takes the work unit unless it is over its threshold; then others are probed."""
         node = self.node
@@ -204,8 +212,8 @@
         if not self.may_send() or not self.fits(e):
             self.again()
             return
-        free = node.tight(e) if not node.tells_queue else not node.stale(e) and node.wait(e, self.work) == 0.0
-        self.allocs.append(Alloc(e, now, now, free=free))
+        planned = None if node.stale(e) else node.wait(e, self.work)
+        self.allocs.append(Alloc(e, now, now, planned_ms=planned))
         node.hold(e, self, len(self.allocs) - 1, self.work.slots)
         node.wake(e)
         node.tokens[e] -= node.cost(self.work)
@@ -294,8 +302,7 @@
         self.port, self.seed, self.draws = port, seed, 0
         self.changed: dict[int, None] = {}
         self.configure(settings)
-        # Most memory needed so far; the unseen wait where less is free; share of reports found to be late.
-        self.widest, self.hidden, self.doubt = 0.0, 0.0, 0.0
+        self.doubt = 0.0  # share of reports found to be late
         # Heaps by (further allocation, kind that it needs, slots): until when one can be in time, a number.
         self.lines: dict[tuple[bool, int, float], list[tuple[float, int, Handle]]] = {}
         self.aside: list[tuple[float, int, Handle]] | None = None  # looked in vain, while others do
@@ -389,6 +396,8 @@
             held = self.slots(e) * (self.top_weight[kind] / weight - 1.0) * self.mean_slots
             mine = sum(wu.work.slots for wu, i in self.own[e] if wu.allocs[i].sent_ms < taken)
             found.setdefault(kind, []).append((e, held - mine))
+        # Guards against a kind that is kept away from, and so never again shows how long work waits there.
+        self.unseen = [unseen * FADE for unseen in self.unseen]
         if self.peers:
             return
         for kind, rows in found.items():
@@ -461,26 +470,19 @@
             ahead, slots = self.ours[e], max(slots, work.slots)
         elif memory is not None and memory < work.memory:
             ahead = max(ahead, slots)
-        return max(0.0, ahead + work.slots - slots) / served + (self.hidden if self.tight(e) else 0.0)
-
-    def tight(self, e: int) -> bool:
-        """Return whether work may wait for memory beside a free slot, where no report shows a queue.
-
-        Guards against executors that report a free slot at each look while the head of their queue waits for
-        memory: under overload they soak up work until they are full.
-        """
-        memory = self.free_memory[e]
-        return memory is not None and not self.tells_queue and memory < self.widest and not self.stale(e)
+        return max(0.0, max(0.0, ahead + work.slots - slots) / served + self.unseen[self.kind[e]])
 
     def waited(self, a: Alloc, wait: float) -> None:
-        """Learn from one of ours that was sent to a reported free slot how long it waited all the same."""
-        far = 4.0 * self.queue_ms
-        if a.free and self.tells_queue:
+        """Learn from one of ours how much longer it waited than was planned when it was sent."""
+        planned, a.planned_ms = a.planned_ms, None
+        if planned is not None and self.set.answers_report:
+            # Guards against all nodes sending by old reports under overload: our own waits are news of today.
+            kind, most = self.kind[a.executor], self.queue_ms
+            self.unseen[kind] += max(-most, min(most, wait - planned)) / LESSONS
+            self.unseen[kind] = max(-most, min(2.0 * most, self.unseen[kind]))
+        elif planned == 0.0 and self.tells_queue:
             # Guards against reports that come late, on nodes with too little work to see it in the reports.
-            self.doubt += (float(wait > far) - self.doubt) / 10.0
-        elif a.free:
-            self.hidden += (min(wait, far) - self.hidden) / 5.0
-        a.free = False
+            self.doubt += (float(wait > 4.0 * self.queue_ms) - self.doubt) / LESSONS
 
     def usable(self, e: int) -> bool:
         """Return whether an executor is listed as ready, in health, answers its probes and is warm enough."""
@@ -493,11 +495,17 @@
             return False  # a sick one rests, then gets one work unit at a time on trial
         return self.warm(e)
 
-    def draw(self, test: Callable[[int], bool], waited: bool = False, work: Work | None = None) -> int:
+    def draw(
+        self,
+        test: Callable[[int], bool],
+        waited: bool = False,
+        work: Work | None = None,
+        patient: bool = False,
+    ) -> int:
         """Draw a usable executor that passes a test, or -1; kinds that others need are drawn less often."""
         free = self.bound and work is not None and self.types[work.type].kind == -1
         leans, second = self.leans() if free else [], -1
-        for e in self.candidates(waited, work):
+        for e in self.candidates(waited, work, patient):
             if self.usable(e) and test(e):
                 if not leans or self.lot(e, work) < leans[self.kind[e]]:
                     return e
@@ -527,7 +535,7 @@
         most = max(spare) or 1.0
         return [s / most for s in spare]
 
-    def candidates(self, waited: bool, work: Work | None) -> Iterator[int]:
+    def candidates(self, waited: bool, work: Work | None, patient: bool) -> Iterator[int]:
         """Yield executors in the order in which they are drawn.
 
         New work comes first to where the thing that it needs is likely to be kept: to points that its key
@@ -544,6 +552,8 @@
             for i in range(first, first + NEAREST):
                 at = bisect(ring, (zlib.crc32(b"%s:%d" % (work.key.encode(), i)),))
                 yield ring[at % len(ring)][1]
+            if patient:
+                return
         weight = 1.0 if waited else 1.0 + CROSSING * self.set.cross_price
         near, far = list(self.near), list(self.far)
         while near or far:
@@ -595,7 +605,6 @@
         """Turn a report into a count of what the others have there."""
         self.full[e] = self.passed[e] = False
         self.free_memory[e] = report.free_memory
-        self.hidden *= 1.0 - 1.0 / MEMORY
         held, kind = report.held, self.kind[e]
         self.tells_queue = held is not None or report.queued is not None
         if self.set.answers_report:
@@ -665,7 +674,8 @@
         all_free = self.room[e] + 0.5 >= self.slots(e)
         for a in self.on_trial(e):
             quiet = now - max(sign, a.sent_ms)
-            if a.started_ms is None and now - a.sent_ms > 4.0 * self.queue_ms:
+            late = 4.0 * self.queue_ms if a.planned_ms is None else a.planned_ms + self.queue_ms
+            if a.started_ms is None and now - a.sent_ms > max(late, 4.0 * self.queue_ms * self.tells_queue):
                 self.waited(a, inf)
             idle = self.set.tells_start and all_free and self.heard_ms[e] > a.sent_ms + self.fresh_ms
             unstarted = 2.0 * self.fresh_ms if idle else 0.0
@@ -740,7 +750,6 @@
 
     def take(self, work: Work) -> Handle:
         """Take a work unit, to be answered before this try's hard limit whatever is out by then."""
-        self.widest = max(self.widest, work.memory)
         self.note(work)
         wu = self.handle(self, work)
         self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
@@ -815,7 +824,7 @@
             wu.place()
             if wu.lined:
                 vain += 1
-                if due - now >= self.queue_ms:
+                if due - now >= self.queue_ms and (wu.work.key is None or not self.set.fetch_price):
                     closed[key[1]] = min(closed[key[1]], key[2])
             elif not (wu.done or wu.out()):
                 self.looking = wu
