Home is sought first where there is room; lines go by credit where it is earned by size

Change: two draws of home, the first among those with room; a wide work unit's wait grows by its width; lines are served by credit, and new work of less credit waits behind them. Only where nodes tell, or credit goes by size.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -96,7 +96,7 @@
         group = node.zone if self.type.group is Group.ZONE else node.cell
         return group[e] == group[traces[0].executor]
 
-    def in_time(self, e: int) -> bool:
+    def in_time(self, e: int, _: "Handle | None" = None) -> bool:
         """Return whether an executor's queue leaves a chance to keep the promise.
 
         Guards against collapse under overload: where every count grows, so does the mean that the threshold
@@ -127,9 +127,14 @@
         if not self.may_send():
             self.again()
             return
-        self.home = self.node.draw(
-            lambda e: self.fits(e) and self.in_time(e), self.waited, self.work, self.patient()
-        )
+        node = self.node
+        if not self.waited and node.waits_for_more(self):
+            self.hold()
+            return
+        # Where nodes tell each other what they have, home is first sought where there is room at once.
+        self.home = self.draw_home(node.has_room) if node.peers else -1
+        if self.home < 0:
+            self.home = self.draw_home(self.in_time)
         if self.home < 0:
             self.hold()
         elif self.node.stale(self.home):
@@ -141,6 +146,12 @@
         """Return whether there is time to wait for one of those where the thing needed is likely kept."""
         return self.slack(min(self.node.kind_pace)) > self.node.queue_ms
 
+    def draw_home(self, test: Callable[..., bool]) -> int:
+        """Draw a home that passes a test, or -1."""
+        return self.node.draw(
+            lambda e: test(e, self) and self.fits(e), self.waited, self.work, self.patient()
+        )
+
     def at_home(self) -> None:
         """Home takes the work unit unless it is over its threshold; then others are probed."""
         node = self.node
@@ -303,8 +314,8 @@
         self.changed: dict[int, None] = {}
         self.configure(settings)
         self.doubt = 0.0  # share of reports found to be late
-        # Heaps by (further allocation, kind that it needs, slots): until when one can be in time, a number.
-        self.lines: dict[tuple[bool, int, float], list[tuple[float, int, Handle]]] = {}
+        # Heaps by (further allocation, kind needed, slots, rank): until when one can be in time, a number.
+        self.lines: dict[tuple[bool, int, float, float], list[tuple[float, int, Handle]]] = {}
         self.aside: list[tuple[float, int, Handle]] | None = None  # looked in vain, while others do
         self.count_lined = 0
         self.subscribed, self.next_ask = not settings.asked_roster, 0.0
@@ -470,8 +481,14 @@
             ahead, slots = self.ours[e], max(slots, work.slots)
         elif memory is not None and memory < work.memory:
             ahead = max(ahead, slots)
+        if self.set.answers_report:
+            served /= 1.0 + (work.slots - 1.0) / 3.0  # wide work waits until so many slots are free together
         return max(0.0, max(0.0, ahead + work.slots - slots) / served + self.unseen[self.kind[e]])
 
+    def has_room(self, e: int, wu: Handle) -> bool:
+        """Return whether an executor has the slots that a work unit takes free, as far as is known."""
+        return self.count(e) + wu.work.slots <= self.slots(e) and not self.full[e]
+
     def waited(self, a: Alloc, wait: float) -> None:
         """Learn from one of ours how much longer it waited than was planned when it was sent."""
         planned, a.planned_ms = a.planned_ms, None
@@ -793,7 +810,8 @@
         if self.aside is not None:
             self.aside.append(entry)
         else:
-            heappush(self.lines.setdefault((bool(wu.allocs), wu.type.kind, wu.work.slots), []), entry)
+            key = (bool(wu.allocs), wu.type.kind, wu.work.slots, self.rank(wu.work.type))
+            heappush(self.lines.setdefault(key, []), entry)
 
     def pump(self, hopeless: float = inf) -> None:
         """Serve the lines: first allocations, then further ones; give up what has waited too long.
@@ -808,11 +826,11 @@
             return
         self.aside, closed = [], dict.fromkeys({key[1] for key in self.lines}, hopeless)
         while True:
-            heads = [(key[0], line[0][0], key) for key, line in self.lines.items() if line]
-            heads = [head for head in heads if head[1] < now or self.open_for(head[2], closed, vain)]
+            heads = [(key[0], -key[3], line[0][0], key) for key, line in self.lines.items() if line]
+            heads = [head for head in heads if head[2] < now or self.open_for(head[3], closed, vain)]
             if not heads:
                 break
-            _, due, key = min(heads)
+            _, _, due, key = min(heads)
             wu = heappop(self.lines[key])[2]
             wu.lined = False
             if wu.done:
@@ -833,7 +851,19 @@
             self.queue(wu)
         self.lines = {key: line for key, line in self.lines.items() if line}
 
-    def open_for(self, key: tuple[bool, int, float], closed: dict[int, float], vain: int) -> bool:
+    def rank(self, type: int) -> float:
+        """Return what goes before slack in line: credit for each bit of work, where credit goes by size."""
+        return self.types[type].credit if self.set.by_size else 0.0
+
+    def waits_for_more(self, wu: Handle) -> bool:
+        """Return whether work that earns more by its size, and could go where this one could, is in line."""
+        if not self.set.by_size or not self.lines:
+            return False
+        return any(
+            line and key[3] > self.rank(wu.work.type) and not key[0] for key, line in self.lines.items()
+        )
+
+    def open_for(self, key: tuple[bool, int, float, float], closed: dict[int, float], vain: int) -> bool:
         """Return whether one of a line may look for an executor now."""
         if vain > LOOKS or not (self.looking is None or self.looking.done):
             return False
