Where nodes don't tell, homes are asked again; reports and weights tilt a level

Cause: at quito a weight is a second old when it comes and ages another second; a probe's report is younger in half of the cases, and without probes of home the module had only the weight. Change: home is asked where no node tells; weights and reports both count as half of their departure from the kind's level.

--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -63,6 +63,7 @@
         self.paced: list[float] = []  # runs that this rests on
         self.top_weight: list[float] = []  # that of an executor that holds nothing
         self.unseen: list[float] = []  # how much longer our own work waits than is planned
+        self.listed: list[float] = []  # what the others have at one, as a mean of the latest list
         self.level: list[float] = []  # what the others have at an executor, by our own part of all work
         # By project type: mean run, and how many were seen; run times slots over all types.
         self.run: list[float] = []
@@ -83,7 +84,7 @@
         blanks = (
             (self.members, 0), (self.known, 0), (self.others_sum, 0.0), (self.ours_sum, 0.0),
             (self.most_free, 0.0), (self.kind_pace, 1.0), (self.paced, GUESS_WEIGHT),
-            (self.top_weight, 0.0), (self.level, 0.0), (self.unseen, 0.0),
+            (self.top_weight, 0.0), (self.level, 0.0), (self.listed, 0.0), (self.unseen, 0.0),
         )  # fmt: skip
         for array, blank in blanks:
             array[-1:-1] = [blank] * (kinds + 1 - len(array))
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -30,7 +30,7 @@
 SHORT = 0.3  # the run, in means of its type, that a wait must still leave in time
 QUEUE = 1.0  # the longest wait at an executor that work is sent into, in urgent promises
 LATE = 0.35  # how old a weight of the list is when it comes, in the times between lists
-TRUST = 0.3  # what remains by now of a departure from the mean that a late weight shows
+TRUST = 0.5  # what remains by now of a departure from the mean that a late weight shows
 SPREAD = 2.0  # executors that a key is drawn to first, over its share of the work times the fleet
 NEAREST = 6  # points of a key that are looked at
 FADE = 0.8  # what is left of a learned wait by the next list
@@ -415,8 +415,15 @@
             listed = sum(others for _, others in rows) / len(rows)
             own = self.ours_sum[kind] * (self.set.nodes - 1) / max(1, self.members[kind])
             self.level[kind] += (own - self.level[kind]) / 2.0
+            self.listed[kind] = listed
             for e, others in rows:
-                self.hear(e, max(0.0, (self.level[kind] + listed) / 2.0 + TRUST * (others - listed)))
+                self.lean_on(e, others)
+
+    def lean_on(self, e: int, others: float) -> None:
+        """Take in what the others had at an executor some time ago, as a departure from its kind's level."""
+        if not self.peers:
+            listed, level = self.listed[self.kind[e]], self.level[self.kind[e]]
+            self.hear(e, max(0.0, (level + listed) / 2.0 + TRUST * (others - listed)))
 
     # What nodes tell each other.
 
@@ -590,8 +597,8 @@
         probes of the silent in their own time once paid more for these than for all others.
         """
         age = self.port.now() - self.heard_ms[e]
-        if self.set.answers_report:
-            return self.set.may_probe and self.silent[e]  # a probe would bring the last report once more
+        if self.peers:
+            return self.set.may_probe and self.silent[e]  # the other nodes have told what no report shows yet
         return self.set.may_probe and (self.silent[e] or age > self.fresh_ms * (1.0 + DOUBT * self.doubt))
 
     def ask(self, e: int, then: Callable[[int | None], None]) -> None:
@@ -640,7 +647,9 @@
                 held += report.queued
             else:
                 mine = running
-        if held is not None and not (self.set.live_weights or self.peers):
+        if held is not None and self.set.live_weights:
+            self.lean_on(e, held - mine)
+        elif held is not None:
             # Guards against reports that come late: one that misses what has long been running here is old.
             settled = sampled_ms - 2.0 * self.ask_ms
             known = sum(slots for slots, a in own if a.started_ms is not None and a.started_ms < settled)
