--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -41,6 +41,7 @@
 SHORT = 0.3  # the run, in means of its type, that a wait must still leave in time
 QUEUE = 1.0  # the longest wait at an executor that work is sent into, in urgent promises
 LATE = 0.35  # how old a weight of the list is when it comes, in the times between lists
+TELL = 0.3  # how long changes are gathered before the other nodes are told, in waits for a probe
 TESTS = 24  # usable executors that one draw weighs at most
 LOOKS = 4  # looks in vain in one serving of the lines
 COLD = 0.6  # part of a cold executor's budget that the nodes plan to use
@@ -408,7 +409,7 @@
         super().hold(e, wu, alloc, slots)
         if self.set.may_tell:
             if not self.changed:
-                self.port.after(self.ask_ms, self.tell)
+                self.port.after(TELL * self.ask_ms, self.tell)
             self.changed[e] = None
 
     def tell(self) -> None:
@@ -499,9 +500,8 @@
         """Yield executors in the order in which they are drawn.
 
         New work comes first to where the thing that it needs is likely to be kept: to points that its key
-        gives on a ring, the more of them the more often it is asked for, the same at every node. Then, unless
-        it can wait for these, at random, the own zone more often; what has waited is drawn evenly there: a
-        zone may have more work than its own executors carry.
+        gives on a ring, the same at every node, more of them for what is asked for more. Then, unless it can
+        wait for these, at random, the own zone more often, if it has not waited: a zone may be overfull.
         """
         key = wu.work.key if wu and self.set.fetch_price else None
         if key is not None:
