--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -280,11 +280,8 @@
     """Return which of a load report's names mean which of our figures."""
     names = dict(REPORT_NAMES)
     for extra in ("X0", "X1"):
-        meaning = str(info.get("report" + extra, ""))
-        if "slot" in meaning:
+        if "slot" in str(info.get("report" + extra, "")):
             names[extra.lower()] = "free_slots"
-        elif "memory" in meaning:
-            names[extra.lower()] = "free_memory"
     return names
 
 
--- a/marlseam/experiment/virtual.py
+++ b/marlseam/experiment/virtual.py
@@ -267,7 +267,7 @@
         if not (out.open and seat.up and seat.life == out.life):
             return
         expires = out.client.expires + self.lines.figures.client_ms
-        work = WorkUnit(out.id, arrival.type, expires, arrival.slots, arrival.memory)
+        work = WorkUnit(out.id, arrival.type, expires, arrival.slots)
         self.post(seat, core.Arrival(work))
 
     def reply(self, seat: Seat, effect: core.Complete | core.Defer | core.Abort) -> None:
--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -41,10 +41,9 @@
         self.by_mark: dict[int, int] = {}
         self.period_ms = 0.0  # how often the list comes with new weights
         self.listed_ms = 0.0
-        # As heard: what the others have there, free slots and memory, when; the probe that is out.
+        # As heard: what the others have there, free slots, when; the probe that is out.
         self.others: list[float | None] = []
         self.room: list[float] = []
-        self.free_memory: list[float | None] = []
         self.heard_ms: list[float] = []
         self.sign_ms: list[float] = []
         self.asked_ms: list[float | None] = []
@@ -65,7 +64,6 @@
         self.watched: dict[int, None] = {}  # those that have work of ours or rest
         self.near, self.far = [], []  # those listed as ready, in the own zone and elsewhere
         self.doubt = 0.0  # share of reports found to be late
-        self.tells_queue = False  # whether reports show it
         self.luck = 1.0  # share of the latest probes that found room
         # By kind, over healthy ready executors: how many, how many heard from, sums of both parts of a count.
         self.members: list[int] = []
@@ -113,7 +111,7 @@
         """Make room for one more executor."""
         for array in (
             self.state, self.kind, self.zone, self.cell, self.born, self.mark, self.others, self.heard_ms,
-            self.sign_ms, self.room, self.free_memory, self.asked_ms, self.full, self.passed, self.evidence,
+            self.sign_ms, self.room, self.asked_ms, self.full, self.passed, self.evidence,
             self.out_until, self.rest, self.silent, self.tokens, self.token_ms, self.ours, self.unsure,
         ):  # fmt: skip
             array.append(None)
@@ -125,7 +123,7 @@
         """Put an executor on record as one of which nothing is known."""
         self.state[e], self.kind[e], self.zone[e], self.cell[e], self.born[e] = State.GONE, -1, -1, -1, None
         self.mark[e] = 0
-        self.room[e], self.free_memory[e], self.sign_ms[e], self.asked_ms[e] = 0.0, None, -1e18, None
+        self.room[e], self.sign_ms[e], self.asked_ms[e] = 0.0, -1e18, None
         self.tokens[e] = self.token_ms[e] = self.ours[e] = self.unsure[e] = 0.0
         self.unlearn(e)
 
@@ -256,9 +254,7 @@
     def take_report(self, e: int, report: Report, sampled_ms: float) -> None:
         """Turn a report into a count of what the others have there."""
         self.full[e] = self.passed[e] = False
-        self.free_memory[e] = report.free_memory
         held, kind = report.held, self.kind[e]
-        self.tells_queue = held is not None or report.queued is not None
         if self.set.answers_report:
             sampled_ms -= self.period_ms
         own = [(wu.work.slots, wu.allocs[i]) for wu, i in self.own[e]]
@@ -270,11 +266,7 @@
         if held is None and report.free_slots is not None:
             # Guards against taking an executor without a free slot for idle: a node that sees little may
             # not have seen a free one of this kind yet.
-            held = max(0.0, max(1.0, self.most_free[kind]) - report.free_slots)
-            if report.queued is not None:
-                held += report.queued
-            else:
-                mine = running
+            held = max(0.0, max(1.0, self.most_free[kind]) - report.free_slots) + (report.queued or 0.0)
         if held is not None and self.set.live_weights:
             self.depart(e, held - mine)
         elif held is not None:
@@ -295,7 +287,7 @@
             kind, most = self.kind[a.executor], self.queue_ms
             self.unseen[kind] += max(-most, min(most, wait - planned)) / LESSONS
             self.unseen[kind] = max(-most, min(2.0 * most, self.unseen[kind]))
-        elif planned == 0.0 and self.tells_queue:
+        elif planned == 0.0:
             # Guards against reports that come late, on nodes with too little work to see it in the reports.
             self.doubt += (float(wait > 4.0 * self.queue_ms) - self.doubt) / LESSONS
 
@@ -329,11 +321,6 @@
             for i in range(first, first + NEAREST):
                 yield ring[bisect(ring, (crc32(b"%s:%d" % (key.encode(), i)),)) % len(ring)][1]
 
-    def short(self, e: int, work: WorkUnit) -> bool:
-        """Return whether an executor's last report shows less memory than a work unit needs."""
-        memory = self.free_memory[e]
-        return memory is not None and memory < work.memory
-
     def set_ring(self) -> None:
         """Lay out the points of all ready executors, by kind and all together."""
         ready = [e for e, state in enumerate(self.state) if state is State.READY]
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -138,7 +138,6 @@
     held: float | None = None
     queued: float | None = None
     free_slots: float | None = None
-    free_memory: float | None = None
 
 
 @dataclass(frozen=True)
@@ -149,7 +148,6 @@
     type: int
     expires_ms: float
     slots: float = 1.0
-    memory: float = 0.0
     hint_ms: float | None = None
     receipt: str | None = None  # the key under which a repeat is known
     key: str | None = None  # the thing that it needs
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -311,8 +311,7 @@
             self.left()
         else:
             self.again()
-        if node.tells_queue:
-            node.pump()
+        node.pump()
 
 
 class Node(Figures):
@@ -433,10 +432,8 @@
         return sum(self.others_sum) / (sum(self.known) or 1)
 
     def over(self, e: int, work: Work, more: float = 0.0) -> bool:
-        """Return whether an executor is past its kind's threshold plus one, or without the memory needed."""
-        return (
-            self.full[e] or self.short(e, work) or self.count(e) + more > self.threshold(self.kind[e]) + 1.0
-        )
+        """Return whether an executor is past its kind's threshold plus one."""
+        return self.full[e] or self.count(e) + more > self.threshold(self.kind[e]) + 1.0
 
     def threshold(self, kind: int) -> float:
         """Return the mean count of a kind's ready executors, rounded up."""
@@ -453,8 +450,6 @@
         if self.stale(e):
             # Only a probe can tell. Guards against wide work kept waiting until so many slots were seen.
             ahead, slots = self.ours[e], max(slots, work.slots)
-        elif self.short(e, work):
-            ahead = max(ahead, slots)
         if self.set.answers_report:
             served /= 1.0 + (work.slots - 1.0) / 3.0  # wide work waits until so many slots are free together
         return max(0.0, max(0.0, ahead + work.slots - slots) / served + self.unseen[self.kind[e]])
@@ -597,7 +592,7 @@
         for a in self.on_trial(e):
             quiet = now - max(sign, a.sent_ms)
             late = 4.0 * self.queue_ms if a.planned_ms is None else a.planned_ms + self.queue_ms
-            if a.started_ms is None and now - a.sent_ms > max(late, 4.0 * self.queue_ms * self.tells_queue):
+            if a.started_ms is None and now - a.sent_ms > max(late, 4.0 * self.queue_ms):
                 self.waited(a, inf)
             idle = self.set.tells_start and all_free and self.heard_ms[e] > a.sent_ms + self.fresh_ms
             unstarted = 2.0 * self.fresh_ms if idle else 0.0
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -131,9 +131,7 @@
         self.refs += 1
         ref, job = str(self.refs), pending.job
         self.pending[ref] = pending
-        work = WorkUnit(
-            ref, job.type, pending.expires_ms, job.slots, job.memory, receipt=job.receipt, key=job.key
-        )
+        work = WorkUnit(ref, job.type, pending.expires_ms, job.slots, receipt=job.receipt, key=job.key)
         self.post(core.Arrival(work))
         return ref
 
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -51,7 +51,6 @@
     type_name: str
     left_ms: float
     slots: float
-    memory: float
     key: str | None = None  # the thing that it needs
 
 
@@ -172,7 +171,6 @@
         type_name=name,
         left_ms=min(left_ms, limit_ms),
         slots=number(facts.get("slots", "1"), FACTS) or 1.0,
-        memory=number(facts.get("memory", "0"), FACTS),
         key=dict(parse_qsl(target.partition("?")[2])).get(KEY),
     )
 
