Late weights count three tenths, the level is three quarters our own work's

Cause: at quito a weight is a second old on arrival and its correlation with now falls from 0.49 to 0.08 within a second: half of a departure was too much, half of a late level too.

--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -15,7 +15,8 @@
 POINTS = 8  # of an executor on the ring
 SPREAD = 2.0  # executors that a key is drawn to first, over its share of the work times the fleet
 NEAREST = 6  # points of a key that are looked at
-TRUST = 0.5  # what remains by now of a departure from the level that a late weight or report shows
+TRUST = 0.3  # what remains by now of a departure from the level that a late weight or report shows
+OWN = 0.75  # part of the level that our own work says, against the list
 FADE = 0.8  # what is left of a learned wait by the next list
 DOUBT = 30.0  # how much a doubtful report counts less
 LESSONS = 10.0  # waits of our own that a mean of them remembers
@@ -230,8 +231,8 @@
     def weigh(self, weights: list[tuple[int, float]], taken_ms: float, peers: int) -> None:
         """Take weights that move with load, size over one plus the work units held a core, for reports.
 
-        Each counts as a departure from its kind's level, since it says little of now. The level is half the
-        list's, half our own work's as that of one node of many. Guards against late lists: by these alone all
+        Each counts as a departure from its kind's level, since it says little of now. The level is a quarter the
+        list's, the rest our own work's as that of one node of many. Guards against late lists: by these alone all
         nodes once found a whole kind full, kept away from it together, and came back together.
         """
         found: dict[int, list[tuple[int, float]]] = {}
@@ -295,7 +296,7 @@
         """Note what the others had at an executor some time ago, as a departure from its kind's level."""
         if not self.peers:
             listed, level = self.listed[self.kind[e]], self.level[self.kind[e]]
-            self.hear(e, max(0.0, (level + listed) / 2.0 + TRUST * (others - listed)))
+            self.hear(e, max(0.0, OWN * level + (1.0 - OWN) * listed + TRUST * (others - listed)))
 
     def leans(self, types: tuple[ProjectType, ...]) -> list[float]:
         """Return for each kind how much of its part work that any kind may run should take of it.
