--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -231,9 +231,9 @@
     def weigh(self, weights: list[tuple[int, float]], taken_ms: float, peers: int) -> None:
         """Take weights that move with load, size over one plus the work units held a core, for reports.
 
-        Each counts as a departure from its kind's level, since it says little of now. The level is a quarter the
-        list's, the rest our own work's as that of one node of many. Guards against late lists: by these alone all
-        nodes once found a whole kind full, kept away from it together, and came back together.
+        Each counts as a departure from its kind's level, since it says little of now. The level is mostly our
+        own work's as that of one node of many. Guards against late lists: by these alone all nodes once found
+        a whole kind full, kept away from it together, and came back together.
         """
         found: dict[int, list[tuple[int, float]]] = {}
         for e, weight in weights:
