--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -1,6 +1,10 @@
 """The second opinion: it changes nothing of what a node does, and counts where it would decide otherwise."""
 
 import json
+import signal
+import socket
+import subprocess
+import sys
 from dataclasses import replace
 
 import pytest
@@ -134,3 +138,40 @@
     with pytest.raises(ConfigError) as error:
         own(text)
     assert error.value.key == key
+
+
+# On loopback: a node of its own process, and an executor's address that refuses.
+
+
+def test_a_real_node_logs_its_counts_at_the_end_and_answers_as_ever(tmp_path):
+    host = {"host": "e1", "dial": "127.0.0.1:1", "health": "active", "site": "here", "class": "plain"}
+    values = {
+        "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": OPTIONS,
+        "known": {"seq": 1, "whole": True, "hosts": [host]},
+    }  # fmt: skip
+    (tmp_path / "node.json").write_text(json.dumps(values))
+    (tmp_path / "own.toml").write_text('[watch]\nweights = "live"\nreports = "answers"\n')
+    files = ["--config", str(tmp_path / "node.json"), "--settings", str(tmp_path / "own.toml")]
+    command = [sys.executable, "-m", "marlseam", "serve", *files]
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+
+    def says(text):
+        while text not in (line := process.stderr.readline()):
+            assert line
+        return line
+
+    try:
+        port = int(says("listens on").rsplit(":", 1)[1])
+        with socket.create_connection(("127.0.0.1", port)) as client:
+            client.sendall(
+                b"POST /statement HTTP/1.1\r\nHost: h\r\nX-Service-Class: statement\r\n"
+                b"X-Correlation-Id: c1\r\nX-Time-Left: 1\r\nContent-Length: 0\r\n\r\n"
+            )
+            assert client.recv(4096).startswith(b"HTTP/1.1 503 ")
+        process.send_signal(signal.SIGTERM)
+        assert int(says("watch: ").split("watch: ")[1].split()[0]) >= 2
+        assert process.wait(timeout=20.0) == 0
+    finally:
+        process.kill()
+        process.wait()
+        process.stderr.close()
