--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -123,6 +123,7 @@
     def clear(self, e: int) -> None:
         """Put an executor on record as one of which nothing is known."""
         self.state[e], self.kind[e], self.zone[e], self.cell[e], self.born[e] = State.GONE, -1, -1, -1, None
+        self.by_mark.pop(self.mark[e], None)  # guards who takes its place here against words of the old one
         self.mark[e] = 0
         self.room[e], self.sign_ms[e], self.asked_ms[e] = 0.0, -1e18, None
         self.tokens[e] = self.token_ms[e] = self.ours[e] = self.unsure[e] = 0.0
@@ -228,6 +229,10 @@
         self.changed.clear()
         return [b"".join(words[at : at + WORDS_MOST]) for at in range(0, len(words), WORDS_MOST)]
 
+    def slots(self, e: int) -> float:
+        """Return how many slots an executor seems to have at least."""
+        return max(1.0, self.most_free[self.kind[e]])
+
     def weigh(self, weights: list[tuple[int, float]], taken_ms: float, peers: int) -> None:
         """Take weights that move with load, size over one plus the work units held a core, for reports.
 
@@ -240,7 +245,7 @@
             kind = self.kind[e]
             self.top_weight[kind] = max(self.top_weight[kind], weight)
             self.full[e] = self.passed[e] = False
-            held = max(1.0, self.most_free[kind]) * (self.top_weight[kind] / weight - 1.0) * self.mean_slots
+            held = self.slots(e) * (self.top_weight[kind] / weight - 1.0) * self.mean_slots
             mine = sum(wu.work.slots for wu, i in self.own[e] if wu.allocs[i].sent_ms < taken_ms)
             found.setdefault(kind, []).append((e, held - mine))
         # Guards against a kind that is kept away from, and so never again shows how long work waits there.
@@ -267,7 +272,7 @@
         if held is None and report.free_slots is not None:
             # Guards against taking an executor without a free slot for idle: a node that sees little may
             # not have seen a free one of this kind yet.
-            held = max(0.0, max(1.0, self.most_free[kind]) - report.free_slots) + (report.queued or 0.0)
+            held = max(0.0, self.slots(e) - report.free_slots) + (report.queued or 0.0)
         if held is not None and self.set.live_weights:
             self.depart(e, held - mine)
         elif held is not None:
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -151,7 +151,6 @@
     hint_ms: float | None = None
     receipt: str | None = None  # the key under which a repeat is known
     key: str | None = None  # the thing that it needs
-    tenant: int = -1
     prior: tuple[
         tuple[int, float], ...
     ] = ()  # executors and times of what may have run under this key before
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -103,7 +103,7 @@
         group = node.zone if self.type.group is Group.ZONE else node.cell
         return group[e] == group[traces[0].executor]
 
-    def in_time(self, e: int, _: object = None) -> bool:
+    def in_time(self, e: int) -> bool:
         """Return whether an executor's queue leaves a chance to keep the promise.
 
         Guards against collapse under overload: where every count grows, so does the mean that the threshold
@@ -112,6 +112,10 @@
         node = self.node
         return node.wait(e, self.work) <= min(self.slack(node.kind_pace[node.kind[e]]), node.queue_ms)
 
+    def has_room(self, e: int) -> bool:
+        """Return whether an executor has the slots that it takes free, as far as is known."""
+        return self.node.count(e) + self.work.slots <= self.node.slots(e) and not self.node.full[e]
+
     def slack(self, pace: float) -> float:
         """Return how long the work unit may still wait at an executor of some pace and be in time."""
         run = self.work.hint_ms or self.node.run[self.work.type]
@@ -133,8 +137,8 @@
         node, home = self.node, -1
         if self.waited or not node.waits_for_more(self):
             # Where nodes tell each other what they have, home is first sought where there is room at once.
-            for test in (node.has_room, self.in_time) if node.peers else (self.in_time,):
-                home = node.draw(lambda e, test=test: test(e, self) and self.fits(e), self)
+            for test in (self.has_room, self.in_time) if node.peers else (self.in_time,):
+                home = node.draw(lambda e, test=test: test(e) and self.fits(e), self)
                 if home >= 0:
                     return (Decision.ASK, home) if node.stale(home) else (self.at(home), home)
         return Decision.LINE, -1
@@ -418,10 +422,6 @@
 
     # What an executor's figures say.
 
-    def slots(self, e: int) -> float:
-        """Return how many slots an executor seems to have at least."""
-        return max(1.0, self.most_free[self.kind[e]])
-
     def count(self, e: int) -> float:
         """Return an executor's count: what the others had there at its last report, and what is ours now."""
         others = self.others[e]
@@ -454,10 +454,6 @@
             served /= 1.0 + (work.slots - 1.0) / 3.0  # wide work waits until so many slots are free together
         return max(0.0, max(0.0, ahead + work.slots - slots) / served + self.unseen[self.kind[e]])
 
-    def has_room(self, e: int, wu: Handle) -> bool:
-        """Return whether an executor has the slots that a work unit takes free, as far as is known."""
-        return self.count(e) + wu.work.slots <= self.slots(e) and not self.full[e]
-
     def usable(self, e: int) -> bool:
         """Return whether an executor is listed as ready, in health, answers its probes and is warm enough."""
         now, asked, until = self.port.now(), self.asked_ms[e], self.out_until[e]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -153,16 +153,12 @@
 }  # fmt: skip
 
 
-def test_without_them_a_node_decides_as_before(deployment):
-    now = deployment.settings
-    shape = (now.live_weights, now.answers_report, now.may_tell, now.fetch_price, now.by_size)
-    assert shape == (False, False, False, 0.0, False)
-    assert {type.credit for type in now.types} == {1.0}
-
-
-def test_settings_of_another_shape_are_read():
-    now = deployment_from(OPTIONS | SHAPE).settings
-    assert (now.live_weights, now.answers_report, now.fetch_price, now.by_size) == (True, True, 0.03, True)
+@pytest.mark.parametrize(
+    ("more", "shape"), [({}, (False, False, 0.0, False)), (SHAPE, (True, True, 0.03, True))]
+)
+def test_settings_of_another_shape_are_read_and_off_without_them(more, shape):
+    now = deployment_from(OPTIONS | more).settings
+    assert (now.live_weights, now.answers_report, now.fetch_price, now.by_size) == shape and not now.may_tell
 
 
 @pytest.mark.parametrize(
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -5,6 +5,7 @@
 import pytest
 
 from marlseam.interface import Listing, Member, Outcome, Report, State, WorkUnit
+from marlseam.logic import Handle
 
 RAN = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.WITHDRAWN, Outcome.DROPPED)
 NEVER = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
@@ -521,8 +522,9 @@
 def test_a_weight_that_moves_counts_as_a_departure_from_the_level(make):
     node = make(0.0, 0.0, **LIVE)
     listed(node, 3.0, 3.0)
+    node.full[0] = node.passed[0] = True
     listed(node, 3.0, 1.5)  # size over one plus held a core: the second holds one a slot
-    assert node.count(0) < node.count(1) < 4.0
+    assert node.count(0) < node.count(1) < 4.0 and not (node.full[0] or node.passed[0])
 
 
 def test_late_lists_alone_do_not_make_a_kind_look_full(make):
@@ -533,13 +535,6 @@
     assert node.count(0) < 11.0
 
 
-def test_a_weight_ends_the_mark_of_full_and_of_a_passed_job(make):
-    node = make(0.0, **LIVE)
-    node.full[0] = node.passed[0] = True
-    listed(node, 3.0)
-    assert not node.full[0] and not node.passed[0]
-
-
 def test_a_wait_longer_than_planned_is_learned_and_fades(make, unit):
     node = make(0.0, **LIVE)
     wu = unit(node)
@@ -552,59 +547,61 @@
     assert node.unseen[0] < learned
 
 
-def test_nodes_tell_what_they_have_and_reckon_with_what_others_told(make, unit):
+WORD = (100).to_bytes(3, "big")  # of the first executor
+
+
+def test_nodes_tell_what_they_have(make, unit):
     node = make(0.0, 0.0, may_tell=True, asked_roster=False)
     listed(node, None, None)
-    told = []
-    node.port.tell = told.append
+    node.port.tell = lambda message: node.port.acts.append(("tell", message))
     unit(node).send(1)
     node.tell()
-    assert told == [(101).to_bytes(3, "big") + b"\x01"]
-    node.told(4, node.port.now(), (100).to_bytes(3, "big") + b"\x03")
-    node.told(4, node.port.now(), (100).to_bytes(3, "big") + b"\x02")
-    assert node.count(0) == 2.0
-
-
-def test_a_message_cut_short_or_of_unknown_executors_is_passed_by(make):
-    node = make(0.0, may_tell=True)
-    node.told(4, 0.0, b"\x01\x02")
-    node.told(4, 0.0, b"\xff\xff\xff\x05\x01")
-    assert node.count(0) == 0.0
-
-
-def test_a_node_that_tells_no_more_is_left_out(make):
+    assert node.port.did("tell") == [("tell", (101).to_bytes(3, "big") + b"\x01")]
+
+
+@pytest.mark.parametrize(
+    ("messages", "count"),
+    [
+        ([WORD + b"\x03", WORD + b"\x02"], 2.0),  # the last word holds
+        ([WORD + b"\x03", WORD], 3.0),  # cut short
+        ([b"\xff\xff\xff\x05\x01"], 0.0),  # of an executor that is not listed
+    ],
+)
+def test_what_others_told_is_reckoned_with_until_they_fall_silent(make, messages, count):
     node = make(0.0, may_tell=True)
     listed(node, None)
-    node.told(4, node.port.now(), (100).to_bytes(3, "big") + b"\x03")
+    for message in messages:
+        node.told(4, node.port.now(), message)
+    assert node.count(0) == count
     node.port.clock += 2.0 * node.longest_ms
     listed(node, None)
     assert node.count(0) == 0.0 and not node.peers
 
 
+def test_words_of_a_forgotten_executor_count_for_nobody(make):
+    node = make(0.0, may_tell=True)
+    listed(node, None)
+    node.clear(0)
+    node.told(4, 0.0, WORD + b"\x03")
+    assert node.others[0] is None
+
+
 def test_home_is_where_there_is_room_once_nodes_tell(make, unit):
     node = make(4.0, 4.0, 0.0, may_tell=True)
     node.peers[4] = {}
     assert {unit(node).first()[1] for _ in range(20)} == {2}
 
 
-def test_work_with_a_key_is_drawn_to_few_and_to_the_same_at_every_node(make, unit):
+@pytest.mark.parametrize(("price", "least", "most"), [(0.03, 1, 2), (0.0, 11, 20)])
+def test_where_fetching_has_a_price_a_key_draws_few_and_the_same_at_every_node(make, price, least, most):
     def homes(seed):
-        node = make(*[0.0] * 20, fetch_price=0.03)
+        node = make(*[0.0] * 20, fetch_price=price)
         listed(node, *[None] * 20)
         node.seed = seed
-        work = WorkUnit("w", 0, 9e9, key="calendar-7")
-        wu = unit(node)
-        wu.work = work
-        return {node.draw(lambda e: True, wu) for _ in range(40)}
-
-    assert homes(1) == homes(2) and len(homes(1)) <= 2
+        wu = Handle(node, WorkUnit("w", 0, 9e9, key="calendar-7"))
+        return {node.draw(lambda e: True, wu) for _ in range(60)}
 
-
-def test_without_a_price_of_fetching_a_key_draws_nobody(make, unit):
-    node = make(*[0.0] * 20)
-    wu = unit(node)
-    wu.work = WorkUnit("w", 0, 9e9, key="calendar-7")
-    assert len({node.draw(lambda e: True, wu) for _ in range(60)}) > 10
+    assert least <= len(homes(1)) <= most and (not price or homes(1) == homes(2))
 
 
 def test_work_that_may_go_anywhere_leaves_a_kind_to_work_that_may_not(make, unit):
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -23,35 +23,37 @@
     return Entry(name, State.READY, 0, 0, 0, None, weight)
 
 
-def day(rounds=60):
+def day(rounds=60, plain=False):
     """Yield a day's events: arrivals, starts, ends of each sort, a list that moves, timers."""
     yield 0.0, core.Begin(SETTINGS, 7)
     yield 1.0, core.Roster(Listing.FULL, [entry(f"e{i}", 3.0) for i in range(4)])
     for i in range(rounds):
         at = 10.0 + 40.0 * i
-        yield at, core.Arrival(WorkUnit(f"w{i}", i % 2, at + 5000.0, key=f"k{i % 3}"))
+        yield at, core.Arrival(WorkUnit(f"w{i}", i % 2, at + 5000.0, key=None if plain else f"k{i % 3}"))
         yield at + 5.0, None
         if i % 10 == 9:
-            yield at + 9.0, core.Roster(Listing.DELTA, [entry(f"e{j}", 3.0 / (1 + j)) for j in range(4)])
-        if i >= 8:
-            ended = Outcome.ERROR if i % 7 == 0 else Outcome.COMPLETED
             yield (
-                at + 12.0,
-                core.Settled(f"w{i - 8}", 0, ended, ended is Outcome.COMPLETED, Report(queued=1.0)),
+                at + 9.0,
+                core.Roster(
+                    Listing.DELTA, [entry(f"e{j}", None if plain else 3.0 / (1 + j)) for j in range(4)]
+                ),
             )
+        if i >= 8:
+            ended = Outcome.ERROR if i % 7 == 0 else Outcome.COMPLETED
+            final, report = ended is Outcome.COMPLETED, Report(queued=1.0)
+            yield at + 12.0, core.Settled(f"w{i - 8}", 0, ended, final, report)
     for mark in range(1, 40):
         yield 9000.0 + mark, core.Due(mark)
 
 
-def play(watch):
+def play(watch=None, plain=False):
     """Play the day; each probe is answered and each send started in the next event. Return all effects."""
     made, done, probes, sends = Core(watch), [], [], []
-    for at, event in day():
+    for at, event in day(plain=plain):
         events = [event] if event is not None else []
         if event is None:
-            events = [
-                core.Probed(e, Outcome.COMPLETED, 1.0, Report(queued=0.0, free_slots=2.0)) for e in probes
-            ]
+            report = Report(queued=0.0, free_slots=2.0)
+            events = [core.Probed(e, Outcome.COMPLETED, 1.0, report) for e in probes]
             events += [core.Started(ref, alloc) for ref, alloc in sends]
             probes, sends = [], []
         for each in events:
@@ -71,13 +73,18 @@
 )
 def test_watching_changes_no_action(changes):
     watch = other(**changes)
-    assert play(watch) == play(None) and watch.decided > 60
+    assert play(watch) == play() and watch.decided > 60
+
+
+def test_without_the_new_settings_weights_and_keys_change_no_action():
+    assert play() == play(plain=True)
 
 
-def test_the_same_settings_agree_wherever_chance_has_no_part():
+def test_the_same_settings_agree_and_what_was_answered_is_forgotten():
     watch = other()
     play(watch)
-    assert set(watch.otherwise) <= {(Decision.ASK, Decision.HOME), (Decision.HOME, Decision.ASK)}
+    by_chance = {(Decision.ASK, Decision.HOME), (Decision.HOME, Decision.ASK)}  # another home was drawn
+    assert set(watch.otherwise) <= by_chance and all(not wu.done or wu.out() for wu in watch.open.values())
 
 
 def test_a_known_difference_is_counted():
@@ -89,12 +96,6 @@
     assert made.watch.lines()[1] == "watch: 1 times home asked where it would be home"
 
 
-def test_work_that_was_answered_is_forgotten():
-    watch = other()
-    play(watch)
-    assert all(not wu.done or wu.out() for wu in watch.open.values())
-
-
 # Its settings.
 
 
@@ -113,15 +114,11 @@
 
 def test_what_is_watched_stands_beside_the_settings_in_force(own):
     config = own('[watch]\nweights = "live"\nreports = "answers"\n')
-    assert not config.deployment.settings.live_weights
+    assert own("").watch is None and not config.deployment.settings.live_weights
     changed = config.watch.change(config.deployment.settings)
     assert (changed.live_weights, changed.answers_report, changed.fetch_price) == (True, True, 0.0)
 
 
-def test_nothing_is_watched_by_default(own):
-    assert own("").watch is None
-
-
 @pytest.mark.parametrize(
     ("text", "key"),
     [
