--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -20,7 +20,7 @@
 EFFECTS = {"safe": Effect.RERUNNABLE, "keyed": Effect.RECEIPTED, "unsafe": Effect.EXCLUSIVE}
 REPORT_NAMES = {"outstanding": "held", "inflight": "held", "backlog": "queued", "queue": "queued"}
 FILE = "EDGE_CONFIG"
-OWN = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY"}
+OWN = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY", "admin": "EDGE_ADMIN"}
 OWN_FILE = "MARLSEAM_SETTINGS"
 WEIGHTS = {"none": False, "nominal": False, "rough": False, "live": True}
 REPORTS = {"none": False, "probe": False, "answers": True}
@@ -96,6 +96,7 @@
     sockets: int
     known: dict[str, Any]
     deployment: Deployment
+    admin: tuple[str, int] | None = None  # the operators' door, if there is one
     store: StoreSettings | None = None
     watch: WatchSettings | None = None
     settings_path: str | None = None
@@ -389,7 +390,7 @@
     if not settings.tables("requestClasses"):
         raise ConfigError("settings.requestClasses", [], "one project type at least")
     in_file = {"name": top.text("name", "node")} | {
-        key: top.get(key, None) for key in ("listen", "discovery")
+        key: top.get(key, None) for key in ("listen", "discovery", "admin")
     }
     in_force = {key: env.get(variable) or in_file[key] for key, variable in OWN.items()}
     if before is not None:
@@ -408,6 +409,7 @@
         sockets=int(limits.number("sockets", 1024.0, least=1.0)),
         known=dict(top.table("known", {}).values),
         deployment=deployment_from(settings.values, before=before.deployment if before else None),
+        admin=address(in_force, "admin", env) if in_force["admin"] else None,
         store=store,
         watch=watch,
         settings_path=own,
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -452,6 +452,11 @@
         """Take in what may have run before the node started."""
         self.receipts.recall(event.traces)
 
+    def avoided(self) -> int:
+        """Return how many listed executors the decision module avoids now."""
+        node = self.node
+        return sum(s is not State.GONE and node.avoids(e) for e, s in enumerate(node.state))
+
     def place(self, trace: Trace) -> int:
         """Return the index of a sending's executor, which may be gone, with its group on record."""
         e, node = self.executor(trace.executor), self.node
--- /dev/null
+++ b/marlseam/counters.py
@@ -0,0 +1,37 @@
+"""What a node counts for its operators from its process's start; pure, and told where a thing happens."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+ENDS = ("completed", "rejected", "failed")  # final answers by the operators' words, in their order
+
+
+@dataclass
+class Counters:
+    """Counts that only grow: final answers by project type, attempts, and files taken or turned down."""
+
+    ends: dict[str, dict[str, int]] = field(default_factory=dict)
+    attempts: int = 0  # whose last byte was handed to the system, however they ended
+    reloads: int = 0
+    reload_errors: int = 0
+
+    def know(self, types: Iterable[str]) -> None:
+        """Show these project types from now on, 0 at first; one that has gone keeps its counts."""
+        for name in types:
+            self.ends.setdefault(name, dict.fromkeys(ENDS, 0))
+
+    def ended(self, type: str, status: int) -> None:
+        """Count a work unit's final answer by the status that its client is told."""
+        how = "completed" if status == 200 else "rejected" if status in (429, 503) else "failed"
+        self.ends[type][how] += 1
+
+    def lines(self, **now: int) -> str:
+        """Return all figures, one `name=value` a line; `now` holds those that are read at this moment."""
+        rows = {
+            f"downstream_requests.{type}.{how}": count
+            for type, ends in self.ends.items()
+            for how, count in ends.items()
+        }
+        rows |= {"upstream_requests": self.attempts, **now}
+        rows |= {"config_reloads": self.reloads, "config_reload_errors": self.reload_errors}
+        return "".join(f"{name}={count}\n" for name, count in rows.items())
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -454,16 +454,19 @@
             served /= 1.0 + (work.slots - 1.0) / 3.0  # wide work waits until so many slots are free together
         return max(0.0, max(0.0, ahead + work.slots - slots) / served + self.unseen[self.kind[e]])
 
-    def usable(self, e: int) -> bool:
-        """Return whether an executor is listed as ready, in health, answers its probes and is warm enough."""
+    def avoids(self, e: int) -> bool:
+        """Return whether an executor gets nothing now: not ready, sick, or not answering its probe."""
         now, asked, until = self.port.now(), self.asked_ms[e], self.out_until[e]
         if self.state[e] is not State.READY:
-            return False
+            return True
         if asked is not None and now - asked > self.ask_ms:
-            return False  # a probe overdue: a cut link, a machine gone silent, a long pause
-        if until is not None and (now < until or (self.on_trial(e) and not self.silent[e])):
-            return False  # a sick one rests, then gets one work unit at a time on trial
-        return self.warm(e)
+            return True  # a probe overdue: a cut link, a machine gone silent, a long pause
+        # A sick one rests, then gets one work unit at a time on trial.
+        return until is not None and (now < until or bool(self.on_trial(e) and not self.silent[e]))
+
+    def usable(self, e: int) -> bool:
+        """Return whether an executor is not avoided and is warm enough."""
+        return not self.avoids(e) and self.warm(e)
 
     def draw(self, test: Callable[[int], bool], wu: Handle | None = None, patient: bool = True) -> int:
         """Draw a usable executor that passes a test, or -1; kinds that others need are drawn less often."""
--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -23,9 +23,9 @@
 class Ended(Exception):
     """The connection cannot go on."""
 
-    def __init__(self, reason: Reason, status: int = 0, text: str = "") -> None:
+    def __init__(self, reason: Reason, status: int = 0, text: str = "", allow: str = "") -> None:
         super().__init__(text or reason.value)
-        self.reason, self.status = reason, status  # that the peer is told, if any
+        self.reason, self.status, self.allow = reason, status, allow  # what the peer is told, if anything
 
 
 class Connection:
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -8,6 +8,7 @@
 
 from marlseam.config import Deployment
 from marlseam.core import Event, Probed, Progress, Settled, Started
+from marlseam.counters import Counters
 from marlseam.interface import Effect, Outcome, Report
 from marlseam.net import protocol
 from marlseam.net.connection import Connection, Ended, Steps, connect
@@ -59,9 +60,15 @@
     """Carries out sends, cancels and probes, and hands what comes of them to the reducer."""
 
     def __init__(
-        self, loop: Loop, log: Log, deployment: Deployment, places: int, post: Callable[[Event], None]
+        self,
+        loop: Loop,
+        log: Log,
+        deployment: Deployment,
+        places: int,
+        post: Callable[[Event], None],
+        counters: Counters,
     ) -> None:
-        self.loop, self.log, self.post = loop, log, post
+        self.loop, self.log, self.post, self.counters = loop, log, post, counters
         self.peers: dict[str, Peer] = {}
         self.out: dict[tuple[str, int], Task] = {}
         self.configure(deployment, places)
@@ -213,6 +220,7 @@
             request = h11.Request(method="POST", target=job.target, headers=headers)
             yield from connection.message(request, job.body, until)
             written = True
+            self.counters.attempts += 1
             answer = yield from connection.answer(self.patience(job, until, self.take_ms))
             kept, head = False, Head(answer.headers)
             if answer.status_code == 200:
--- /dev/null
+++ b/marlseam/net/http.py
@@ -0,0 +1,141 @@
+"""What both doors share: a listener, one request read whole, one answer, and words on a bad request."""
+
+import errno
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from http import HTTPStatus
+from math import inf
+
+import h11
+
+from marlseam.net import protocol
+from marlseam.net.connection import Connection, Ended, Headers, Steps
+from marlseam.net.log import Reason
+from marlseam.net.loop import READ, Coroutine, Loop, sleep
+from marlseam.net.protocol import Head, Malformed
+
+ACCEPTS = 16  # connections accepted in one turn of the loop
+BACKLOG = 512
+LINGER_MS = 1000.0  # how long it is read on after a complaint
+PAUSE_MS = 20.0  # how long what finds no room waits before it looks again
+
+
+def bound(address: tuple[str, int]) -> socket.socket:
+    """Return a socket that listens at an address; OSError where it is not free."""
+    sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(address)
+        sock.listen(BACKLOG)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+class Listener:
+    """Accepts connections for as long as it is open.
+
+    `room` returns whether another connection may be had and makes room for it where it can, told whether the
+    system has no descriptor left.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        room: Callable[[bool], bool],
+        taken: Callable[[socket.socket], None],
+        first: bool = False,
+    ) -> None:
+        self.loop, self.sock, self.room, self.taken = loop, sock, room, taken
+        self.task = loop.spawn(self.accept(), first)
+
+    def accept(self) -> Coroutine:
+        """Accept connections, some in each turn of the loop."""
+        while True:
+            yield (self.sock.fileno(), READ, inf)
+            for _ in range(ACCEPTS):
+                while not self.room(False):
+                    # Guards against losing work units: what is not accepted yet waits, what is would be lost.
+                    yield from sleep(self.loop.now() + PAUSE_MS)
+                try:
+                    sock, _ = self.sock.accept()
+                    sock.setblocking(False)
+                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                except BlockingIOError:
+                    break
+                except OSError as error:
+                    if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
+                        # Guards against a busy loop: the listener stays readable while nothing can be taken.
+                        self.room(True)
+                        yield from sleep(self.loop.now() + PAUSE_MS)
+                        break
+                    continue  # that connection is gone already
+                self.taken(sock)
+
+    def close(self) -> None:
+        """Take no more connections."""
+        self.task.cancel()
+        self.loop.close(self.sock)
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """One request, read whole."""
+
+    method: str
+    target: str
+    head: Head
+    body: bytes
+
+
+def read(
+    connection: Connection,
+    until_ms: float,
+    allows: Callable[[str, str], object],
+    most: int,
+    room: Callable[[int], Steps] | None = None,
+) -> Steps:
+    """Read one request.
+
+    `allows` refuses a method and target by Malformed before a body of up to `most` bytes is read; `room`
+    waits for a place for it. Raises Ended, and Malformed for what can be understood in another way.
+    """
+    request = yield from connection.event(until_ms)
+    if type(request) is not h11.Request:
+        raise Ended(Reason.PEER_CLOSED)
+    head = protocol.head_from(request.headers, request.http_version, bytes(connection.head))
+    connection.head.clear()
+    method, target = request.method.decode("latin-1"), request.target.decode("latin-1")
+    allows(method, target)
+    size = most if "Transfer-Encoding" in head else int(head.get("Content-Length", "0"))
+    if size > most:
+        raise Ended(Reason.TOO_LARGE, 413)
+    if room is not None:
+        yield from room(size)
+    return Call(method, target, head, (yield from connection.body(most, until_ms)))
+
+
+def bad(error: Malformed) -> Ended:
+    """Return the end of a connection on which something came that the protocol does not allow."""
+    return Ended(Reason.BAD_MESSAGE, error.status, str(error), error.allow)
+
+
+def answer(connection: Connection, status: int, headers: Headers, body: bytes, until_ms: float) -> Steps:
+    """Write an answer."""
+    headers = [*headers, ("Content-Length", str(len(body)))]
+    head = h11.Response(status_code=status, headers=headers, reason=HTTPStatus(status).phrase)
+    yield from connection.message(head, body, until_ms)
+
+
+def complain(connection: Connection, ended: Ended, until_ms: float) -> Steps:
+    """Tell a client what is wrong with its request, if its connection allows it, and read on a while."""
+    headers = [("Connection", "close")] + ([("Allow", ended.allow)] if ended.allow else [])
+    try:
+        yield from answer(connection, ended.status, headers, str(ended).encode() + b"\n", until_ms)
+        yield from connection.linger(connection.loop.now() + LINGER_MS)
+    except (Ended, h11.LocalProtocolError):
+        return
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -17,6 +17,7 @@
 
 READ, WRITE = select.EPOLLIN, select.EPOLLOUT
 READY, LATE, WOKEN = "ready", "late", "woken"
+LOOK_MS = 5.0  # how often within a turn those that go first are looked for
 Wait = tuple[int, int, float]
 Coroutine = Generator[Wait, str, None]
 
@@ -58,8 +59,8 @@
 class Task:
     """One coroutine and what it waits for."""
 
-    def __init__(self, loop: "Loop", coroutine: Coroutine) -> None:
-        self.loop, self.coroutine = loop, coroutine
+    def __init__(self, loop: "Loop", coroutine: Coroutine, first: bool) -> None:
+        self.loop, self.coroutine, self.first = loop, coroutine, first
         self.fd, self.timer = -1, None
         self.done = self.running = self.woken = False
 
@@ -125,8 +126,10 @@
     def __init__(self, fault: Callable[[str], None]) -> None:
         self.clock, self.fault = Clock(), fault
         self.now = self.clock.now
-        self.poll = select.epoll()
-        self.known: set[int] = set()
+        self.poll, self.first = select.epoll(), select.epoll()
+        self.poll.register(self.first.fileno(), READ)
+        self.looked_ms = 0.0  # when those that go first were last looked for
+        self.known: dict[int, select.epoll] = {}
         self.closed: set[int] = set()  # in this turn
         self.waiting: dict[int, Task] = {}
         self.timers: list[tuple[float, int, Timer]] = []
@@ -137,9 +140,12 @@
         self.stopped = False
         self.late_ms = 0.0  # the longest that a timer came late
 
-    def spawn(self, coroutine: Coroutine) -> Task:
-        """Start a coroutine; it runs up to its first wait at once."""
-        task = Task(self, coroutine)
+    def spawn(self, coroutine: Coroutine, first: bool = False) -> Task:
+        """Start a coroutine, which runs up to its first wait at once.
+
+        One that goes first is resumed before all others that are ready, also in the middle of a turn.
+        """
+        task = Task(self, coroutine, first)
         self.tasks[task] = None
         task.step(None)
         return task
@@ -168,21 +174,22 @@
     def arm(self, fd: int, mask: int, task: Task) -> None:
         """Have a task resumed once when a socket is ready."""
         self.waiting[fd] = task
-        if fd in self.known:
-            self.poll.modify(fd, mask | select.EPOLLONESHOT)
+        poll = self.known.get(fd)
+        if poll is not None:
+            poll.modify(fd, mask | select.EPOLLONESHOT)
         else:
-            self.poll.register(fd, mask | select.EPOLLONESHOT)
-            self.known.add(fd)
+            poll = self.known[fd] = self.first if task.first else self.poll
+            poll.register(fd, mask | select.EPOLLONESHOT)
 
     def close(self, sock: socket.socket) -> None:
         """Close a socket that the loop may know."""
         fd = sock.fileno()
         self.waiting.pop(fd, None)
-        if fd in self.known:
-            self.known.discard(fd)
+        poll = self.known.pop(fd, None)
+        if poll is not None:
             self.closed.add(fd)
             with contextlib.suppress(OSError):
-                self.poll.unregister(fd)
+                poll.unregister(fd)
         sock.close()
 
     def run(self) -> None:
@@ -199,11 +206,13 @@
         """Wait once, and run what is due by then."""
         events = self.poll.poll(self.pause_s())
         self.closed.clear()
+        self.run_first()
         for fd, _ in events:
             # Guards a new socket under a closed one's number against what was reported of the old one.
             task = self.waiting.get(fd) if fd not in self.closed else None
             if task is not None:
                 task.step(READY)
+                self.look()
         self.run_calls()
         now = self.now()
         while self.timers and self.timers[0][0] <= now:
@@ -216,10 +225,24 @@
             else:
                 self.dropped -= 1
 
+    def run_first(self) -> None:
+        """Resume those that go first."""
+        self.looked_ms = self.now()
+        for fd, _ in self.first.poll(0):
+            task = self.waiting.get(fd)
+            if task is not None:
+                task.step(READY)
+
+    def look(self) -> None:
+        """Look for those that go first where a turn is long. Guards operators against a busy node."""
+        if self.now() - self.looked_ms > LOOK_MS:
+            self.run_first()
+
     def run_calls(self) -> None:
         """Run what is to be called before the next wait."""
         while self.calls:
             self.guarded(self.calls.popleft())
+            self.look()
 
     def guarded(self, call: Callable[[], None]) -> None:
         """Call, and go on whatever comes of it."""
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -3,22 +3,24 @@
 import resource
 import signal
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import replace
 
 from marlseam import config as configuration
 from marlseam import core
 from marlseam.config import Config, ConfigError
 from marlseam.core import Core, Effect, Event
+from marlseam.counters import Counters
 from marlseam.interface import Settings, WorkUnit
-from marlseam.net import protocol
+from marlseam.net import admin, protocol
 from marlseam.net.discovery import Discovery
 from marlseam.net.executors import Executors, Order
 from marlseam.net.log import Log
 from marlseam.net.loop import Loop
 from marlseam.net.server import Pending, Room, Server
 
-OWN_SOCKETS = 32  # descriptors for the listener, epoll, signals, discovery, logs and the interpreter
+OWN_SOCKETS = 32  # descriptors for listeners, epoll, signals, discovery, logs and the interpreter
 OWN_MB, CONNECTION_KB = 20.0, 20.0  # memory for the node itself, and for a connection without its body
 BODY_SHARE = 0.5  # of the other memory, for bodies of clients' requests
 PLACES_LEAST = 16  # connections, however tight the limits: fewer could not serve
@@ -28,7 +30,7 @@
 KEEP_SHARE = 0.4  # of that time, in which clients may go on using the connections that they have
 ANSWER_MS, EXIT_MS = 300.0, 500.0  # by when after that all is answered, and the node ends at the latest
 LOOK_MS = 20.0  # how often it looks whether it may end
-FIXED = ("name", "listen", "seed", "store", "watch")  # what a node keeps for as long as it runs
+FIXED = ("name", "listen", "admin", "seed", "store", "watch")  # what a node keeps for as long as it runs
 
 
 def alone(settings: Settings) -> Settings:
@@ -36,12 +38,23 @@
     return replace(settings, may_tell=False)
 
 
+@contextmanager
+def free(key: str, address: tuple[str, int]) -> Iterator[None]:
+    """Say which key is at fault where an address cannot be had."""
+    try:
+        yield
+    except OSError as error:
+        shown = f"{address[0]}:{address[1]}"
+        raise ConfigError(key, shown, f"a free address ({error.strerror})") from None
+
+
 def connections(config: Config) -> int:
     """Return how many connections the limits on descriptors and memory leave room for, bodies apart."""
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = config.sockets if allowed == resource.RLIM_INFINITY else min(config.sockets, allowed)
     free_kb = (1.0 - BODY_SHARE) * (config.memory_mb - OWN_MB) * 1024.0
-    return max(PLACES_LEAST, int(min(sockets - OWN_SOCKETS, free_kb / CONNECTION_KB)))
+    own = OWN_SOCKETS + (admin.PLACES if config.admin is not None else 0)
+    return max(PLACES_LEAST, int(min(sockets - own, free_kb / CONNECTION_KB)))
 
 
 def room(config: Config) -> tuple[Room, int]:
@@ -70,13 +83,20 @@
         self.core = Core(self.watch)
         self.pending: dict[str, Pending] = {}
         self.refs, self.events, self.busy = 0, deque[Event](), False
-        self.executors = Executors(self.loop, self.log, config.deployment, places, self.post)
+        self.counters = Counters()
+        self.counters.know(config.deployment.types)
+        self.executors = Executors(self.loop, self.log, config.deployment, places, self.post, self.counters)
         self.discovery = Discovery(self.loop, self.log, config, self.executors, self.post)
-        try:
+        with free("listen", config.listen):
             self.server = Server(self.loop, self.log, config, clients, self.ready, self.take, self.left)
-        except OSError as error:
-            shown = f"{config.listen[0]}:{config.listen[1]}"
-            raise ConfigError("listen", shown, f"a free address ({error.strerror})") from None
+        self.admin = None
+        if config.admin is not None:
+            calls = {
+                "/control/ready": ("GET", lambda: (200 if self.ready() else 503, "")),
+                "/control/counters": ("GET", lambda: (200, self.figures())),
+            }
+            with free("admin", config.admin):
+                self.admin = admin.Admin(self.loop, self.log, config.admin, calls)
         self.post(core.Begin(alone(config.deployment.settings), config.seed))
         self.memory = None
         if config.store is None:
@@ -111,6 +131,12 @@
         """Return whether clients should come."""
         return bool(self.discovery.held) and not self.server.closing
 
+    def figures(self) -> str:
+        """Return the figures, those of this moment included."""
+        held = self.discovery.held
+        now = {"pending": len(self.pending), "members": len(held), "members_unavailable": self.core.avoided()}
+        return self.counters.lines(**now)
+
     # Events.
 
     def post(self, event: Event) -> None:
@@ -158,6 +184,7 @@
         """Give a client its one answer, if it is still there."""
         pending = self.pending.pop(ref, None)
         if pending is not None:
+            self.counters.ended(pending.job.type_name, status)
             pending.give(status, headers, body)
 
     def timer(self, effect: core.Timer) -> None:
@@ -171,6 +198,7 @@
         try:
             config = configuration.load(self.config.path, before=self.config)
         except ConfigError as error:
+            self.counters.reload_errors += 1
             self.log.line(f"the configuration stays as it was: {error}")
             return
         for key in FIXED:
@@ -179,6 +207,8 @@
         config = replace(config, **{key: getattr(self.config, key) for key in FIXED})
         clients, places = room(config)
         self.config = config
+        self.counters.reloads += 1
+        self.counters.know(config.deployment.types)
         self.post(core.Renewed(alone(config.deployment.settings)))
         self.server.configure(config.deployment, clients)
         self.executors.configure(config.deployment, places)
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -34,9 +34,9 @@
 class Malformed(Exception):
     """Something that the protocol does not allow; for a client with the status that it is told."""
 
-    def __init__(self, text: str, status: int = 400) -> None:
+    def __init__(self, text: str, status: int = 400, allow: str = "") -> None:
         super().__init__(text)
-        self.status = status
+        self.status, self.allow = status, allow
 
 
 @dataclass(frozen=True, slots=True)
@@ -125,23 +125,33 @@
 
 def first_part(target: str) -> str:
     """Return the first part of a path, which is the project type's name."""
-    return target.partition("?")[0].strip("/").partition("/")[0]
+    return path_of(target).strip("/").partition("/")[0]
+
+
+def path_of(target: str) -> str:
+    """Return the path of a target."""
+    return target.partition("?")[0]
 
 
 def route(method: str, target: str, types: Mapping[str, int]) -> str:
     """Return the path that a client asks for, where such a request exists."""
-    path = target.partition("?")[0]
+    path = path_of(target)
     if path == READY_PATH:
         allowed = "GET"
     elif first_part(target) in types:
         allowed = "POST"
     else:
         raise Malformed("no such path", 404)
-    if method != allowed:
-        raise Malformed(f"only {allowed} is possible here", 405)
+    only(allowed, method)
     return path
 
 
+def only(allowed: str, method: str) -> None:
+    """Refuse any other method."""
+    if method != allowed:
+        raise Malformed(f"only {allowed} is possible here", 405, allowed)
+
+
 def job_from(target: str, head: Head, body: bytes, deployment: Deployment) -> Job:
     """Read a work unit out of a client's request."""
     id = head.get(ID, "")
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -1,16 +1,14 @@
 """The node's own door: accepts clients, reads their work units and writes their answers."""
 
-import errno
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
-from math import inf
 
 import h11
 
 from marlseam.config import Config, Deployment
-from marlseam.net import protocol
+from marlseam.net import http, protocol
 from marlseam.net.connection import Connection, Ended, Headers, Steps
 from marlseam.net.log import Log, Reason
 from marlseam.net.loop import LATE, READ, READY, Cancelled, Coroutine, Loop, Task, sleep
@@ -21,10 +19,6 @@
     2500.0  # how long a request may take to come: the first from connecting, others from their first byte
 )
 WRITE_MS = 2500.0  # how long a client may take to read its answer
-LINGER_MS = 1000.0  # how long it is read on after a complaint
-PAUSE_MS = 20.0  # how long what finds no room waits before it looks again
-ACCEPTS = 16  # connections accepted in one turn of the loop
-BACKLOG = 512
 
 
 @dataclass(frozen=True)
@@ -73,13 +67,8 @@
         self.held: dict[Connection, int] = {}  # bytes set aside for the bodies of requests
         self.ids: set[str] = set()  # of work units that are out
         self.closing = self.parting = False  # the node ends; and connections do after their next answer
-        family = socket.AF_INET6 if ":" in config.listen[0] else socket.AF_INET
-        self.sock = socket.socket(family, socket.SOCK_STREAM)
-        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind(config.listen)
-        self.sock.listen(BACKLOG)
-        self.sock.setblocking(False)
-        self.accepting = loop.spawn(self.accept())
+        self.sock = http.bound(config.listen)
+        self.listener = http.Listener(loop, self.sock, self.has_room, self.taken)
 
     def configure(self, deployment: Deployment, room: Room) -> None:
         """Take in settings, and for how many clients and bytes of their bodies there is room."""
@@ -87,30 +76,15 @@
 
     # Connections.
 
-    def accept(self) -> Coroutine:
-        """Accept connections for as long as the node listens."""
-        while True:
-            yield (self.sock.fileno(), READ, inf)
-            for _ in range(ACCEPTS):
-                while len(self.open) >= self.room.clients and not self.make_room():
-                    # Guards against losing work units: what is not accepted yet waits, what is would be lost.
-                    yield from sleep(self.loop.now() + PAUSE_MS)
-                try:
-                    sock, _ = self.sock.accept()
-                    sock.setblocking(False)
-                    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                except BlockingIOError:
-                    break
-                except OSError as error:
-                    if error.errno in (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM):
-                        # Guards against a busy loop: the listener stays readable while nothing can be taken.
-                        self.make_room()
-                        yield from sleep(self.loop.now() + PAUSE_MS)
-                        break
-                    continue  # that connection is gone already
-                connection = Connection(self.loop, self.log, sock, h11.SERVER, "client")
-                self.open[connection] = None
-                self.loop.spawn(self.serve(connection))
+    def has_room(self, short: bool) -> bool:
+        """Return whether another connection may be had; others without taken work give up theirs for it."""
+        return (not short and len(self.open) < self.room.clients) or self.make_room()
+
+    def taken(self, sock: socket.socket) -> None:
+        """Serve a connection."""
+        connection = Connection(self.loop, self.log, sock, h11.SERVER, "client")
+        self.open[connection] = None
+        self.loop.spawn(self.serve(connection))
 
     def make_room(self) -> bool:
         """Close a connection without taken work, if there is one; those that sent nothing good go first.
@@ -137,7 +111,7 @@
             if held is not None:
                 self.drop(held, Reason.CROWDED)
             elif self.loop.now() < until_ms:
-                yield from sleep(self.loop.now() + PAUSE_MS)
+                yield from sleep(self.loop.now() + http.PAUSE_MS)
             else:
                 raise Ended(Reason.CROWDED, 408)
         self.held[connection] = size
@@ -150,8 +124,7 @@
 
     def stop_listening(self) -> None:
         """Take no more connections."""
-        self.accepting.cancel()
-        self.loop.close(self.sock)
+        self.listener.close()
 
     # One connection.
 
@@ -168,7 +141,8 @@
             reason = ended.reason
             self.held.pop(connection, None)
             if ended.status:
-                yield from self.complain(connection, ended)
+                self.unproven[connection] = self.loop.current
+                yield from http.complain(connection, ended, self.loop.now() + WRITE_MS)
         except Cancelled:
             reason = Reason.DRAINING
             raise
@@ -199,29 +173,24 @@
         began = self.loop.now()
         until = (connection.opened_ms if connection in self.unproven else began) + READ_MS
         try:
-            request = yield from connection.event(until)
-            if type(request) is not h11.Request:
-                raise Ended(Reason.PEER_CLOSED)
-            head = protocol.head_from(request.headers, request.http_version, bytes(connection.head))
-            connection.head.clear()
-            target = request.target.decode("latin-1")
-            path = protocol.route(request.method.decode("latin-1"), target, self.deployment.types)
-            size = protocol.BODY_MOST if "Transfer-Encoding" in head else int(head.get("Content-Length", "0"))
-            if size > protocol.BODY_MOST:
-                raise Ended(Reason.TOO_LARGE, 413)
-            yield from self.set_aside(connection, size, until)
-            body = yield from connection.body(protocol.BODY_MOST, until)
-            if path == protocol.READY_PATH:
+            call = yield from http.read(
+                connection,
+                until,
+                lambda method, target: protocol.route(method, target, self.deployment.types),
+                protocol.BODY_MOST,
+                lambda size: self.set_aside(connection, size, until),
+            )
+            if protocol.path_of(call.target) == protocol.READY_PATH:
                 status, headers, body = (200 if self.ready() else 503), [], b""
             else:
-                job = protocol.job_from(target, head, body, self.deployment)
+                job = protocol.job_from(call.target, call.head, call.body, self.deployment)
                 status, headers, body = yield from self.work_unit(connection, Pending(job, began))
         except Malformed as error:
-            raise Ended(Reason.BAD_MESSAGE, error.status, str(error)) from None
+            raise http.bad(error) from None
         del self.held[connection]
         if self.parting:
             headers = [*headers, ("Connection", "close")]
-        yield from self.answer(connection, status, headers, body)
+        yield from http.answer(connection, status, headers, body, self.loop.now() + WRITE_MS)
         return connection.again()
 
     def work_unit(self, connection: Connection, pending: Pending) -> Steps:
@@ -253,21 +222,3 @@
                     self.left(ref)
                     raise Ended(Reason.PEER_CLOSED)
         pending.task = None
-
-    def answer(self, connection: Connection, status: int, headers: Headers, body: bytes) -> Steps:
-        """Write an answer."""
-        headers = [*headers, ("Content-Length", str(len(body)))]
-        head = h11.Response(status_code=status, headers=headers, reason=HTTPStatus(status).phrase)
-        yield from connection.message(head, body, self.loop.now() + WRITE_MS)
-
-    def complain(self, connection: Connection, ended: Ended) -> Steps:
-        """Tell a client what is wrong with its request, if its connection still allows it."""
-        headers, text = [("Connection", "close")], str(ended)
-        if ended.status == 405:
-            headers.append(("Allow", "GET" if "GET" in text else "POST"))
-        self.unproven[connection] = self.loop.current
-        try:
-            yield from self.answer(connection, ended.status, headers, text.encode() + b"\n")
-            yield from connection.linger(self.loop.now() + LINGER_MS)
-        except (Ended, h11.LocalProtocolError):
-            return
--- /dev/null
+++ b/tests/test_admin.py
@@ -0,0 +1,259 @@
+"""The operators' door and its figures."""
+
+import json
+from dataclasses import replace
+
+import pytest
+from test_net import CHUNKED, JOB, REQUEST
+
+from marlseam import core
+from marlseam.counters import Counters
+from marlseam.interface import State
+from marlseam.net import admin as admin_module
+from marlseam.net.executors import Order
+from marlseam.net.node import EFFECTS
+from marlseam.net.server import Pending
+
+
+@pytest.fixture
+def call(node, client, reply):
+    """Return a function that makes one call at the operators' door and gives the status and the text."""
+
+    def made(method, path, headers=""):
+        sock = client(f"{method} {path} HTTP/1.1\r\nHost: h\r\n{headers}\r\n".encode(), node.admin)
+        data = reply(sock)
+        while more := b"" if b"Content-Length: 0" in data else read(node, sock):
+            data += more
+        head, _, body = data.partition(b"\r\n\r\n")
+        return int(head.split()[1]), body.decode(), head.decode()
+
+    return made
+
+
+def read(node, sock):
+    """Return what is left on a connection, turning the loop."""
+    while True:
+        try:
+            return sock.recv(65536)
+        except BlockingIOError:
+            node.loop.turn()
+
+
+@pytest.fixture
+def figures(call):
+    """Return a function that fetches the figures."""
+
+    def fetch():
+        status, text, _ = call("GET", "/control/counters")
+        assert status == 200
+        return {name: int(value) for name, value in (line.split("=") for line in text.splitlines())}
+
+    return fetch
+
+
+def taken(node, client, request=REQUEST):
+    """Send a work unit, wait until it is taken, and return its connection and its name."""
+    before = set(node.pending)
+    sock = client(request)
+    while set(node.pending) <= before:
+        node.loop.turn()
+    (ref,) = set(node.pending) - before
+    return sock, ref
+
+
+# Calls.
+
+
+def test_ready_is_what_clients_are_told(node, call):
+    assert call("GET", "/control/ready")[0] == 200
+    node.discovery.held.clear()
+    assert call("GET", "/control/ready")[0] == 503
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "headers", "status", "part"),
+    [
+        ("GET", "/control/odd", "", 404, "no such path"),
+        ("GET", "/statement", "", 404, "no such path"),
+        ("POST", "/control/ready", "", 405, "Allow: GET"),
+        ("GET", "/control/ready", "Content-Length: x\r\n", 400, "close"),
+        ("GET", "/control/ready", f"X-Long: {'x' * 40000}\r\n", 431, "close"),
+        ("GET", "/control/ready", "Content-Length: 9999999\r\n", 413, "close"),
+    ],
+)
+def test_what_is_no_call_is_told_so(call, method, path, headers, status, part):
+    found, text, head = call(method, path, headers)
+    assert found == status and part in head + text
+
+
+def test_no_call_works_at_the_clients_address(client, reply):
+    assert reply(client(b"GET /control/counters HTTP/1.1\r\nHost: h\r\n\r\n")).startswith(b"HTTP/1.1 404 ")
+
+
+def test_one_call_to_a_connection(node, client, reply):
+    sock = client(b"GET /control/ready HTTP/1.1\r\nHost: h\r\n\r\n" * 2, node.admin)
+    data = reply(sock) + read(node, sock)
+    assert b"Connection: close" in data and data.count(b"HTTP/1.1 200") == 1
+
+
+def test_a_call_that_does_not_come_in_time_is_told(node, client, reply, monkeypatch):
+    monkeypatch.setattr(admin_module, "CALL_MS", 20.0)
+    assert reply(client(b"GET /control/re", node.admin)).startswith(b"HTTP/1.1 408 ")
+
+
+def test_callers_that_finish_nothing_are_bounded_and_delay_nobody(node, client, call):
+    silent = [client(b"GET /con", node.admin) for _ in range(3 * admin_module.PLACES)]
+    while len(node.admin.open) < admin_module.PLACES:
+        node.loop.turn()
+    began = node.loop.now()
+    assert call("GET", "/control/ready")[0] == 200
+    assert node.loop.now() - began < admin_module.CALL_MS
+    assert len(node.admin.open) <= admin_module.PLACES and read(node, silent[0]) == b""
+
+
+def test_a_call_is_answered_in_the_middle_of_a_long_turn(node, client):
+    # Guards operators against a node that is busy with clients: here each client's step takes a while.
+    seen, real = [], node.take
+
+    def slow(pending):
+        end = node.loop.now() + 8.0
+        while node.loop.now() < end:
+            pass
+        seen.append(pending)
+        return real(pending)
+
+    node.server.take = slow
+    order = []
+    node.admin.calls = {"/control/ready": ("GET", lambda: (order.append(len(seen)), (200, ""))[1])}
+    for i in range(10):
+        client(REQUEST.replace(b"9b", b"w%d" % i))
+    client(b"GET /control/ready HTTP/1.1\r\nHost: h\r\n\r\n", node.admin)
+    while len(seen) < 10:
+        node.loop.turn()
+    assert order and order[0] <= 2
+
+
+def test_without_an_address_there_is_no_door(node):
+    closed = replace(node.config, admin=None, listen=("127.0.0.1", 0))
+    made = type(node)(closed)
+    assert made.admin is None
+    made.busy = True
+    made.loop.finish()
+
+
+# Figures.
+
+
+def test_all_figures_are_there_from_the_start(figures):
+    found = figures()
+    assert found == {
+        f"downstream_requests.{type}.{how}": 0
+        for type in ("statement", "posting")
+        for how in ("completed", "rejected", "failed")
+    } | {
+        "upstream_requests": 0,
+        "pending": 0,
+        "members": 1,
+        "members_unavailable": 0,
+        "config_reloads": 0,
+        "config_reload_errors": 0,
+    }
+
+
+@pytest.mark.parametrize(
+    ("effect", "how"),
+    [
+        (core.Complete("1", b"result"), "completed"),
+        (core.Defer("1", 250.0), "rejected"),
+        (core.Abort("1"), "failed"),
+        (core.Abort("1", unfit=True), "failed"),
+    ],
+)
+def test_each_end_counts_once_as_its_client_sees_it(node, client, reply, figures, effect, how):
+    sock, _ = taken(node, client)
+    assert figures()["pending"] == 1
+    EFFECTS[type(effect)](node, effect)
+    reply(sock)
+    found = figures()
+    assert found[f"downstream_requests.statement.{how}"] == 1 and found["pending"] == 0
+    assert sum(value for name, value in found.items() if name.startswith("downstream")) == 1
+
+
+def test_mixed_ends_agree_with_what_clients_saw(node, client, reply, figures):
+    seen = {"completed": 0, "rejected": 0, "failed": 0}
+    for i, status in enumerate((200, 503, 500, 200, 200, 503)):
+        sock, ref = taken(node, client, REQUEST.replace(b"9b", b"w%d" % i))
+        node.answer(ref, status, [], b"")
+        answered = int(reply(sock).split()[1])
+        seen[{200: "completed", 503: "rejected", 500: "failed"}[answered]] += 1
+    gone, _ = taken(node, client, CHUNKED)
+    gone.close()
+    while node.pending:
+        node.loop.turn()
+    assert (
+        reply(client(b"POST /statement HTTP/1.1\r\nHost: h\r\nX-Time-Left: x\r\n\r\n")).split()[1] == b"400"
+    )
+    found = figures()
+    assert {how: found[f"downstream_requests.statement.{how}"] for how in seen} == seen
+
+
+def test_attempts_count_once_their_last_byte_is_handed_over(executors):
+    parts = executors(silent=True)
+    now = parts.loop.now()
+    parts.send(Order("1", 0, "e1", JOB, now + 1000.0, now + 1000.0))
+    assert parts.counters.attempts == 1
+    broken = executors(takes=10)
+    broken.send(Order("1", 0, "e1", JOB, now + 1000.0, now + 1000.0))
+    assert broken.counters.attempts == 0
+
+
+def test_files_taken_and_turned_down_count(node, figures):
+    with open(node.config.path) as file:
+        good = json.load(file)
+    with open(node.config.path, "w") as file:
+        file.write("{")
+    node.reload()
+    good["settings"]["requestClasses"].append(
+        {"name": "extra", "aimUs": 200000, "deadlineUs": 1000000, "semantics": "safe"}
+    )
+    with open(node.config.path, "w") as file:
+        json.dump(good, file)
+    node.reload()
+    found = figures()
+    assert (found["config_reloads"], found["config_reload_errors"]) == (1, 1)
+    assert found["downstream_requests.extra.completed"] == 0
+
+
+def test_a_type_that_has_gone_keeps_its_counts():
+    counters = Counters()
+    counters.know(["a", "b"])
+    counters.ended("a", 200)
+    counters.know(["b"])
+    assert "downstream_requests.a.completed=1\n" in counters.lines()
+
+
+def test_what_the_module_avoids_is_its_own_account(node, figures):
+    module = node.core.node
+    module.enter(core.Member(0, State.DRAINING, 0, 0, 0, None))
+    assert figures()["members_unavailable"] == 1
+    module.enter(core.Member(0, State.READY, 0, 0, 0, None))
+    module.suspend(0, "outcomes", False)
+    assert figures()["members_unavailable"] == 1
+    module.recover(0)
+    assert figures()["members_unavailable"] == 0
+
+
+def test_the_figures_change_nothing_of_a_cold_executors_budget(node, figures):
+    module = node.core.node
+    module.born[0], module.tokens[0] = node.loop.now(), -1.0
+    before = module.tokens[0], module.token_ms[0]
+    assert figures()["members_unavailable"] == 0
+    assert (module.tokens[0], module.token_ms[0]) == before
+
+
+def test_an_end_is_counted_when_its_answer_is_given(node):
+    pending = Pending(JOB, 0.0)
+    node.pending["7"] = pending
+    node.answer("7", 200, [], b"r")
+    node.answer("7", 200, [], b"r")
+    assert node.counters.ends["statement"]["completed"] == 1
