One drain for operators' calls and SIGTERM; requests in one packet are all answered

Second cause, found by a test of the drain: a further request that came in one packet with the one before stood in the parser and was never looked for (Server.first_byte). Change: Server.drain/resume with two moments; answers close their connections, unused ones are closed after 0.3 s and looked at again.

--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -107,10 +107,17 @@
             else:
                 raise Ended(Reason.PEER_CLOSED)
 
+    def ahead(self) -> bool:
+        """Return whether some of a further message has come, handed to the parser or not.
+
+        Guards clients that write several requests at once: the parser may hold all of them.
+        """
+        return bool(len(self.buffer) or self.http.trailing_data[0])
+
     def quiet(self) -> bool:
         """Return whether an unused connection is still open with nothing said on it."""
         try:
-            return not len(self.buffer) and not self.eof and not self.fill()
+            return not self.ahead() and not self.eof and not self.fill()
         except Ended:
             return False
 
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -13,12 +13,12 @@
 from marlseam.core import Core, Effect, Event
 from marlseam.counters import Counters
 from marlseam.interface import Settings, WorkUnit
-from marlseam.net import admin, protocol
+from marlseam.net import admin, protocol, server
 from marlseam.net.discovery import Discovery
 from marlseam.net.executors import Executors, Order
 from marlseam.net.log import Log
 from marlseam.net.loop import Loop
-from marlseam.net.server import Pending, Room, Server
+from marlseam.net.server import Pending, Room
 
 OWN_SOCKETS = 32  # descriptors for listeners, epoll, signals, discovery, logs and the interpreter
 OWN_MB, CONNECTION_KB = 20.0, 20.0  # memory for the node itself, and for a connection without its body
@@ -26,10 +26,10 @@
 PLACES_LEAST = 16  # connections, however tight the limits: fewer could not serve
 CLIENT_SHARE = 0.5  # of the other descriptors, for clients
 LISTEN_MS = 600.0  # how long new connections may still come after SIGTERM
+PART_MS = 300.0  # how long clients may go on using the connections that they have, once out of service
 DRAIN_MOST_MS = 3000.0  # how long work goes on after SIGTERM, or for the longest hard limit if that is less
 KEEP_SHARE = 0.4  # of that time, in which clients may go on using the connections that they have
 ANSWER_MS, EXIT_MS = 300.0, 500.0  # by when after that all is answered, and the node ends at the latest
-LOOK_MS = 20.0  # how often it looks whether it may end
 FIXED = ("name", "listen", "admin", "seed", "store", "watch")  # what a node keeps for as long as it runs
 
 
@@ -83,17 +83,22 @@
         self.core = Core(self.watch)
         self.pending: dict[str, Pending] = {}
         self.refs, self.events, self.busy = 0, deque[Event](), False
+        self.ending = False
         self.counters = Counters()
         self.counters.know(config.deployment.types)
         self.executors = Executors(self.loop, self.log, config.deployment, places, self.post, self.counters)
         self.discovery = Discovery(self.loop, self.log, config, self.executors, self.post)
         with free("listen", config.listen):
-            self.server = Server(self.loop, self.log, config, clients, self.ready, self.take, self.left)
+            self.server = server.Server(
+                self.loop, self.log, config, clients, self.ready, self.take, self.left
+            )
         self.admin = None
         if config.admin is not None:
             calls = {
                 "/control/ready": ("GET", lambda: (200 if self.ready() else 503, "")),
                 "/control/counters": ("GET", lambda: (200, self.figures())),
+                "/control/out-of-service": ("POST", self.leave_service),
+                "/control/in-service": ("POST", self.enter_service),
             }
             with free("admin", config.admin):
                 self.admin = admin.Admin(self.loop, self.log, config.admin, calls)
@@ -129,7 +134,7 @@
 
     def ready(self) -> bool:
         """Return whether clients should come."""
-        return bool(self.discovery.held) and not self.server.closing
+        return bool(self.discovery.held) and self.server.draining is None
 
     def figures(self) -> str:
         """Return the figures, those of this moment included."""
@@ -215,13 +220,29 @@
         self.discovery.configure(config)
         self.log.line(f"new configuration, discovery at {config.discovery[0]}:{config.discovery[1]}")
 
-    # The end.
+    # In service, out of service, and the end.
+
+    def leave_service(self) -> tuple[int, str]:
+        """Send clients away; what is taken is finished, and all else goes on."""
+        if self.server.draining is None:
+            self.log.line(f"out of service with {len(self.pending)} work units open")
+        self.server.drain(0.0, PART_MS)
+        return 200, ""
+
+    def enter_service(self) -> tuple[int, str]:
+        """Serve again as before, unless the process ends."""
+        if self.ending:
+            return 409, "the process ends\n"
+        if self.server.draining is not None:
+            self.log.line("in service")
+            self.server.resume()
+        return 200, ""
 
     def close(self) -> None:
         """Begin to end after a signal: answer what is taken, take what still comes, then go."""
-        if self.server.closing:
+        if self.ending:
             return
-        self.server.closing = True
+        self.ending = True
         began = self.loop.now()
         drain = min(DRAIN_MOST_MS, max(t.limit_ms for t in self.config.deployment.settings.types))
         self.log.line(f"told to end with {len(self.pending)} work units open")
@@ -229,11 +250,11 @@
         self.loop.at(began + LISTEN_MS, self.server.stop_listening)
         # Guards against a moment without any node: the one that restarted before this may not be back yet.
         part_ms = max(LISTEN_MS, KEEP_SHARE * drain)
+        self.server.drain(part_ms, part_ms)
         self.loop.at(began + part_ms, lambda: self.end(began + drain + EXIT_MS))
 
     def end(self, at_ms: float) -> None:
         """Stop once no client waits any more, or the time is over."""
-        self.server.part()
         if not self.server.open or self.loop.now() >= at_ms:
             for line in self.watch.lines() if self.watch is not None else ():
                 self.log.line(line)
@@ -241,7 +262,7 @@
             self.log.line(f"ends with {len(self.pending)} work units open, {late}")
             self.loop.stopped = True
         else:
-            self.loop.at(self.loop.now() + LOOK_MS, lambda: self.end(at_ms))
+            self.loop.at(self.loop.now() + server.LOOK_MS, lambda: self.end(at_ms))
 
 
 EFFECTS: dict[type[Effect], Callable[[Node, Effect], None]] = {
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from http import HTTPStatus
+from math import inf
 
 import h11
 
@@ -11,10 +12,12 @@
 from marlseam.net import http, protocol
 from marlseam.net.connection import Connection, Ended, Headers, Steps
 from marlseam.net.log import Log, Reason
-from marlseam.net.loop import LATE, READ, READY, Cancelled, Coroutine, Loop, Task, sleep
+from marlseam.net.loop import LATE, READ, READY, Cancelled, Coroutine, Loop, Task, Timer, sleep
 from marlseam.net.protocol import Job, Malformed
 
 IDLE_MS = 300000.0  # how long a client may keep an unused connection
+LOOK_MS = 20.0  # how often a drain looks for unused connections
+NEW_MS = 250.0  # how long it leaves a new one that has said nothing yet
 READ_MS = (
     2500.0  # how long a request may take to come: the first from connecting, others from their first byte
 )
@@ -66,7 +69,8 @@
         self.unproven: dict[Connection, Task] = {}  # those that have sent nothing good, the oldest first
         self.held: dict[Connection, int] = {}  # bytes set aside for the bodies of requests
         self.ids: set[str] = set()  # of work units that are out
-        self.closing = self.parting = False  # the node ends; and connections do after their next answer
+        self.draining: Timer | None = None  # the next look of a drain, while there is one
+        self.close_ms = self.part_ms = inf  # when answers, and when unused connections, begin to close
         self.sock = http.bound(config.listen)
         self.listener = http.Listener(loop, self.sock, self.has_room, self.taken)
 
@@ -116,11 +120,36 @@
                 raise Ended(Reason.CROWDED, 408)
         self.held[connection] = size
 
+    # A drain.
+
+    def drain(self, keep_ms: float, part_ms: float) -> None:
+        """Send clients away, until `resume`; a second drain can only hasten the first.
+
+        After `keep_ms` each answer closes its connection, and after `part_ms` unused connections are closed.
+        """
+        now = self.loop.now()
+        self.close_ms = min(self.close_ms, now + keep_ms)
+        self.part_ms = min(self.part_ms, now + part_ms)
+        if self.draining is None:
+            self.part()
+
+    def resume(self) -> None:
+        """End a drain."""
+        if self.draining is not None:
+            self.loop.drop(self.draining)
+        self.draining, self.close_ms, self.part_ms = None, inf, inf
+
     def part(self) -> None:
-        """Close all connections on which nothing is under way, and the others after their answers."""
-        self.parting = True
-        for connection in list(self.idle):
-            self.drop(connection, Reason.DRAINING)
+        """Close connections on which nothing is under way, once it is time, and look again."""
+        now = self.loop.now()
+        for connection in list(self.idle) if now >= self.part_ms else ():
+            if connection not in self.unproven or now >= connection.opened_ms + NEW_MS:
+                self.drop(connection, Reason.DRAINING)
+        self.draining = self.loop.at(now + LOOK_MS, self.part)
+
+    def parting(self, connection: Connection) -> bool:
+        """Return whether a connection ends with the answer in hand: a drain is on, nothing more has come."""
+        return self.loop.now() >= self.close_ms and not connection.ahead()
 
     def stop_listening(self) -> None:
         """Take no more connections."""
@@ -136,7 +165,7 @@
             while (yield from self.request(connection)):
                 # Guards the others' turns against a client that sends many requests ahead.
                 yield from sleep(self.loop.now())
-            reason = Reason.DRAINING if self.parting else Reason.DONE
+            reason = Reason.DRAINING if self.draining is not None else Reason.DONE
         except Ended as ended:
             reason = ended.reason
             self.held.pop(connection, None)
@@ -156,7 +185,7 @@
         until = self.loop.now() + IDLE_MS
         if connection in self.unproven:
             until = connection.opened_ms + READ_MS
-        while not len(connection.buffer) and not connection.eof:
+        while not connection.ahead() and not connection.eof:
             if connection.fill():
                 continue
             self.idle[connection] = self.loop.current
@@ -164,7 +193,7 @@
             self.idle.pop(connection, None)
             if came == LATE:
                 raise Ended(Reason.IDLE)
-        if not len(connection.buffer):
+        if not connection.ahead():
             raise Ended(Reason.PEER_CLOSED)
 
     def request(self, connection: Connection) -> Steps:
@@ -188,7 +217,7 @@
         except Malformed as error:
             raise http.bad(error) from None
         del self.held[connection]
-        if self.parting:
+        if self.parting(connection):
             headers = [*headers, ("Connection", "close")]
         yield from http.answer(connection, status, headers, body, self.loop.now() + WRITE_MS)
         return connection.again()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -10,6 +10,8 @@
 from marlseam.counters import Counters
 from marlseam.interface import State
 from marlseam.net import admin as admin_module
+from marlseam.net import node as node_module
+from marlseam.net import server as server_module
 from marlseam.net.executors import Order
 from marlseam.net.node import EFFECTS
 from marlseam.net.server import Pending
@@ -141,6 +143,111 @@
     made.loop.finish()
 
 
+# Out of service, and back.
+
+
+READY = b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"
+
+
+def unused(node, client, reply):
+    """Return a client's connection that has served and stands unused."""
+    sock = client(READY)
+    reply(sock)
+    while not node.server.idle:
+        node.loop.turn()
+    return sock
+
+
+def test_out_of_service_clients_are_told_no_and_each_answer_ends_its_connection(node, client, reply, call):
+    assert call("POST", "/control/out-of-service")[0] == 200
+    data = reply(client(READY))
+    assert data.startswith(b"HTTP/1.1 503 ") and b"Connection: close" in data
+    assert call("GET", "/control/ready")[0] == 503
+
+
+def test_work_that_is_taken_is_finished_out_of_service(node, client, reply, call):
+    sock, ref = taken(node, client)
+    call("POST", "/control/out-of-service")
+    node.answer(ref, 200, [], b"r")
+    data = reply(sock)
+    assert data.startswith(b"HTTP/1.1 200 ") and b"Connection: close" in data and read(node, sock) == b""
+
+
+def test_new_work_is_taken_out_of_service_as_the_front_still_sends_some(node, client, call):
+    call("POST", "/control/out-of-service")
+    taken(node, client)
+
+
+def test_unused_connections_are_closed_after_a_while_and_not_at_once(node, client, reply, call):
+    sock = unused(node, client, reply)
+    began = node.loop.now()
+    call("POST", "/control/out-of-service")
+    assert node.server.idle
+    assert read(node, sock) == b"" and node.loop.now() - began >= node_module.PART_MS
+
+
+def test_a_connection_that_comes_late_in_a_drain_may_speak_first(node, client, reply, call, monkeypatch):
+    monkeypatch.setattr(node_module, "PART_MS", 0.0)
+    call("POST", "/control/out-of-service")
+    sock = client(b"")
+    while not node.server.idle:
+        node.loop.turn()
+    opened = node.loop.now()
+    assert read(node, sock) == b"" and node.loop.now() - opened >= 0.9 * server_module.NEW_MS
+
+
+def test_a_request_that_comes_in_pieces_during_a_drain_is_served(node, client, reply, call, monkeypatch):
+    monkeypatch.setattr(node_module, "PART_MS", 0.0)
+    sock = unused(node, client, reply)
+    sock.sendall(REQUEST[:30])
+    call("POST", "/control/out-of-service")
+    end = node.loop.now() + 3 * server_module.LOOK_MS
+    node.loop.at(end, lambda: None)
+    while node.loop.now() < end:
+        node.loop.turn()
+    sock.sendall(REQUEST[30:])
+    while not node.pending:
+        node.loop.turn()
+
+
+def test_what_was_sent_ahead_is_answered_before_its_connection_ends(node, client, reply, call):
+    call("POST", "/control/out-of-service")
+    sock = client(READY * 3)
+    data = b""
+    while more := read(node, sock):
+        data += more
+    assert data.count(b"HTTP/1.1 503 ") == 3 and data.count(b"Connection: close") == 1
+
+
+def test_back_in_service_all_is_as_before(node, client, reply, call):
+    call("POST", "/control/out-of-service")
+    call("POST", "/control/out-of-service")
+    assert call("POST", "/control/in-service")[0] == call("POST", "/control/in-service")[0] == 200
+    data = reply(client(READY))
+    assert data.startswith(b"HTTP/1.1 200 ") and b"Connection: close" not in data
+    end = node.loop.now() + node_module.PART_MS + 2 * server_module.LOOK_MS
+    node.loop.at(end, lambda: None)
+    while node.loop.now() < end:
+        node.loop.turn()
+    assert node.server.idle
+
+
+def test_a_reload_leaves_a_drain_as_it_is(node, client, reply, call):
+    call("POST", "/control/out-of-service")
+    node.reload()
+    assert reply(client(READY)).startswith(b"HTTP/1.1 503 ")
+
+
+def test_sigterm_during_a_drain_ends_the_process_and_nothing_brings_it_back(node, call, monkeypatch):
+    monkeypatch.setattr(node_module, "LISTEN_MS", 200.0)
+    call("POST", "/control/out-of-service")
+    node.close()
+    assert call("POST", "/control/in-service")[0] == 409
+    assert call("POST", "/control/out-of-service")[0] == 200
+    node.loop.run()
+    assert node.loop.stopped
+
+
 # Figures.
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -647,6 +647,15 @@
     assert node.pending["1"].job.body == b"abc"
 
 
+def test_requests_in_one_packet_are_all_answered(node, client):
+    sock, data = client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n" * 5), b""
+    while data.count(b"HTTP/1.1 200 ") < 5:
+        try:
+            data += sock.recv(65536)
+        except BlockingIOError:
+            node.loop.turn()
+
+
 def test_a_client_that_goes_is_told_to_the_reducer(node, client):
     sock = client(REQUEST)
     while not node.pending:
@@ -872,7 +881,7 @@
 
 def test_near_the_end_answers_close_their_connections(node, client, reply):
     node.close()
-    node.server.part()
+    node.server.drain(0.0, 0.0)
     data = reply(client(b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"))
     assert data.startswith(b"HTTP/1.1 503 ") and b"Connection: close" in data
 
