Upgrades: the clients' listening socket is inherited and never shut down

Cause: a second process beside the first ended with status 2, as its address was in use (log of n0: Address already in use). Change: EDGE_SOCKET_FD is checked and accepted from; at SIGTERM a process on such a socket stops accepting at once and drains.

--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -19,7 +19,7 @@
 
 EFFECTS = {"safe": Effect.RERUNNABLE, "keyed": Effect.RECEIPTED, "unsafe": Effect.EXCLUSIVE}
 REPORT_NAMES = {"outstanding": "held", "inflight": "held", "backlog": "queued", "queue": "queued"}
-FILE = "EDGE_CONFIG"
+FILE, SOCKET, FOLDER = "EDGE_CONFIG", "EDGE_SOCKET_FD", "TMPDIR"
 OWN = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY", "admin": "EDGE_ADMIN"}
 OWN_FILE = "MARLSEAM_SETTINGS"
 WEIGHTS = {"none": False, "nominal": False, "rough": False, "live": True}
@@ -97,6 +97,8 @@
     known: dict[str, Any]
     deployment: Deployment
     admin: tuple[str, int] | None = None  # the operators' door, if there is one
+    socket_fd: int | None = None  # the clients' listening socket, where the platform hands it on
+    folder: str | None = None  # that processes of one node share, with the socket
     store: StoreSettings | None = None
     watch: WatchSettings | None = None
     settings_path: str | None = None
@@ -307,6 +309,15 @@
     return (host, int(port)) if fits else None
 
 
+def descriptor(value: str | None) -> int | None:
+    """Read the number of a descriptor that the process was started with."""
+    if not value:
+        return None
+    if not (value.isascii() and value.isdigit()):
+        raise ConfigError(SOCKET, value, "the number of a descriptor")
+    return int(value)
+
+
 def own_settings(path: str | None) -> tuple[StoreSettings | None, WatchSettings | None]:
     """Read the operator's own settings, a table a subsystem; what has no table is off."""
     if path is None:
@@ -410,6 +421,8 @@
         known=dict(top.table("known", {}).values),
         deployment=deployment_from(settings.values, before=before.deployment if before else None),
         admin=address(in_force, "admin", env) if in_force["admin"] else None,
+        socket_fd=before.socket_fd if before is not None else descriptor(env.get(SOCKET)),
+        folder=before.folder if before is not None else env.get(FOLDER),
         store=store,
         watch=watch,
         settings_path=own,
--- a/marlseam/net/http.py
+++ b/marlseam/net/http.py
@@ -35,6 +35,21 @@
     return sock
 
 
+def inherited(number: int) -> socket.socket:
+    """Return the listening socket that the process was started with; OSError where there is none."""
+    try:
+        sock = socket.socket(fileno=number)
+    except OSError as error:
+        raise OSError(error.errno, "no socket") from None
+    stream = sock.type == socket.SOCK_STREAM
+    if not stream or not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()  # not ours to close
+        raise OSError(errno.EINVAL, "not a stream socket that listens")
+    sock.set_inheritable(False)
+    sock.setblocking(False)
+    return sock
+
+
 class Listener:
     """Accepts connections for as long as it is open.
 
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -39,13 +39,12 @@
 
 
 @contextmanager
-def free(key: str, address: tuple[str, int]) -> Iterator[None]:
-    """Say which key is at fault where an address cannot be had."""
+def usable(key: str, value: object, expected: str) -> Iterator[None]:
+    """Say which key is at fault where a socket cannot be had."""
     try:
         yield
     except OSError as error:
-        shown = f"{address[0]}:{address[1]}"
-        raise ConfigError(key, shown, f"a free address ({error.strerror})") from None
+        raise ConfigError(key, value, f"{expected} ({error.strerror})") from None
 
 
 def connections(config: Config) -> int:
@@ -88,7 +87,10 @@
         self.counters.know(config.deployment.types)
         self.executors = Executors(self.loop, self.log, config.deployment, places, self.post, self.counters)
         self.discovery = Discovery(self.loop, self.log, config, self.executors, self.post)
-        with free("listen", config.listen):
+        door = "listen", "{}:{}".format(*config.listen), "a free address"
+        if config.socket_fd is not None:
+            door = configuration.SOCKET, config.socket_fd, "the number of a stream socket that listens"
+        with usable(*door):
             self.server = server.Server(
                 self.loop, self.log, config, clients, self.ready, self.take, self.left
             )
@@ -100,7 +102,7 @@
                 "/control/out-of-service": ("POST", self.leave_service),
                 "/control/in-service": ("POST", self.enter_service),
             }
-            with free("admin", config.admin):
+            with usable("admin", "{}:{}".format(*config.admin), "a free address"):
                 self.admin = admin.Admin(self.loop, self.log, config.admin, calls)
         self.post(core.Begin(alone(config.deployment.settings), config.seed))
         self.memory = None
@@ -247,10 +249,12 @@
         drain = min(DRAIN_MOST_MS, max(t.limit_ms for t in self.config.deployment.settings.types))
         self.log.line(f"told to end with {len(self.pending)} work units open")
         self.post(core.Closing(drain + ANSWER_MS))
-        self.loop.at(began + LISTEN_MS, self.server.stop_listening)
         # Guards against a moment without any node: the one that restarted before this may not be back yet.
-        part_ms = max(LISTEN_MS, KEEP_SHARE * drain)
-        self.server.drain(part_ms, part_ms)
+        # Where the socket is handed on, the one that goes on accepting is there already, or will be.
+        stays = self.config.socket_fd is not None
+        part_ms = PART_MS if stays else max(LISTEN_MS, KEEP_SHARE * drain)
+        self.server.drain(0.0 if stays else part_ms, part_ms)
+        self.loop.at(began + (0.0 if stays else LISTEN_MS), self.server.stop_listening)
         self.loop.at(began + part_ms, lambda: self.end(began + drain + EXIT_MS))
 
     def end(self, at_ms: float) -> None:
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -71,7 +71,8 @@
         self.ids: set[str] = set()  # of work units that are out
         self.draining: Timer | None = None  # the next look of a drain, while there is one
         self.close_ms = self.part_ms = inf  # when answers, and when unused connections, begin to close
-        self.sock = http.bound(config.listen)
+        fd = config.socket_fd
+        self.sock = http.bound(config.listen) if fd is None else http.inherited(fd)
         self.listener = http.Listener(loop, self.sock, self.has_room, self.taken)
 
     def configure(self, deployment: Deployment, room: Room) -> None:
