Handover: an old process tells the new its list and keyed sendings, and both share limits

Cause: a retry under a key that the other process had sent could go to another pod, a cold executor's budget was doubled, and both processes together could pass the node's limits. Change: recovery/handover.py (form and checks, pure), net/handover.py (Unix sockets in TMPDIR), Settings.share, Core events Elsewhere, Undone and Untold. What was told stands before the client's retry can: work under a key reads it first.

--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -49,6 +49,7 @@
     report_names: dict[str, str]
     keepalive_ms: float
     connect_ms: float
+    marks_retry: bool = False  # clients mark their retries
 
 
 @dataclass(frozen=True)
@@ -264,6 +265,7 @@
         report_names=report_names(info),
         keepalive_ms=limits.ms("keepaliveUs", 10000.0),
         connect_ms=limits.ms("connectTimeoutUs", 250.0),
+        marks_retry=top.table("clients", {}).flag("marksRetry"),
     )
 
 
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -16,6 +16,7 @@
 from marlseam.recovery.receipts import Receipts, Trace
 
 RERUNNABLE, RECEIPTED = Repeat.RERUNNABLE, Repeat.RECEIPTED
+NOBODY = ""  # the name of an executor that is not known
 KEYS_MOST = 20000  # keys of work that may have run; a new one past that is deferred
 FORGET = 60.0  # how long an executor must be gone to be forgotten, in times after which one must ask
 
@@ -62,6 +63,25 @@
     traces: dict[str, list[Trace]]
 
 
+class Elsewhere(NamedTuple):
+    """Another process of this node sends keyed work, which may have run from now on."""
+
+    key: str
+    trace: Trace
+
+
+class Undone(NamedTuple):
+    """A sending of another process of this node provably never ran."""
+
+    key: str
+    executor: str
+    sent_ms: float
+
+
+class Untold(NamedTuple):
+    """Another process of this node has not told which keyed work may have run."""
+
+
 class Arrival(NamedTuple):
     """A client has handed in a work unit."""
 
@@ -140,6 +160,9 @@
     | Renewed
     | Roster
     | Recalled
+    | Elsewhere
+    | Undone
+    | Untold
     | Arrival
     | Settled
     | Started
@@ -261,6 +284,7 @@
         self.names: list[str] = []
         self.open: dict[str, Handle] = {}
         self.receipts = Receipts(KEYS_MOST)
+        self.untold: Trace | None = None  # stands for what another process has sent and not told
         self.timers: dict[int, Callable[[], None]] = {}
         self.closes_ms = inf  # by when all must be answered
         # Indices of forgotten executors, for reuse; since when executors are off the roster.
@@ -377,6 +401,8 @@
             work = replace(work, expires_ms=self.closes_ms)
         if work.receipt is not None and self.node.types[work.type].effect is not RERUNNABLE:
             traces = self.receipts.known(work.receipt, self.clock)
+            if not traces and work.repeat and self.untold is not None and self.untold.until_ms > self.clock:
+                traces = [self.untold]
             wait = self.receipts.full(self.clock)
             if not traces and wait:
                 # Nothing of it ran: it may come back once a key is free. None that may have run is dropped.
@@ -457,6 +483,20 @@
         node = self.node
         return sum(s is not State.GONE and node.avoids(e) for e, s in enumerate(node.state))
 
+    def elsewhere(self, event: Elsewhere) -> None:
+        """Note what another process of this node sends."""
+        self.receipts.note(event.key, event.trace)
+
+    def undone(self, event: Undone) -> None:
+        """Take a sending of another process off the record."""
+        self.receipts.never_ran(event.key, event.executor, event.sent_ms)
+
+    def untold_now(self, event: Untold) -> None:
+        """Take retries as perhaps sent to an executor of no known group, for as long as pods remember."""
+        known = [t for t in self.node.types if t.limit_ms < inf]
+        longest = max((max(t.memory_ms, t.limit_ms) for t in known), default=0.0)
+        self.untold = Trace(NOBODY, -2, -2, self.clock, self.clock + longest)
+
     def place(self, trace: Trace) -> int:
         """Return the index of a sending's executor, which may be gone, with its group on record."""
         e, node = self.executor(trace.executor), self.node
@@ -482,6 +522,9 @@
     Renewed: Core.renewed,
     Roster: Core.roster,
     Recalled: Core.recalled,
+    Elsewhere: Core.elsewhere,
+    Undone: Core.undone,
+    Untold: Core.untold_now,
     Arrival: Core.arrival,
     Due: Core.due,
     Probed: Core.probed,
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -115,6 +115,7 @@
     may_tell: bool = False  # nodes may send each other messages
     fetch_price: float = 0.0  # what it costs to fetch the thing that a work unit needs
     by_size: bool = False  # a work unit earns credit for its size
+    share: float = 1.0  # of what the node may do that is this process's, where several serve as one node
 
 
 @dataclass(frozen=True)
@@ -151,6 +152,7 @@
     hint_ms: float | None = None
     receipt: str | None = None  # the key under which a repeat is known
     key: str | None = None  # the thing that it needs
+    repeat: bool = False  # it may be a client's retry
     prior: tuple[
         tuple[int, float], ...
     ] = ()  # executors and times of what may have run under this key before
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -655,7 +655,7 @@
 
     def warm(self, e: int) -> bool:
         """Return whether this node's part of an executor's cold budget allows a work unit now."""
-        mine = self.allowance(e) / self.set.nodes
+        mine = self.allowance(e) * self.set.share / self.set.nodes
         if mine < inf:
             now = self.port.now()
             earned = self.tokens[e] + (now - self.token_ms[e]) * mine
--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -129,6 +129,15 @@
             raise Malformed("the answer is no JSON") from None
         return self.take(value)
 
+    def rows(self) -> list[dict[str, Any]]:
+        """Return the list as it is held, as the roster writes it."""
+        peers, clock = self.executors.peers, self.loop.clock
+        return [
+            protocol.row_of(entry, peers[name].address, self.config.deployment, clock.to_unix)
+            for name, entry in self.held.items()
+            if name in peers and peers[name].address is not None
+        ]
+
     def take(self, value: Any, cached: bool = False, doubt: float = 0.0) -> bool:  # noqa: ANN401
         """Take in an answer; a change that is older than what is held does not fit, and is left."""
         news = protocol.news_from(value, self.config.deployment, self.loop.clock.from_unix)
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -84,6 +84,8 @@
             TAKE_SHARE * urgent,
         )
         self.gap_ms = GAP_PERIODS * deployment.settings.progress_ms or inf
+        while self.open() > places and self.make_room():
+            pass
 
     # The list.
 
--- /dev/null
+++ b/marlseam/net/handover.py
@@ -0,0 +1,301 @@
+"""What an old process of a node tells the new one, and both each other while both serve.
+
+Each has a Unix socket in the folder that they share, under its own process number, and calls all others at
+its start. The form of what is told, and its checks, are those of marlseam/recovery/handover.py.
+"""
+
+import os
+import socket
+from collections.abc import Callable, Iterable
+from contextlib import suppress
+from math import inf
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from marlseam import core
+from marlseam.net import protocol
+from marlseam.net.loop import READ, WRITE, Cancelled, Coroutine, Task
+from marlseam.recovery import handover as form
+from marlseam.recovery.handover import Hello, Item, Listed, Never, Odd, Sent, Whole
+from marlseam.recovery.receipts import Trace
+
+if TYPE_CHECKING:
+    from marlseam.net.node import Node
+
+WAIT_MS = 1000.0  # how long a new process waits for what others have to tell
+PEERS_MOST = 4  # processes that are listened to at a time
+READ_MOST = 1 << 16  # bytes read at a time
+BEHIND_MOST = 1 << 22  # bytes that another process may be behind with reading
+SNAPSHOT_MOST = 1 << 24  # bytes of all that one tells at first
+PREFIX, SUFFIX = "marlseam-", ".sock"
+
+
+class Peer:
+    """Another process of this node."""
+
+    def __init__(self, sock: socket.socket, called: bool) -> None:
+        self.sock, self.called = sock, called  # by us, who then want to know all
+        self.out, self.lines = bytearray(), protocol.Lines()
+        self.hello: Hello | None = None
+        self.seq, self.hosts, self.size = -1, list[dict](), 0
+        self.sendings, self.whole = 0, not called
+        self.task: Task | None = None
+
+    def flush(self) -> None:
+        """Write what can be written without waiting."""
+        with suppress(BlockingIOError, InterruptedError):
+            while self.out:
+                del self.out[: self.sock.send(self.out)]
+
+
+class Handover:
+    """Joins a node to the other processes that serve under its name; `done` is called once it may begin."""
+
+    def __init__(self, node: "Node", done: Callable[[int, list[dict], bool], None]) -> None:
+        self.node, self.loop, self.log, self.done = node, node.loop, node.log, done
+        self.peers: dict[Peer, None] = {}
+        self.began_ms, self.begun, self.careful = self.loop.now(), False, False
+        self.seq, self.hosts = -1, list[dict]()
+        self.sock: socket.socket | None = None
+        self.path = Path(node.config.folder) / f"{PREFIX}{os.getpid()}{SUFFIX}"
+
+    # The start.
+
+    def begin(self) -> None:
+        """Listen for later processes, and call those that are there; the node begins when all have told."""
+        try:
+            new = self.path.with_suffix(".new")
+            new.unlink(missing_ok=True)  # of an earlier process under this number
+            self.sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+            self.sock.setblocking(False)
+            self.sock.bind(str(new))
+            self.sock.listen(PEERS_MOST)
+            # Guards against one that starts at the same time, and takes a name that refuses for a dead one's.
+            new.rename(self.path)
+        except OSError as error:
+            self.say("unheard", f"no later process can be told anything: {error}")
+            self.close()
+        else:
+            self.loop.spawn(self.accept(), first=True)
+        for path in sorted(self.path.parent.glob(f"{PREFIX}*{SUFFIX}")):
+            if path != self.path:
+                self.call(path)
+        self.node.share()
+        self.loop.at(self.began_ms + WAIT_MS, self.finish)
+        self.look()
+
+    def call(self, path: Path) -> None:
+        """Call another process; a name that refuses is that of one that was killed."""
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        try:
+            sock.connect(str(path))
+        except ConnectionRefusedError:
+            path.unlink(missing_ok=True)
+        except BlockingIOError:
+            self.careful = True  # it is there, and does not even listen
+            self.say("silent", f"{path.name} does not listen")
+        except OSError as error:
+            self.say("unheard", f"{path.name}: {error}")
+        else:
+            self.join(Peer(sock, called=True))
+            return
+        sock.close()
+
+    def accept(self) -> Coroutine:
+        """Take in later processes."""
+        while True:
+            yield (self.sock.fileno(), READ, inf)
+            with suppress(OSError):
+                sock, _ = self.sock.accept()
+                sock.setblocking(False)
+                if len(self.peers) >= PEERS_MOST:
+                    sock.close()
+                    continue
+                self.join(Peer(sock, called=False))
+                self.node.share()
+
+    def join(self, peer: Peer) -> None:
+        """Begin to talk with another process."""
+        self.peers[peer] = None
+        peer.out += form.hello(self.node.config.name, os.getpid())
+        if not peer.called:
+            peer.out += b"".join(self.snapshot())
+        peer.task = self.loop.spawn(self.talk(peer), first=True)
+
+    def snapshot(self) -> Iterable[bytes]:
+        """Return the lines that tell what this process holds."""
+        node = self.node
+        node.core.receipts.expire(self.loop.now())
+        sendings = (self.row(key, trace) for key, trace in node.core.receipts)
+        return form.snapshot(max(0, node.discovery.version), node.discovery.rows(), sendings)
+
+    def look(self) -> None:
+        """Begin once every process called has told all."""
+        if all(peer.whole for peer in self.peers):
+            self.finish()
+
+    def finish(self) -> None:
+        """Begin, with what was told by now."""
+        if self.begun:
+            return
+        self.begun = True
+        for peer in list(self.peers):
+            if not peer.whole:
+                self.careful = True
+                self.say("silent", f"process {self.name(peer)} did not tell all in time")
+        took = self.loop.now() - self.began_ms
+        if self.hosts:
+            self.log.line(f"takes over {len(self.hosts)} executors, list {self.seq}, in {took:.0f} ms")
+        if self.careful:
+            self.log.line("what may have run under a key is not known: marked retries go nowhere for now")
+        self.done(self.seq, self.hosts, self.careful)
+
+    # Talking.
+
+    def talk(self, peer: Peer) -> Coroutine:
+        """Read and write until the other process ends."""
+        try:
+            while True:
+                peer.flush()
+                yield (peer.sock.fileno(), READ | (WRITE if peer.out else 0), inf)
+                if not self.read(peer):
+                    break
+        except OSError:
+            self.end(peer)
+        except Cancelled:
+            raise
+        else:
+            self.end(peer)
+
+    def read(self, peer: Peer) -> bool:
+        """Take in all that has come; return whether more may."""
+        while True:
+            try:
+                data = peer.sock.recv(READ_MOST)
+            except (BlockingIOError, InterruptedError):
+                return True
+            except OSError:
+                return False
+            if not data:
+                return False
+            try:
+                peer.size += len(data)
+                if not peer.whole and peer.size > SNAPSHOT_MOST:
+                    raise Odd("too-large", "it tells too much")
+                for raw in peer.lines.feed(data):
+                    for item in form.read(raw):
+                        self.take(peer, item)
+            except (Odd, protocol.Malformed) as error:
+                self.say(getattr(error, "code", "odd"), f"process {self.name(peer)}: {error}")
+                return False
+
+    def take(self, peer: Peer, item: Item) -> None:
+        """Take in one thing that another process tells."""
+        if type(item) is Hello:
+            if item.node != self.node.config.name:
+                raise Odd("foreign", f"it is {item.node:.80}")
+            peer.hello = item
+        elif peer.hello is None:
+            raise Odd("odd", "it says nothing of itself")
+        elif type(item) is Listed:
+            peer.hosts += item.hosts
+            peer.seq = item.seq
+        elif type(item) is Sent:
+            self.node.post(core.Elsewhere(item.key, self.trace(item)))
+            peer.sendings += 1
+        elif type(item) is Never:
+            sent_ms = self.loop.clock.from_unix(item.sent_ms)
+            self.node.post(core.Undone(item.key, item.executor, sent_ms))
+        elif type(item) is Whole and not peer.whole:
+            peer.whole = True
+            if peer.seq > self.seq:
+                self.seq, self.hosts = peer.seq, peer.hosts
+            took = self.loop.now() - self.began_ms
+            self.log.line(
+                f"process {self.name(peer)} told of {len(peer.hosts)} executors and {peer.sendings} sendings "
+                f"after {took:.0f} ms"
+            )
+            self.look()
+
+    def tell(self, effect: core.Remember | core.Forget) -> None:
+        """Tell all others of a sending that may run from now on, or that provably never did."""
+        if not self.peers:
+            return
+        if type(effect) is core.Remember:
+            text = form.sent([self.row(effect.key, effect.trace)])
+        else:
+            sent_ms = self.loop.clock.to_unix(effect.sent_ms)
+            text = form.never(Never(effect.key, effect.executor, sent_ms))
+        for peer in list(self.peers):
+            peer.out += text
+            try:
+                peer.flush()
+            except OSError:
+                self.end(peer)
+                continue
+            if len(peer.out) > BEHIND_MOST:
+                # Guards the memory against a process that hangs.
+                self.say("behind", f"process {self.name(peer)} does not read")
+                self.end(peer)
+            elif peer.out:
+                peer.task.wake()
+
+    def catch_up(self) -> None:
+        """Take in what others have told by now.
+
+        What another process told before it answered its client stands here before that client's retry can.
+        """
+        for peer in list(self.peers):
+            if not self.read(peer):
+                self.end(peer)
+
+    def end(self, peer: Peer) -> None:
+        """Go on without another process."""
+        if peer not in self.peers:
+            return
+        del self.peers[peer]
+        self.loop.close(peer.sock)
+        if peer.task is not None:
+            peer.task.cancel()
+        if not peer.whole:
+            self.careful = True
+            self.say("cut", f"process {self.name(peer)} ended before it had told all")
+        else:
+            self.log.line(f"process {self.name(peer)} of this node has ended")
+        self.node.share()
+        if not self.begun:
+            self.look()
+
+    def processes(self) -> int:
+        """Return how many processes serve as this node, this one included."""
+        return 1 + len({peer.hello.process if peer.hello else id(peer) for peer in self.peers})
+
+    def close(self) -> None:
+        """Leave nothing behind in the folder."""
+        if self.sock is not None:
+            self.loop.close(self.sock)
+            with suppress(OSError):
+                self.path.unlink(missing_ok=True)
+            self.sock = None
+
+    # Words.
+
+    def row(self, key: str, trace: Trace) -> Sent:
+        """Return a sending as it is told."""
+        zones, unix = list(self.node.config.deployment.zones), self.loop.clock.to_unix
+        zone = zones[trace.zone] if 0 <= trace.zone < len(zones) else ""
+        return Sent(key, trace.executor, zone, trace.cell, unix(trace.sent_ms), unix(trace.until_ms))
+
+    def trace(self, row: Sent) -> Trace:
+        """Return a sending on this process's clock."""
+        here, zones = self.loop.clock.from_unix, self.node.config.deployment.zones
+        return Trace(row.executor, zones.get(row.zone, -1), row.cell, here(row.sent_ms), here(row.until_ms))
+
+    def name(self, peer: Peer) -> str:
+        """Return what another process is called in the log."""
+        return str(peer.hello.process) if peer.hello else "unknown"
+
+    def say(self, code: str, text: str) -> None:
+        """Log what went wrong."""
+        self.log.line(f"handover code={code} {text}")
--- a/marlseam/net/memory.py
+++ b/marlseam/net/memory.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING
 
 from marlseam import core
-from marlseam.net import protocol
 from marlseam.net.connection import Steps
 from marlseam.recovery import lists
 from marlseam.recovery.lists import Saved, Turnover
@@ -95,13 +94,8 @@
 
     def list_now(self) -> form.Listed:
         """Return the list as it is held, with the time at which the roster last confirmed it."""
-        node, peers = self.node, self.node.executors.peers
-        rows = [
-            protocol.row_of(entry, peers[name].address, node.config.deployment, self.clock.to_unix)
-            for name, entry in node.discovery.held.items()
-            if name in peers and peers[name].address is not None
-        ]
-        return form.Listed(max(0, node.discovery.version), rows, self.heard_unix_ms)
+        discovery = self.node.discovery
+        return form.Listed(max(0, discovery.version), discovery.rows(), self.heard_unix_ms)
 
     def sent(self, key: str, trace: Trace) -> form.Sent:
         """Return a sending as the files hold it."""
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -33,9 +33,12 @@
 FIXED = ("name", "listen", "admin", "seed", "store", "watch")  # what a node keeps for as long as it runs
 
 
-def alone(settings: Settings) -> Settings:
-    """Return settings without messages between nodes: the platform's protocol has none."""
-    return replace(settings, may_tell=False)
+def alone(settings: Settings, processes: int = 1) -> Settings:
+    """Return settings without messages between nodes: the platform's protocol has none.
+
+    And with the part of one of the processes that serve as this node.
+    """
+    return replace(settings, may_tell=False, share=1.0 / processes)
 
 
 @contextmanager
@@ -47,20 +50,20 @@
         raise ConfigError(key, value, f"{expected} ({error.strerror})") from None
 
 
-def connections(config: Config) -> int:
-    """Return how many connections the limits on descriptors and memory leave room for, bodies apart."""
+def connections(config: Config, processes: int = 1) -> int:
+    """Return how many connections the limits leave room for in one of some processes, bodies apart."""
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = config.sockets if allowed == resource.RLIM_INFINITY else min(config.sockets, allowed)
-    free_kb = (1.0 - BODY_SHARE) * (config.memory_mb - OWN_MB) * 1024.0
+    free_kb = (1.0 - BODY_SHARE) * (config.memory_mb / processes - OWN_MB) * 1024.0
     own = OWN_SOCKETS + (admin.PLACES if config.admin is not None else 0)
-    return max(PLACES_LEAST, int(min(sockets - own, free_kb / CONNECTION_KB)))
+    return max(PLACES_LEAST, int(min(sockets / processes - own, free_kb / CONNECTION_KB)))
 
 
-def room(config: Config) -> tuple[Room, int]:
-    """Return what clients may have, and how many connections executors may."""
-    places = connections(config)
+def room(config: Config, processes: int = 1) -> tuple[Room, int]:
+    """Return what clients may have, and how many connections executors may, in one of some processes."""
+    places = connections(config, processes)
     clients = int(CLIENT_SHARE * places)
-    free = BODY_SHARE * (config.memory_mb - OWN_MB) * 1024.0 * 1024.0
+    free = BODY_SHARE * (config.memory_mb / processes - OWN_MB) * 1024.0 * 1024.0
     return Room(clients, max(free, PLACES_LEAST * protocol.BODY_MOST)), places - clients
 
 
@@ -105,15 +108,40 @@
             with usable("admin", "{}:{}".format(*config.admin), "a free address"):
                 self.admin = admin.Admin(self.loop, self.log, config.admin, calls)
         self.post(core.Begin(alone(config.deployment.settings), config.seed))
-        self.memory = None
-        if config.store is None:
-            self.discovery.begin()
-        else:
+        self.memory = self.handover = None
+        if config.store is not None:
             # Imported here: a node without a store needs nothing of it.
             from marlseam.net.memory import Memory
 
             self.memory = Memory(self)
             self.memory.recover()
+        else:
+            self.discovery.begin()
+        if config.socket_fd is not None and config.folder is not None:
+            # Imported here: a node that no other process takes over from needs nothing of it.
+            from marlseam.net.handover import Handover
+
+            self.handover = Handover(self, self.take_over)
+            self.handover.begin()
+        else:
+            self.server.listen()
+
+    def take_over(self, version: int, hosts: list[dict], careful: bool) -> None:
+        """Begin to serve, from what another process of this node told."""
+        if hosts and version >= self.discovery.version and not self.discovery.told:
+            self.discovery.begin({"seq": version, "whole": True, "hosts": hosts})
+        if careful:
+            self.post(core.Untold())
+        self.server.listen()
+
+    def share(self) -> None:
+        """Keep to this process's part of the node's limits and budgets, as others come and go."""
+        processes = self.handover.processes() if self.handover is not None else 1
+        deployment = self.config.deployment
+        clients, places = room(self.config, processes)
+        self.post(core.Renewed(alone(deployment.settings, processes)))
+        self.server.configure(deployment, clients)
+        self.executors.configure(deployment, places)
 
     def tell_watch(self) -> None:
         """Log what the settings watched would have decided otherwise so far, and again after a while."""
@@ -130,13 +158,15 @@
         self.loop.run()
         self.busy = True  # nothing is decided any more
         self.executors.close()
+        if self.handover is not None:
+            self.handover.close()
         self.loop.finish()
         if self.memory is not None:
             self.memory.keeper.close()
 
     def ready(self) -> bool:
         """Return whether clients should come."""
-        return bool(self.discovery.held) and self.server.draining is None
+        return bool(self.discovery.held and self.server.listener) and self.server.draining is None
 
     def figures(self) -> str:
         """Return the figures, those of this moment included."""
@@ -161,10 +191,14 @@
 
     def take(self, pending: Pending) -> str:
         """Take a client's work unit under a name of our own, as clients may send one name twice."""
+        if self.handover is not None and pending.job.receipt is not None:
+            self.handover.catch_up()
         self.refs += 1
         ref, job = str(self.refs), pending.job
         self.pending[ref] = pending
-        work = WorkUnit(ref, job.type, pending.expires_ms, job.slots, receipt=job.receipt, key=job.key)
+        work = WorkUnit(
+            ref, job.type, pending.expires_ms, job.slots, receipt=job.receipt, key=job.key, repeat=job.repeat
+        )
         self.post(core.Arrival(work))
         return ref
 
@@ -183,7 +217,9 @@
         self.executors.send(order)
 
     def remember(self, effect: core.Remember | core.Forget) -> None:
-        """Keep what may have run, or that it never did, where there is a store."""
+        """Keep what may have run, or that it never did, where there is a store, and tell other processes."""
+        if self.handover is not None:
+            self.handover.tell(effect)
         if self.memory is not None:
             self.memory.keep(effect)
 
@@ -212,13 +248,10 @@
             if getattr(config, key) != getattr(self.config, key):
                 self.log.line(f"{key}: cannot change in a running node, left as it was")
         config = replace(config, **{key: getattr(self.config, key) for key in FIXED})
-        clients, places = room(config)
         self.config = config
         self.counters.reloads += 1
         self.counters.know(config.deployment.types)
-        self.post(core.Renewed(alone(config.deployment.settings)))
-        self.server.configure(config.deployment, clients)
-        self.executors.configure(config.deployment, places)
+        self.share()
         self.discovery.configure(config)
         self.log.line(f"new configuration, discovery at {config.discovery[0]}:{config.discovery[1]}")
 
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -14,7 +14,7 @@
 
 READY_PATH, LOAD_PATH, LIST_PATH = "/-/ready", "/-/load", "/api/targets"
 ID, TYPE, TIME_LEFT, RECEIPT = "X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key"
-FACTS, LOAD, NEVER_RAN = "X-Facts", "X-Backend-Load", "X-Unprocessed"
+FACTS, LOAD, NEVER_RAN, REPEAT = "X-Facts", "X-Backend-Load", "X-Unprocessed", "X-Repeat"
 KEY = "user"  # the parameter that names the thing that a work unit needs
 BODY_MOST = 65536  # bytes of a request's body, and of an executor's answer
 LINE_MOST = 2 * BODY_MOST  # bytes of one line, which is a body in JSON
@@ -52,6 +52,7 @@
     left_ms: float
     slots: float
     key: str | None = None  # the thing that it needs
+    repeat: bool = False  # it may be a client's retry
 
 
 class Head(Mapping[str, str]):
@@ -181,6 +182,7 @@
         type_name=name,
         left_ms=min(left_ms, limit_ms),
         slots=number(facts.get("slots", "1"), FACTS) or 1.0,
+        repeat=head.get(REPEAT) == "1" or not deployment.marks_retry,
         key=dict(parse_qsl(target.partition("?")[2])).get(KEY),
     )
 
@@ -375,7 +377,7 @@
         "block": entry.cell,
         "health": "leaving" if entry.state is State.DRAINING else "active",
         "share": 1.0,
-        "born_ms": to_unix(entry.born_ms) if entry.born_ms is not None else 0,
+        "born_ms": round(to_unix(entry.born_ms)) if entry.born_ms is not None else 0,
     }
 
 
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -62,25 +62,31 @@
         left: Callable[[str], None],
     ) -> None:
         self.loop, self.log = loop, log
-        self.configure(config.deployment, room)
         self.ready, self.take, self.left = ready, take, left
         self.open: dict[Connection, None] = {}
         self.idle: dict[Connection, Task] = {}  # those between requests, the longest unused first
         self.unproven: dict[Connection, Task] = {}  # those that have sent nothing good, the oldest first
         self.held: dict[Connection, int] = {}  # bytes set aside for the bodies of requests
+        self.configure(config.deployment, room)
         self.ids: set[str] = set()  # of work units that are out
         self.draining: Timer | None = None  # the next look of a drain, while there is one
         self.close_ms = self.part_ms = inf  # when answers, and when unused connections, begin to close
         fd = config.socket_fd
         self.sock = http.bound(config.listen) if fd is None else http.inherited(fd)
-        self.listener = http.Listener(loop, self.sock, self.has_room, self.taken)
+        self.listener: http.Listener | None = None
 
     def configure(self, deployment: Deployment, room: Room) -> None:
         """Take in settings, and for how many clients and bytes of their bodies there is room."""
         self.deployment, self.room = deployment, room
+        while len(self.open) > room.clients and self.make_room():
+            pass
 
     # Connections.
 
+    def listen(self) -> None:
+        """Begin to accept connections."""
+        self.listener = http.Listener(self.loop, self.sock, self.has_room, self.taken)
+
     def has_room(self, short: bool) -> bool:
         """Return whether another connection may be had; others without taken work give up theirs for it."""
         return (not short and len(self.open) < self.room.clients) or self.make_room()
@@ -154,7 +160,10 @@
 
     def stop_listening(self) -> None:
         """Take no more connections."""
-        self.listener.close()
+        if self.listener is not None:
+            self.listener.close()
+        else:
+            self.loop.close(self.sock)
 
     # One connection.
 
--- /dev/null
+++ b/marlseam/recovery/handover.py
@@ -0,0 +1,162 @@
+"""What processes of one node tell each other while one takes over from the other; pure.
+
+A line is a JSON object of one of these forms, with times in Unix ms, `zone` by name:
+
+    {"marlseam": 1, "node": "n3", "process": 17}                  first, from both sides
+    {"seq": 41, "hosts": [...]}                                   the list as it is held, perhaps in parts
+    {"sent": [[key, executor, zone, cell, sent, until], ...]}     sendings of keyed work that may have run
+    {"never": [key, executor, sent]}                              one of them that provably never ran
+    {"whole": true}                                               all of the above was told; news may follow
+
+The first five are a snapshot for the one who called; `sent` and `never` go on both ways from then on.
+"""
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any, NamedTuple
+
+VERSION = 1
+PART = 200  # entries or sendings in a line
+TEXT_MOST = 256  # characters of a key or name
+TIME_MOST = 1e15  # Unix ms that can be meant
+
+
+class Odd(Exception):
+    """A line that cannot be used; its code says why."""
+
+    def __init__(self, code: str, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+
+
+class Hello(NamedTuple):
+    """Who speaks."""
+
+    node: str
+    process: int
+
+
+class Listed(NamedTuple):
+    """Some entries of the list that is held, as the roster wrote them."""
+
+    seq: int
+    hosts: list[dict[str, Any]]
+
+
+class Sent(NamedTuple):
+    """One sending of keyed work that may have run."""
+
+    key: str
+    executor: str
+    zone: str
+    cell: int
+    sent_ms: float
+    until_ms: float  # when the pod forgets it
+
+
+class Never(NamedTuple):
+    """A sending that provably never ran."""
+
+    key: str
+    executor: str
+    sent_ms: float
+
+
+class Whole(NamedTuple):
+    """The snapshot ends."""
+
+
+Item = Hello | Listed | Sent | Never | Whole
+
+
+def line(value: dict[str, Any]) -> bytes:
+    """Return a line."""
+    return json.dumps(value, separators=(",", ":")).encode() + b"\n"
+
+
+def hello(node: str, process: int) -> bytes:
+    """Return the first line."""
+    return line({"marlseam": VERSION, "node": node, "process": process})
+
+
+def sent(rows: list[Sent]) -> bytes:
+    """Return the line on some sendings."""
+    return line({"sent": rows})
+
+
+def never(row: Never) -> bytes:
+    """Return the line on a sending that never ran."""
+    return line({"never": row})
+
+
+def snapshot(seq: int, hosts: list[dict[str, Any]], sendings: Iterable[Sent]) -> Iterator[bytes]:
+    """Return the lines that tell all that is held."""
+    for at in range(0, len(hosts), PART):
+        yield line({"seq": seq, "hosts": hosts[at : at + PART]})
+    rows = list(sendings)
+    for at in range(0, len(rows), PART):
+        yield sent(rows[at : at + PART])
+    yield line({"whole": True})
+
+
+def read(raw: bytes) -> list[Item]:
+    """Return what a line says; raises Odd."""
+    try:
+        value = json.loads(raw)
+    except (ValueError, RecursionError):
+        raise Odd("odd", "a line is no JSON") from None
+    if not isinstance(value, dict):
+        raise Odd("odd", "a line is no object")
+    if "marlseam" in value:
+        if value["marlseam"] != VERSION:
+            raise Odd("version", f"version {value['marlseam']!r:.20}, here {VERSION}")
+        return [Hello(text(value.get("node")), int(number(value.get("process"))))]
+    if "hosts" in value:
+        hosts = rows_of(value["hosts"])
+        if not all(isinstance(host, dict) for host in hosts):
+            raise Odd("odd", "a list holds no objects")
+        return [Listed(int(number(value.get("seq"))), hosts)]
+    if "sent" in value:
+        return [sending(row) for row in rows_of(value["sent"])]
+    if "never" in value:
+        key, executor, at = fields(value["never"], 3)
+        return [Never(text(key), text(executor), number(at))]
+    if value.get("whole") is True:
+        return [Whole()]
+    raise Odd("odd", "a line says nothing known")
+
+
+def sending(row: object) -> Sent:
+    """Read one sending."""
+    key, executor, zone, cell, sent_ms, until_ms = fields(row, 6)
+    if not isinstance(cell, int) or isinstance(cell, bool):
+        raise Odd("odd", "a cell is no whole number")
+    return Sent(text(key), text(executor), text(zone, least=0), cell, number(sent_ms), number(until_ms))
+
+
+def rows_of(value: object) -> list[Any]:
+    """Return a list that is no longer than a line's part."""
+    if not isinstance(value, list) or len(value) > PART:
+        raise Odd("odd", "no list, or one that is too long")
+    return value
+
+
+def fields(value: object, count: int) -> list[Any]:
+    """Return a list of so many values."""
+    if not isinstance(value, list) or len(value) != count:
+        raise Odd("odd", f"no list of {count}")
+    return value
+
+
+def text(value: object, least: int = 1) -> str:
+    """Return a short text."""
+    if not isinstance(value, str) or not least <= len(value) <= TEXT_MOST:
+        raise Odd("odd", "no text, or one that is too long")
+    return value
+
+
+def number(value: object) -> float:
+    """Return a number that a time can be."""
+    if not isinstance(value, int | float) or isinstance(value, bool) or not 0 <= value <= TIME_MOST:
+        raise Odd("odd", "no number, or out of range")
+    return value
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,13 +6,23 @@
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
 from conftest import OPTIONS
+from hypothesis import given
+from hypothesis import strategies as st
 
+from marlseam import core
 from marlseam.config import ConfigError, load
+from marlseam.interface import State
+from marlseam.net import handover as handover_module
 from marlseam.net import http
 from marlseam.net.node import Node
+from marlseam.net.server import Room
+from marlseam.recovery import handover as form
+from marlseam.recovery.handover import Never, Sent
+from marlseam.recovery.receipts import Trace
 
 READY = b"GET /-/ready HTTP/1.1\r\nHost: h\r\n\r\n"
 HOSTS = [
@@ -134,3 +144,367 @@
     os.close(fd)
     with pytest.raises(OSError, match="no socket"):
         http.inherited(fd)
+
+
+# What an old process tells the new.
+
+
+@pytest.fixture
+def made(held, path, tmp_path):
+    """Return a function that makes a node on the platform's socket, in a folder that processes share."""
+    nodes = []
+
+    def build(**changes):
+        path.write_text(json.dumps(VALUES | changes))
+        env = {"EDGE_SOCKET_FD": str(os.dup(held.fileno())), "TMPDIR": str(tmp_path)}
+        nodes.append(Node(load(str(path), env)))
+        return nodes[-1]
+
+    yield build
+    for node in nodes:
+        node.busy = True
+        node.handover.close()
+        node.loop.finish()
+
+
+@pytest.fixture
+def old(tmp_path):
+    """Return a function that stands in for an old process, which tells some lines and then, if so, ends."""
+    socks = []
+
+    def stand(*lines, ends=False, number=1):
+        name = tmp_path / f"marlseam-{number}.sock"
+        listener = socket.socket(socket.AF_UNIX)
+        listener.bind(str(name))
+        listener.listen()
+        socks.append(listener)
+
+        def talk():
+            sock, _ = listener.accept()
+            socks.append(sock)
+            sock.sendall(b"".join(lines))
+            if ends:
+                sock.close()
+            return sock
+
+        return talk
+
+    yield stand
+    for sock in socks:
+        sock.close()
+
+
+def turn(node, holds):
+    end = node.loop.now() + 10000.0
+    node.loop.at(end, lambda: None)
+    while not holds():
+        assert node.loop.now() < end
+        node.loop.turn()
+
+
+def hello(node="node", process=1):
+    return form.hello(node, process)
+
+
+def now_ms():
+    return time.time() * 1000.0
+
+
+def sending(key="k", executor="e1", cell=0):
+    return Sent(key, executor, "here", cell, now_ms(), now_ms() + 30000.0)
+
+
+WHOLE = form.line({"whole": True})
+SECOND = {
+    "host": "e2",
+    "dial": "127.0.0.1:2",
+    "health": "leaving",
+    "site": "here",
+    "class": "plain",
+    "block": 7,
+}
+PAYMENT = (
+    b"POST /payment HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: p1\r\nX-Service-Class: payment\r\n"
+    b"X-Time-Left: 5\r\nIdempotency-Key: k\r\n%bContent-Length: 3\r\n\r\nabc"
+)
+TYPES = OPTIONS | {
+    "requestClasses": [
+        *OPTIONS["requestClasses"],
+        {
+            "name": "payment", "aimUs": 200000, "deadlineUs": 5000000, "semantics": "keyed",
+            "dedupScope": "cell", "memorySpanUs": 30000000,
+        },
+    ],
+    "clients": {"marksRetry": True},
+}  # fmt: skip
+
+
+def pay(node, held, repeat=b""):
+    """Send a payment and return the module's handle of it once it is taken."""
+    sock = socket.create_connection(held.getsockname())
+    sock.sendall(PAYMENT % repeat)
+    turn(node, lambda: node.pending)
+    return node.core.open[next(iter(node.pending))], sock
+
+
+def test_a_new_process_takes_the_list_and_the_sendings(made, old):
+    talk = old(hello(), *form.snapshot(41, [*HOSTS, SECOND], [sending()]))
+    node = made()
+    assert not node.ready()
+    talk()
+    turn(node, node.ready)
+    assert set(node.discovery.held) == {"e1", "e2"} and node.discovery.version == 41
+    assert node.discovery.held["e2"].state is State.DRAINING
+    assert [trace.executor for _, trace in node.core.receipts] == ["e1"]
+
+
+def test_an_older_list_is_left(made, old):
+    talk = old(hello(), *form.snapshot(0, [SECOND], []))
+    node = made()
+    talk()
+    turn(node, node.ready)
+    assert set(node.discovery.held) == {"e1"}
+
+
+def test_a_retry_goes_where_the_other_process_has_sent_the_first(made, old, held):
+    hosts = [*HOSTS, HOSTS[0] | {"host": "e5", "block": 5}]
+    talk = old(hello(), *form.snapshot(2, hosts, [sending(executor="gone", cell=5)]))
+    node = made(settings=TYPES)
+    talk()
+    turn(node, node.ready)
+    wu, sock = pay(node, held)
+    assert [wu.fits(node.core.index[name]) for name in ("e1", "e5")] == [False, True]
+    sock.close()
+
+
+def test_what_is_told_before_a_client_comes_is_known_when_its_work_is_taken(made, old, held):
+    # The old process tells of the sending before it answers; the retry may be read in the same turn.
+    talk = old(hello(), WHOLE)
+    node = made(settings=TYPES)
+    peer = talk()
+    turn(node, node.ready)
+    peer.sendall(form.sent([sending(executor="e9", cell=5)]))
+    for other in node.handover.peers:
+        other.task.cancel()  # only what work asks for is read from here on
+    wu, sock = pay(node, held)
+    assert len(wu.allocs) == 1 and not wu.fits(node.core.index["e1"])
+    sock.close()
+
+
+def test_a_sending_that_never_ran_is_taken_off_the_record(made, old):
+    row = sending()
+    talk = old(
+        hello(), *form.snapshot(2, HOSTS, [row]), form.never(Never(row.key, row.executor, row.sent_ms))
+    )
+    node = made()
+    talk()
+    turn(node, lambda: node.ready() and not len(node.core.receipts))
+
+
+@pytest.mark.parametrize(
+    ("lines", "ends", "code"),
+    [
+        ([], True, "cut"),
+        ([hello()], True, "cut"),
+        ([hello(), form.line({"seq": 2, "hosts": HOSTS})[:-9]], True, "cut"),
+        ([form.line({"marlseam": 2, "node": "node", "process": 1})], False, "version"),
+        ([hello("other")], False, "foreign"),
+        ([hello(), b"{\n"], False, "odd"),
+        ([hello(), b"[]\n"], False, "odd"),
+        ([form.line({"whole": True})], False, "odd"),
+        ([hello(), form.line({"sent": [["k", "e1", "here", 0, 1, float("inf")]]})], False, "odd"),
+        ([hello(), form.line({"sent": [["k" * 999, "e1", "here", 0, 1, 2]]})], False, "odd"),
+        ([hello(), form.line({"sent": [[1]]})], False, "odd"),
+        ([hello(), form.line({"hosts": [1], "seq": 1})], False, "odd"),
+        ([hello(), form.line({"hosts": [], "seq": True})], False, "odd"),
+        ([hello(), b"x" * 200000], False, "odd"),
+        ([hello()], False, "silent"),
+    ],
+)
+def test_without_what_the_other_knows_it_starts_and_says_so(
+    made, old, monkeypatch, capsys, lines, ends, code
+):
+    monkeypatch.setattr(handover_module, "WAIT_MS", 100.0)
+    talk = old(*lines, ends=ends)
+    node = made()
+    talk()
+    turn(node, node.ready)
+    assert f"code={code}" in capsys.readouterr().err
+    assert node.core.untold is not None and set(node.discovery.held) == {"e1"}
+
+
+@pytest.mark.parametrize(("repeat", "sent"), [(b"X-Repeat: 1\r\n", False), (b"", True)])
+def test_a_marked_retry_goes_nowhere_where_the_first_may_have_run_untold(made, old, held, repeat, sent):
+    talk = old(hello(), ends=True)
+    node = made(settings=TYPES)
+    talk()
+    turn(node, node.ready)
+    wu, sock = pay(node, held, repeat)
+    assert wu.fits(node.core.index["e1"]) is sent
+    assert sent or not wu.may_defer()
+    sock.close()
+
+
+def test_a_process_that_does_not_even_listen_is_told_of(made, tmp_path, capsys):
+    full = socket.socket(socket.AF_UNIX)
+    full.bind(str(tmp_path / "marlseam-1.sock"))
+    full.listen(0)
+    calls = []
+    while True:
+        calls.append(socket.socket(socket.AF_UNIX))
+        calls[-1].setblocking(False)
+        try:
+            calls[-1].connect(str(tmp_path / "marlseam-1.sock"))
+        except BlockingIOError:
+            break
+    node = made()
+    turn(node, node.ready)
+    assert "code=silent" in capsys.readouterr().err and node.core.untold is not None
+    for sock in (full, *calls):
+        sock.close()
+
+
+def test_a_name_that_a_killed_process_left_is_removed(made, tmp_path):
+    left = socket.socket(socket.AF_UNIX)
+    left.bind(str(tmp_path / "marlseam-99.sock"))
+    left.close()
+    own = socket.socket(socket.AF_UNIX)
+    own.bind(str(tmp_path / f"marlseam-{os.getpid()}.new"))
+    own.close()
+    node = made()
+    assert node.ready() and node.core.untold is None
+    assert [path.name for path in tmp_path.glob("marlseam-*")] == [f"marlseam-{os.getpid()}.sock"]
+
+
+def test_a_folder_that_cannot_be_used_stands_in_nobodys_way(held, path, tmp_path, capsys):
+    env = {"EDGE_SOCKET_FD": str(os.dup(held.fileno())), "TMPDIR": str(tmp_path / "none")}
+    node = Node(load(str(path), env))
+    assert node.ready() and "code=unheard" in capsys.readouterr().err
+    node.busy = True
+    node.loop.finish()
+
+
+def caller(tmp_path):
+    """Return the connection of a later process."""
+    sock = socket.socket(socket.AF_UNIX)
+    sock.connect(str(tmp_path / f"marlseam-{os.getpid()}.sock"))
+    sock.setblocking(False)
+    return sock
+
+
+def told(node, sock, what):
+    """Return the lines that a process has told, once one of them holds some text."""
+    data = b""
+
+    def holds():
+        nonlocal data
+        try:
+            data += sock.recv(65536)
+        except BlockingIOError:
+            return False
+        return what in data
+
+    turn(node, holds)
+    return data.splitlines()
+
+
+def test_a_later_process_is_told_what_there_is_and_what_comes(made, tmp_path):
+    node = made(settings=TYPES)
+    node.core.receipts.note("k8", Trace("e1", 0, 4, node.loop.now(), node.loop.now() + 9999.0))
+    later = caller(tmp_path)
+    rows = [item for raw in told(node, later, b'"whole"') for item in form.read(raw)]
+    assert [type(row).__name__ for row in rows] == ["Hello", "Listed", "Sent", "Whole"]
+    node.remember(core.Remember("9", "k9", Trace("e1", 0, 4, node.loop.now(), node.loop.now() + 1.0)))
+    (row,) = form.read(told(node, later, b"k9")[-1])
+    assert (row.key, row.executor, row.zone, row.cell) == ("k9", "e1", "here", 4)
+    node.remember(core.Forget("k9", "e1", node.loop.now()))
+    assert type(form.read(told(node, later, b"never")[-1])[0]) is Never
+    later.close()
+
+
+def test_limits_and_budgets_are_shared_while_two_processes_serve(made, tmp_path):
+    node = made()
+    whole = node.server.room.clients, node.executors.places
+    later = caller(tmp_path)
+    turn(node, lambda: node.handover.peers)
+    shared = node.server.room.clients, node.executors.places
+    assert all(2 * part <= all_ for part, all_ in zip(shared, whole, strict=True))
+    assert node.core.node.set.share == 0.5
+    node.reload()
+    assert node.core.node.set.share == 0.5
+    later.close()
+    turn(node, lambda: not node.handover.peers)
+    assert (node.server.room.clients, node.executors.places) == whole and node.core.node.set.share == 1.0
+
+
+def test_a_second_upgrade_during_the_first_shares_with_both(made, tmp_path):
+    node = made()
+    first, second = caller(tmp_path), caller(tmp_path)
+    for number, sock in ((5, first), (6, second)):
+        sock.sendall(hello(process=number))
+    turn(node, lambda: len([p for p in node.handover.peers if p.hello]) == 2)
+    assert node.core.node.set.share == pytest.approx(1 / 3)
+    first.close()
+    second.close()
+
+
+def test_more_connections_than_the_part_are_closed_where_they_stand_unused(made, held, tmp_path, monkeypatch):
+    node = made()
+    socks = [socket.create_connection(held.getsockname()) for _ in range(4)]
+    turn(node, lambda: len(node.server.idle) == 4)
+    node.server.configure(node.config.deployment, Room(2, 1e9))
+    assert len(node.server.idle) == 2
+    for sock in socks:
+        sock.close()
+
+
+def test_one_that_does_not_read_is_left_behind(made, tmp_path, monkeypatch, capsys):
+    monkeypatch.setattr(handover_module, "BEHIND_MOST", 1000)
+    node = made()
+    later = caller(tmp_path)
+    told(node, later, b'"whole"')
+    trace = Trace("e1", 0, 4, 0.0, 1.0)
+    for i in range(100000):
+        node.remember(core.Remember(str(i), f"key {i}", trace))
+        if not node.handover.peers:
+            break
+    assert not node.handover.peers and "code=behind" in capsys.readouterr().err
+    later.close()
+
+
+@given(
+    st.lists(
+        st.builds(
+            Sent,
+            st.text(min_size=1, max_size=9),
+            st.text(min_size=1, max_size=9),
+            st.text(max_size=9),
+            st.integers(-5, 9),
+            st.floats(0, 1e13),
+            st.floats(0, 1e13),
+        ),
+        max_size=450,
+    )
+)
+def test_sendings_come_back_as_they_were_told(rows):
+    raws = list(form.snapshot(1, [], rows))
+    assert [item for raw in raws for item in form.read(raw)] == [*rows, form.Whole()]
+
+
+@given(st.binary(max_size=300))
+def test_no_line_does_more_than_be_refused(raw):
+    try:
+        assert isinstance(form.read(raw), list)
+    except form.Odd as odd:
+        assert odd.code in ("odd", "version")
+
+
+def test_processes_tell_each_other_in_service(held, start):
+    old = start()
+    new = start()
+    while "told of" not in (line := new.stderr.readline()):
+        assert line
+    assert "process" in line
+    old.send_signal(signal.SIGTERM)
+    while "has ended" not in (line := new.stderr.readline()):
+        assert line
