--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -97,6 +97,7 @@
     sockets: int
     known: dict[str, Any]
     deployment: Deployment
+    shape: dict[str, Any]  # the keys of the file
     admin: tuple[str, int] | None = None  # the operators' door, if there is one
     socket_fd: int | None = None  # the clients' listening socket, where the platform hands it on
     folder: str | None = None  # that processes of one node share, with the socket
@@ -141,9 +142,10 @@
             raise ConfigError(self.path(name), value, f"a number of at least {least:g}")
         return found
 
-    def ms(self, name: str, default_ms: float) -> float:
+    def ms(self, name: str, default_ms: object = REQUIRED, least_us: float = 0.0) -> float:
         """Return an entry in microseconds as milliseconds."""
-        return self.number(name, default_ms * 1000.0) / 1000.0
+        default = default_ms * 1000.0 if isinstance(default_ms, float) else default_ms
+        return self.number(name, default, least_us) / 1000.0
 
     def flag(self, name: str) -> bool:
         """Return an entry that is true or false; an absent one counts as false."""
@@ -159,7 +161,7 @@
             raise ConfigError(self.path(name), value, "a text")
         return value
 
-    def word(self, name: str, table: Mapping[str, Any] | type[Enum], default: str) -> Any:  # noqa: ANN401
+    def word(self, name: str, table: Mapping[str, Any] | type[Enum], default: object) -> Any:  # noqa: ANN401
         """Return what a word stands for."""
         words = table if isinstance(table, Mapping) else {str(row.value): row for row in table}
         value = self.get(name, default) or default
@@ -200,8 +202,14 @@
     return found
 
 
-def deployment_from(options: object, key: str = "settings", before: Deployment | None = None) -> Deployment:
-    """Turn a deployment's settings into ours; what is missing means what is least generous."""
+def deployment_from(
+    options: object, key: str = "settings", before: Deployment | None = None, whole: bool = False
+) -> Deployment:
+    """Turn a deployment's settings into ours; what is missing means what is least generous.
+
+    In whole settings, as a node's file holds them, nothing stands in for what says how work is answered.
+    """
+    zero, one, least = (REQUIRED, REQUIRED, 1.0) if whole else (0.0, 1, 0.0)
     top = Table(options, key)
     limits, rules = top.table("ceilings", {}), top.table("guarantees", {})
     prices, info = top.table("penalties", {}), top.table("familyInfo", {})
@@ -221,10 +229,10 @@
     for i, row in enumerate(rows):
         stretch = stretches[i] if i < len(stretches) else row.number("aimStretch", 0.0)
         known[all_types[types[i]]] = ProjectType(
-            promised_ms=row.ms("aimUs", 0.0),
+            promised_ms=row.ms("aimUs", zero),
             stretch=stretch,
-            limit_ms=row.ms("deadlineUs", 0.0),
-            effect=row.word("semantics", EFFECTS, "unsafe"),
+            limit_ms=row.ms("deadlineUs", zero, least),
+            effect=row.word("semantics", EFFECTS, REQUIRED if whole else "unsafe"),
             group=row.word("dedupScope", Group, "cell"),
             memory_ms=row.ms("memorySpanUs", 0.0),
             kind=int(class_kinds[i]) if i < len(class_kinds) else -1,
@@ -236,7 +244,7 @@
         zone=zones.get(top.text("zone", "none"), -1),
         nodes=max(1, int(top.number("fleetSize", 1))),
         tick_ms=top.ms("tickUs", 1.0),
-        max_allocs=int(limits.number("sendCap", 1)),
+        max_allocs=int(limits.number("sendCap", one, least)),
         may_probe=limits.flag("mayProbe"),
         may_cancel=limits.flag("cancel"),
         second_copies=limits.flag("secondCopies"),
@@ -320,6 +328,36 @@
     return int(value)
 
 
+def shape_of(values: Mapping[str, Any]) -> dict[str, Any]:
+    """Return the keys of a file: of objects within it, and those that all objects of a list have."""
+    found: dict[str, Any] = {}
+    for key, value in values.items():
+        found[key] = None
+        if isinstance(value, Mapping):
+            found[key] = shape_of(value)
+        elif isinstance(value, list) and value and all(isinstance(row, Mapping) for row in value):
+            common = set.intersection(*(set(row) for row in value))
+            found[key] = [sorted(common)]
+    return found
+
+
+def keep(values: Mapping[str, Any], shape: Mapping[str, Any], path: str = "") -> None:
+    """Refuse a file that is short of a key that the one in force has; what executors are listed is free."""
+    for key, inner in shape.items():
+        at = f"{path}{key}"
+        if key not in values:
+            raise ConfigError(at, REQUIRED, "what the file in force has")
+        value = values[key]
+        if at == "known":
+            continue
+        if isinstance(inner, dict) and isinstance(value, Mapping):
+            keep(value, inner, at + ".")
+        elif isinstance(inner, list) and isinstance(value, list):
+            for i, row in enumerate(value):
+                if isinstance(row, Mapping):
+                    keep(row, dict.fromkeys(inner[0]), f"{at}[{i}].")
+
+
 def own_settings(path: str | None) -> tuple[StoreSettings | None, WatchSettings | None]:
     """Read the operator's own settings, a table a subsystem; what has no table is off."""
     if path is None:
@@ -400,6 +438,8 @@
     own = own or env.get(OWN_FILE) or (before.settings_path if before else None)
     store, watch = own_settings(own)
     settings = top.table("settings")
+    if before is not None:
+        keep(values, before.shape)
     if not settings.tables("requestClasses"):
         raise ConfigError("settings.requestClasses", [], "one project type at least")
     in_file = {"name": top.text("name", "node")} | {
@@ -421,7 +461,8 @@
         memory_mb=limits.number("memory_mb", 192.0, least=1.0),
         sockets=int(limits.number("sockets", 1024.0, least=1.0)),
         known=dict(top.table("known", {}).values),
-        deployment=deployment_from(settings.values, before=before.deployment if before else None),
+        deployment=deployment_from(settings.values, before=before.deployment if before else None, whole=True),
+        shape=shape_of(values),
         admin=address(in_force, "admin", env) if in_force["admin"] else None,
         socket_fd=before.socket_fd if before is not None else descriptor(env.get(SOCKET)),
         folder=before.folder if before is not None else env.get(FOLDER),
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -308,7 +308,7 @@
 
     def send(self, wu: Handle, executor: int, limit_ms: float) -> None:
         """Send a work unit to an executor; under a key it is noted first, with the pod that it may run on."""
-        key, node, type = wu.work.receipt, self.node, self.node.types[wu.work.type]
+        key, node, type = wu.work.receipt, self.node, wu.type
         if key is not None and type.effect is not RERUNNABLE:
             until = self.clock + (type.memory_ms if type.effect is RECEIPTED else type.limit_ms)
             trace = Trace(self.names[executor], node.zone[executor], node.cell[executor], self.clock, until)
@@ -484,8 +484,9 @@
         return sum(s is not State.GONE and node.avoids(e) for e, s in enumerate(node.state))
 
     def elsewhere(self, event: Elsewhere) -> None:
-        """Note what another process of this node sends."""
-        self.receipts.note(event.key, event.trace)
+        """Note what another process of this node sends, once: it may have been told in a snapshot too."""
+        if event.trace not in self.receipts.known(event.key, self.clock):
+            self.receipts.note(event.key, event.trace)
 
     def undone(self, event: Undone) -> None:
         """Take a sending of another process off the record."""
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -53,7 +53,7 @@
 
     def __init__(self, node: "Node", work: Work) -> None:
         self.node, self.work, self.type = node, work, node.types[work.type]
-        self.taken = node.port.now()
+        self.taken, self.most = node.port.now(), node.set.max_allocs
         # Guards keyed work against a second effect where a client tries again under its key.
         self.allocs = [Alloc(e, sent, sent, outcome=Outcome.BROKEN) for e, sent in work.prior]
         self.done = self.lined = self.waited = self.unfit = False
@@ -74,7 +74,7 @@
         """Return whether another allocation is allowed now, to some executor at least."""
         node, now = self.node, self.node.port.now()
         sent = len(self.allocs) - len(self.work.prior)
-        if self.done or self.unfit or sent >= node.set.max_allocs:
+        if self.done or self.unfit or sent >= min(self.most, node.set.max_allocs):
             return False
         if now >= self.work.expires_ms - node.margin:
             return False
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -9,7 +9,7 @@
 from marlseam.config import Deployment
 from marlseam.core import Event, Probed, Progress, Settled, Started
 from marlseam.counters import Counters
-from marlseam.interface import Effect, Outcome, Report
+from marlseam.interface import Outcome, Report
 from marlseam.net import protocol
 from marlseam.net.connection import Connection, Ended, Steps, connect
 from marlseam.net.log import Log, Reason
@@ -261,7 +261,7 @@
         Guards against connections that fall silent while their executor goes on. Only exclusive work, which
         cannot go elsewhere, waits to the end.
         """
-        if self.deployment.settings.types[job.type].effect is Effect.EXCLUSIVE:
+        if job.exclusive:
             return until_ms
         return min(until_ms, self.loop.now() + silence_ms)
 
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -51,6 +51,7 @@
     type_name: str
     left_ms: float
     slots: float
+    exclusive: bool = False  # as its type's effect was when it was taken
     key: str | None = None  # the thing that it needs
     repeat: bool = False  # it may be a client's retry
 
@@ -182,6 +183,7 @@
         type_name=name,
         left_ms=min(left_ms, limit_ms),
         slots=number(facts.get("slots", "1"), FACTS) or 1.0,
+        exclusive=of_type.effect is Effect.EXCLUSIVE,
         repeat=head.get(REPEAT) == "1" or not deployment.marks_retry,
         key=dict(parse_qsl(target.partition("?")[2])).get(KEY),
     )
--- a/marlseam/recovery/receipts.py
+++ b/marlseam/recovery/receipts.py
@@ -42,8 +42,7 @@
         rows = self.traces.setdefault(key, [])
         if not rows:
             heapq.heappush(self.ends, (trace.until_ms, key))
-        if trace not in rows:
-            rows.append(trace)
+        rows.append(trace)
 
     def recall(self, traces: dict[str, list[Trace]]) -> None:
         """Take in what may have run in an earlier life, before any `note`; sendings in their order."""
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -19,6 +19,29 @@
     return sum(len(line) for key, line in node.lines.items() if key[0] is further)
 
 
+def test_open_work_gets_no_more_attempts_than_were_allowed_then_or_are_now(make, unit):
+    node = make(1.0, 1.0, 1.0, max_allocs=2)
+    wu = unit(node, allocs=((0, Outcome.ERROR), (1, Outcome.ERROR)))
+    node.configure(replace(node.set, max_allocs=4))
+    assert not wu.may_send()
+    later = unit(node, allocs=((0, Outcome.ERROR), (1, Outcome.ERROR)))
+    assert later.may_send()
+    node.configure(replace(node.set, max_allocs=2))
+    assert not later.may_send()
+
+
+def test_a_share_of_the_node_is_a_share_of_a_cold_executors_budget(make):
+    node = make(0.0, nodes=2)
+    node.born[0], node.tokens[0], node.token_ms[0] = node.port.clock, 0.0, node.port.clock
+    node.port.clock += 100.0
+    node.warm(0)
+    whole = node.tokens[0]
+    node.configure(replace(node.set, share=0.5))
+    node.tokens[0], node.token_ms[0] = 0.0, node.port.clock - 100.0
+    node.warm(0)
+    assert 0.0 < node.tokens[0] == pytest.approx(whole / 2)
+
+
 # The ordinary path.
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,6 @@
 """Sockets: buffer, loop, log, connections, the pool and its allocations, clients, discovery, the end."""
 
+import copy
 import json
 import resource
 import signal
@@ -29,7 +30,7 @@
 from marlseam.net.protocol import Job, Malformed
 from marlseam.net.server import Pending, Room
 
-JOB = Job("9b", "/statement", "k", b"abc", 0, "statement", 5000.0, 1.0, 0.0)
+JOB = Job("9b", "/statement", "k", b"abc", 0, "statement", 5000.0, 1.0)
 LINES = b'{"id":"9b","from":"e1","state":"started"}\n{"id":"9b","from":"e1","state":"done","result":"r"}\n'
 CHUNK = b"%x\r\n%b\r\n" % (len(LINES), LINES)
 ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNK + b"0\r\n\r\n"
@@ -284,19 +285,21 @@
 
 
 @pytest.mark.parametrize(
-    ("begun", "type", "outcome"),
+    ("begun", "exclusive", "outcome"),
     [
-        (b"", 0, Outcome.TIMED_OUT),
-        (ANSWER[: ANSWER.index(b"done")], 0, Outcome.TIMED_OUT),
-        (b"", 1, None),
-        (ANSWER[: ANSWER.index(b"\r\n\r\n") + 4], 0, None),
+        (b"", False, Outcome.TIMED_OUT),
+        (ANSWER[: ANSWER.index(b"done")], False, Outcome.TIMED_OUT),
+        (b"", True, None),
+        (ANSWER[: ANSWER.index(b"\r\n\r\n") + 4], False, None),
     ],
 )
-def test_a_connection_that_falls_silent_is_given_up_before_the_limit(executors, until, begun, type, outcome):
+def test_a_connection_that_falls_silent_is_given_up_before_the_limit(
+    executors, until, begun, exclusive, outcome
+):
     parts = executors(*filter(None, [begun]), silent=True)
     parts.take_ms = parts.gap_ms = 5.0
     now = parts.loop.now()
-    parts.send(Order("1", 0, "e1", replace(JOB, type=type), now + 90000.0, now + 90000.0))
+    parts.send(Order("1", 0, "e1", replace(JOB, exclusive=exclusive), now + 90000.0, now + 90000.0))
     parts.loop.at(now + 51.0, lambda: None)
     until(lambda: parts.loop.now() > now + 50.0)
     assert outcomes(parts) == ([outcome] if outcome else [])
@@ -836,6 +839,101 @@
     assert node.config is before and "the configuration stays as it was: " in capsys.readouterr().err
 
 
+def classes(*names, **changes):
+    """Return settings with these project types, the last of them changed."""
+    rows = [OPTIONS["requestClasses"][0] | {"name": name} for name in names]
+    rows[-1] |= changes
+    return OPTIONS | {"requestClasses": rows}
+
+
+def without(values, *path):
+    """Return a file's entries without one of them."""
+    values = copy.deepcopy(values)
+    *tables, last = path
+    at = values
+    for name in tables:
+        at = at[name]
+    del at[last]
+    return values
+
+
+@pytest.mark.parametrize(
+    "settings",
+    [
+        classes("new", deadlineUs=0),
+        classes("new", deadlineUs=-5),
+        classes("new", deadlineUs="soon"),
+        classes("new", deadlineUs=float("nan")),
+        classes("new", deadlineUs=10**400),
+        classes("new", deadlineUs=None),
+        classes("new", semantics="odd"),
+        OPTIONS | {"ceilings": OPTIONS["ceilings"] | {"sendCap": 0}},
+        OPTIONS | {"ceilings": OPTIONS["ceilings"] | {"sendCap": True}},
+        without(classes("new"), "requestClasses", 0, "deadlineUs"),
+        without(classes("old", "new"), "requestClasses", 1, "aimUs"),
+        without(classes("new"), "requestClasses", 0, "name"),
+        without(OPTIONS, "requestClasses"),
+        without(OPTIONS, "ceilings"),
+        without(OPTIONS, "ceilings", "sendCap"),
+        without(OPTIONS, "ceilings", "keepaliveUs"),
+        without(OPTIONS, "familyInfo", "reportX0"),
+    ],
+)
+def test_settings_that_are_broken_change_nothing(node, rewrite, capsys, settings):
+    before, served = node.config, node.core.node.types
+    rewrite(settings=settings, discovery="127.0.0.1:9")
+    assert node.config is before and node.core.node.types == served
+    assert (node.counters.reloads, node.counters.reload_errors) == (0, 1)
+    (line,) = [line for line in capsys.readouterr().err.splitlines() if "stays as it was" in line]
+    assert "settings." in line and "expected" in line
+
+
+@pytest.mark.parametrize("key", ["listen", "discovery", "known", "settings", "admin"])
+def test_a_file_that_is_short_of_a_key_changes_nothing(node, key):
+    path = Path(node.config.path)
+    path.write_text(json.dumps(without(json.loads(path.read_text()), key)))
+    node.reload()
+    assert (node.counters.reloads, node.counters.reload_errors) == (0, 1)
+
+
+@pytest.mark.parametrize("size", range(0, 400, 7))
+def test_a_file_that_is_cut_off_changes_nothing(node, size):
+    path = Path(node.config.path)
+    path.write_text(path.read_text()[:size])
+    node.reload()
+    assert (node.counters.reloads, node.counters.reload_errors) == (0, 1)
+
+
+def test_after_a_broken_file_a_good_one_is_taken(node, rewrite):
+    rewrite(settings={})
+    rewrite(settings=classes("new"))
+    rewrite(settings=classes("new", "newer"))
+    assert (node.counters.reloads, node.counters.reload_errors) == (2, 1)
+    assert list(node.server.deployment.types) == ["new", "newer"]
+
+
+def test_new_types_are_served_and_gone_ones_unknown(node, rewrite, client, reply):
+    rewrite(settings=classes("new"))
+    assert reply(client(REQUEST)).startswith(b"HTTP/1.1 404 ")
+    client(REQUEST.replace(b"statement", b"new"))
+    while not node.pending:
+        node.loop.turn()
+
+
+def test_open_work_keeps_its_type_while_the_file_changes_or_drops_it(node, rewrite, client, reply):
+    sock = client(REQUEST)
+    while not node.pending:
+        node.loop.turn()
+    (wu,) = node.core.open.values()
+    taken = wu.type
+    rewrite(settings=classes("statement", semantics="unsafe", aimUs=1, deadlineUs=1000000))
+    assert wu.type is taken and node.core.node.types[wu.work.type] != taken
+    rewrite(settings=classes("other"))
+    node.answer(next(iter(node.pending)), 200, [], b"r")
+    assert reply(sock).startswith(b"HTTP/1.1 200 ")
+    assert node.counters.ends["statement"]["completed"] == 1
+
+
 def test_a_new_configuration_is_applied_whole(node, rewrite, client, reply):
     ceilings = OPTIONS["ceilings"] | {"keepaliveUs": 2000000}
     rewrite(
