--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -138,7 +138,7 @@
         self.current: Task | None = None
         self.count = self.dropped = 0
         self.stopped = False
-        self.late_ms = 0.0  # the longest that a timer came late
+        self.late_ms = self.turn_ms = 0.0  # the longest that a timer came late, and that a turn took
 
     def spawn(self, coroutine: Coroutine, first: bool = False) -> Task:
         """Start a coroutine, which runs up to its first wait at once.
@@ -205,6 +205,7 @@
     def turn(self) -> None:
         """Wait once, and run what is due by then."""
         events = self.poll.poll(self.pause_s())
+        began = self.now()
         self.closed.clear()
         self.run_first()
         for fd, _ in events:
@@ -224,6 +225,7 @@
                 self.run_calls()
             else:
                 self.dropped -= 1
+        self.turn_ms = max(self.turn_ms, self.now() - began)
 
     def run_first(self) -> None:
         """Resume those that go first."""
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -295,7 +295,7 @@
         if not self.server.open or self.loop.now() >= at_ms:
             for line in self.watch.lines() if self.watch is not None else ():
                 self.log.line(line)
-            late = f"timers at most {self.loop.late_ms:.0f} ms late"
+            late = f"timers at most {self.loop.late_ms:.0f} ms late, turns at most {self.loop.turn_ms:.0f} ms"
             self.log.line(f"ends with {len(self.pending)} work units open, {late}")
             self.loop.stopped = True
         else:
