--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -132,7 +132,8 @@
             self.discovery.begin({"seq": version, "whole": True, "hosts": hosts})
         if careful:
             self.post(core.Untold())
-        self.server.listen()
+        if not self.ending:
+            self.server.listen()
 
     def share(self) -> None:
         """Keep to this process's part of the node's limits and budgets, as others come and go."""
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -364,6 +364,24 @@
         sock.close()
 
 
+def test_one_told_to_end_before_it_has_begun_takes_nothing(made, old, held):
+    talk = old(hello(), ends=True)
+    node = made()
+    node.close()
+    talk()
+    node.loop.run()
+    assert node.server.listener is None and not node.ready()
+
+
+def test_a_reload_before_it_has_begun_is_taken(made, old):
+    talk = old(hello(), WHOLE)
+    node = made()
+    node.reload()
+    talk()
+    turn(node, node.ready)
+    assert node.counters.reloads == 1 and node.core.node.set.share == 0.5
+
+
 def test_a_name_that_a_killed_process_left_is_removed(made, tmp_path):
     left = socket.socket(socket.AF_UNIX)
     left.bind(str(tmp_path / "marlseam-99.sock"))
