--- a/marlseam/net/admin.py
+++ b/marlseam/net/admin.py
@@ -11,17 +11,16 @@
 from marlseam.net.loop import Cancelled, Coroutine, Loop, Task
 from marlseam.net.protocol import Malformed
 
-PLACES = 16  # callers at a time
 CALL_MS = 2500.0  # how long a call may take to come, and as long its answer to go
 BODY_MOST = 1024  # bytes of a call's body, which nobody reads
 Calls = Mapping[str, tuple[str, Callable[[], tuple[int, str]]]]  # by path: the method, and what answers
 
 
 class Admin:
-    """Answers operators' calls; `calls` gives each its status and text."""
+    """Answers operators' calls, so many at a time; `calls` gives each its status and text."""
 
-    def __init__(self, loop: Loop, log: Log, address: tuple[str, int], calls: Calls) -> None:
-        self.loop, self.log, self.calls = loop, log, calls
+    def __init__(self, loop: Loop, log: Log, address: tuple[str, int], places: int, calls: Calls) -> None:
+        self.loop, self.log, self.places, self.calls = loop, log, places, calls
         self.open: dict[Connection, Task | None] = {}  # the one that has waited longest first
         self.listener = http.Listener(loop, http.bound(address), self.make_room, self.taken, first=True)
 
@@ -30,7 +29,7 @@
 
         Guards usual callers against those that connect and finish no call.
         """
-        while len(self.open) >= PLACES or (short and self.open):
+        while len(self.open) >= self.places or (short and self.open):
             connection, task = next(iter(self.open.items()))
             del self.open[connection]
             connection.close(Reason.CROWDED)
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -13,7 +13,7 @@
 from marlseam.core import Core, Effect, Event
 from marlseam.counters import Counters
 from marlseam.interface import Settings, WorkUnit
-from marlseam.net import admin, protocol, server
+from marlseam.net import protocol, server
 from marlseam.net.discovery import Discovery
 from marlseam.net.executors import Executors, Order
 from marlseam.net.log import Log
@@ -23,6 +23,7 @@
 OWN_SOCKETS = 32  # descriptors for listeners, epoll, signals, discovery, logs and the interpreter
 OWN_MB, CONNECTION_KB = 20.0, 20.0  # memory for the node itself, and for a connection without its body
 BODY_SHARE = 0.5  # of the other memory, for bodies of clients' requests
+OPERATORS = 16  # connections of operators, beside all others
 PLACES_LEAST = 16  # connections, however tight the limits: fewer could not serve
 CLIENT_SHARE = 0.5  # of the other descriptors, for clients
 LISTEN_MS = 600.0  # how long new connections may still come after SIGTERM
@@ -55,7 +56,7 @@
     allowed = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     sockets = config.sockets if allowed == resource.RLIM_INFINITY else min(config.sockets, allowed)
     free_kb = (1.0 - BODY_SHARE) * (config.memory_mb / processes - OWN_MB) * 1024.0
-    own = OWN_SOCKETS + (admin.PLACES if config.admin is not None else 0)
+    own = OWN_SOCKETS + (OPERATORS if config.admin is not None else 0)
     return max(PLACES_LEAST, int(min(sockets / processes - own, free_kb / CONNECTION_KB)))
 
 
@@ -99,6 +100,9 @@
             )
         self.admin = None
         if config.admin is not None:
+            # Imported here: a node without such a door needs nothing of it.
+            from marlseam.net.admin import Admin
+
             calls = {
                 "/control/ready": ("GET", lambda: (200 if self.ready() else 503, "")),
                 "/control/counters": ("GET", lambda: (200, self.figures())),
@@ -106,7 +110,7 @@
                 "/control/in-service": ("POST", self.enter_service),
             }
             with usable("admin", "{}:{}".format(*config.admin), "a free address"):
-                self.admin = admin.Admin(self.loop, self.log, config.admin, calls)
+                self.admin = Admin(self.loop, self.log, config.admin, OPERATORS, calls)
         self.post(core.Begin(alone(config.deployment.settings), config.seed))
         self.memory = self.handover = None
         if config.store is not None:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import replace
+from math import inf
 from pathlib import Path
 
 import h11
@@ -28,7 +29,7 @@
 from marlseam.net.connection import Connection, Steps
 from marlseam.net.executors import Executors
 from marlseam.net.log import Log
-from marlseam.net.loop import Loop
+from marlseam.net.loop import READ, Loop
 from marlseam.net.node import Node
 
 RERUNNABLE = ProjectType(200.0, 2.0, 5000.0, Effect.RERUNNABLE, Group.ALL, 5000.0, -1)
@@ -133,6 +134,11 @@
 }  # fmt: skip
 
 
+LINES = b'{"id":"9b","from":"e1","state":"started"}\n{"id":"9b","from":"e1","state":"done","result":"r"}\n'
+CHUNK = b"%x\r\n%b\r\n" % (len(LINES), LINES)
+ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNK + b"0\r\n\r\n"
+
+
 class ScriptedSocket:
     """Takes so many bytes and then breaks; gives its replies one by one, then the end or silence."""
 
@@ -309,3 +315,39 @@
         raise AssertionError("no answer")
 
     return wait
+
+
+@pytest.fixture
+def executor(node: Node) -> Callable[[], list[bytes]]:
+    """Return a function that stands up an executor for the node, and gives the methods it is asked by."""
+    servers = []
+
+    def stand() -> list[bytes]:
+        server, asked = socket.create_server(("127.0.0.1", 0)), []
+        servers.append(server)
+        server.setblocking(False)
+
+        def talk(sock: socket.socket) -> Steps:
+            made = Connection(node.loop, node.log, sock, h11.SERVER, "executor's side")
+            sock.setblocking(False)
+            while type(request := (yield from made.event(inf))) is h11.Request:
+                yield from made.body(1000, inf)
+                asked.append(request.method)
+                done = ANSWER if request.method == b"POST" else b"HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n"
+                made.http.send(h11.Response(status_code=200, headers=[("Content-Length", "0")]))
+                made.http.send(h11.EndOfMessage())
+                yield from made.write(done, inf)
+                made.again()
+
+        def accept() -> Steps:
+            while True:
+                yield (server.fileno(), READ, inf)
+                node.loop.spawn(talk(server.accept()[0]))
+
+        node.loop.spawn(accept())
+        node.executors.listed({"e1"}, {"e1": server.getsockname()})
+        return asked
+
+    yield stand
+    for server in servers:
+        server.close()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -104,13 +104,13 @@
 
 
 def test_callers_that_finish_nothing_are_bounded_and_delay_nobody(node, client, call):
-    silent = [client(b"GET /con", node.admin) for _ in range(3 * admin_module.PLACES)]
-    while len(node.admin.open) < admin_module.PLACES:
+    silent = [client(b"GET /con", node.admin) for _ in range(3 * node_module.OPERATORS)]
+    while len(node.admin.open) < node_module.OPERATORS:
         node.loop.turn()
     began = node.loop.now()
     assert call("GET", "/control/ready")[0] == 200
     assert node.loop.now() - began < admin_module.CALL_MS
-    assert len(node.admin.open) <= admin_module.PLACES and read(node, silent[0]) == b""
+    assert len(node.admin.open) <= node_module.OPERATORS and read(node, silent[0]) == b""
 
 
 def test_a_call_is_answered_in_the_middle_of_a_long_turn(node, client):
@@ -286,22 +286,42 @@
     assert sum(value for name, value in found.items() if name.startswith("downstream")) == 1
 
 
-def test_mixed_ends_agree_with_what_clients_saw(node, client, reply, figures):
-    seen = {"completed": 0, "rejected": 0, "failed": 0}
-    for i, status in enumerate((200, 503, 500, 200, 200, 503)):
+def test_mixed_ends_agree_with_what_clients_and_executors_saw(node, executor, client, reply, figures, call):
+    asked, seen = executor(), {"completed": 0, "rejected": 0, "failed": 0}
+
+    def answered(sock):
+        status = int(reply(sock).split()[1])
+        seen[{200: "completed", 503: "rejected"}.get(status, "failed")] += 1
+
+    for _ in range(3):
+        answered(client(REQUEST))
+
+    def hold(pending):
+        node.refs += 1
+        node.pending[str(node.refs)] = pending
+        return str(node.refs)
+
+    node.server.take = hold  # from here on the test decides
+    for i, status in enumerate((503, 500, 503)):
         sock, ref = taken(node, client, REQUEST.replace(b"9b", b"w%d" % i))
         node.answer(ref, status, [], b"")
-        answered = int(reply(sock).split()[1])
-        seen[{200: "completed", 503: "rejected", 500: "failed"}[answered]] += 1
+        answered(sock)
     gone, _ = taken(node, client, CHUNKED)
     gone.close()
     while node.pending:
         node.loop.turn()
-    assert (
-        reply(client(b"POST /statement HTTP/1.1\r\nHost: h\r\nX-Time-Left: x\r\n\r\n")).split()[1] == b"400"
-    )
+    odd = client(b"POST /statement HTTP/1.1\r\nHost: h\r\nX-Time-Left: x\r\n\r\n")
+    assert reply(odd).split()[1] == b"400"
+    node.reload()
+    call("POST", "/control/out-of-service")
+    drained, ref = taken(node, client, REQUEST.replace(b"9b", b"wd"))
+    node.answer(ref, 200, [], b"r")
+    answered(drained)
     found = figures()
     assert {how: found[f"downstream_requests.statement.{how}"] for how in seen} == seen
+    assert seen == {"completed": 4, "rejected": 2, "failed": 1}
+    assert found["upstream_requests"] == asked.count(b"POST") == 3
+    assert (found["pending"], found["config_reloads"]) == (0, 1)
 
 
 def test_attempts_count_once_their_last_byte_is_handed_over(executors):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,7 +13,7 @@
 
 import h11
 import pytest
-from conftest import OPTIONS
+from conftest import ANSWER, LINES, OPTIONS
 
 from marlseam import core
 from marlseam.interface import Listing, Outcome
@@ -23,7 +23,7 @@
 from marlseam.net import node as node_module
 from marlseam.net import server as server_module
 from marlseam.net.buffer import Buffer
-from marlseam.net.connection import Connection, Ended, connect
+from marlseam.net.connection import Ended, connect
 from marlseam.net.executors import Order
 from marlseam.net.log import BURST, Log, Reason
 from marlseam.net.loop import LATE, READ, WOKEN, Cancelled
@@ -31,9 +31,6 @@
 from marlseam.net.server import Pending, Room
 
 JOB = Job("9b", "/statement", "k", b"abc", 0, "statement", 5000.0, 1.0)
-LINES = b'{"id":"9b","from":"e1","state":"started"}\n{"id":"9b","from":"e1","state":"done","result":"r"}\n'
-CHUNK = b"%x\r\n%b\r\n" % (len(LINES), LINES)
-ANSWER = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + CHUNK + b"0\r\n\r\n"
 REQUEST = (
     b"POST /statement HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: 9b\r\nX-Service-Class: statement\r\n"
     b"X-Time-Left: 0.5\r\nContent-Length: 3\r\n\r\nabc"
@@ -1067,28 +1064,10 @@
 # The whole way.
 
 
-def test_a_work_unit_goes_to_an_executor_and_its_result_back(node, client, reply):
-    server = socket.create_server(("127.0.0.1", 0))
-    server.setblocking(False)
-
-    def executor():
-        yield (server.fileno(), READ, inf)
-        sock, _ = server.accept()
-        made = Connection(node.loop, node.log, sock, h11.SERVER, "executor's side")
-        sock.setblocking(False)
-        while type(request := (yield from made.event(inf))) is h11.Request:
-            body = yield from made.body(1000, inf)
-            assert request.method == b"GET" or body == b"abc"
-            answer = ANSWER if request.method == b"POST" else b"HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n"
-            made.http.send(h11.Response(status_code=200, headers=[("Content-Length", "0")]))
-            made.http.send(h11.EndOfMessage())
-            yield from made.write(answer, inf)
-            made.again()
-
-    node.loop.spawn(executor())
-    node.executors.listed({"e1"}, {"e1": server.getsockname()})
+def test_a_work_unit_goes_to_an_executor_and_its_result_back(executor, client, reply):
+    asked = executor()
     assert reply(client(REQUEST)).endswith(b"\r\n\r\nr")
-    server.close()
+    assert asked.count(b"POST") == 1
 
 
 def test_a_process_reads_its_file_at_sighup_and_ends_with_0_at_sigterm(tmp_path):
