--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -526,3 +526,33 @@
     old.send_signal(signal.SIGTERM)
     while "has ended" not in (line := new.stderr.readline()):
         assert line
+
+
+def test_an_old_process_that_hangs_stands_in_nobodys_way(held, start):
+    old = start()
+    old.send_signal(signal.SIGSTOP)
+    new = start()
+    answer, sock = ask(held)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    sock.close()
+    while "code=silent" not in (line := new.stderr.readline()):
+        assert line
+    old.kill()
+    while "code=cut" not in (line := new.stderr.readline()):
+        assert line
+
+
+def test_a_new_process_that_dies_leaves_the_old_one_as_it_was(held, start):
+    old = start()
+    new = start()
+    while "told of" not in (line := new.stderr.readline()):
+        assert line
+    new.kill()
+    while "has ended" not in (line := old.stderr.readline()):
+        assert line
+    answer, sock = ask(held)
+    assert answer.startswith(b"HTTP/1.1 200 ")
+    sock.close()
+    third = start()
+    while "told of" not in (line := third.stderr.readline()):
+        assert line
