Work of one key runs one at a time, in the order taken, with its rest

Change: turns.py keeps a line a key; take puts work there, may_send waits for the turn, left and settled pass it on. What cannot be in time behind those before it is answered at once. New settings come through config.py for both adapters, off by default.

--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -237,6 +237,7 @@
             memory_ms=row.ms("memorySpanUs", 0.0),
             kind=int(class_kinds[i]) if i < len(class_kinds) else -1,
             credit=row.number("worth", 1.0),
+            in_turn=row.flag("oneAtATime"),
         )
     settings = Settings(
         types=tuple(known.values()),
@@ -263,6 +264,8 @@
         may_tell=limits.flag("peers"),
         fetch_price=prices.number("origin", 0.0),
         by_size=top.word("worthBy", WORTH, "request"),
+        turn_gap_ms=rules.ms("turnGapUs", 0.0),
+        drain_binds_alone=rules.flag("drainBindsAlone"),
     )
     return Deployment(
         settings=settings,
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -363,8 +363,10 @@
         self.node = self.decider(event.settings, event.seed, self)
 
     def renewed(self, event: Renewed) -> None:
-        """Hand new settings on."""
+        """Hand new settings on; open work keeps to an order that they newly ask for."""
         self.node.configure(event.settings)
+        for wu in self.open.values():
+            self.node.line_up(wu)
 
     def roster(self, event: Roster) -> None:
         """Hand the roster's news on under dense indices."""
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -83,6 +83,7 @@
     memory_ms: float
     kind: int
     credit: float = 1.0
+    in_turn: bool = False  # work of one key runs one at a time, in the order taken
 
 
 @dataclass(frozen=True)
@@ -116,6 +117,8 @@
     fetch_price: float = 0.0  # what it costs to fetch the thing that a work unit needs
     by_size: bool = False  # a work unit earns credit for its size
     share: float = 1.0  # of what the node may do that is this process's, where several serve as one node
+    turn_gap_ms: float = 0.0  # how long a key rests after an allocation that may still be running
+    drain_binds_alone: bool = False  # one that the list calls gone, or leaves out, may still be sent to
 
 
 @dataclass(frozen=True)
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -26,6 +26,7 @@
 )
 from marlseam.interface import WorkUnit as Work
 from marlseam.recovery.lists import ANSWERED, SURE
+from marlseam.turns import MAY_RUN_ON, Line
 
 PROBES = 2  # the paper's probe limit
 LUCK = 4.0  # below the inverse of this share of answers that led to a send, fewer are asked
@@ -59,6 +60,9 @@
         self.done = self.lined = self.waited = self.unfit = False
         self.home, self.round_ms = -1, 0.0
         self.asked: list[int] = []
+        # Where its type asks for one at a time: its key's line, and whether its turn has come.
+        self.line: Line | None = None
+        self.turn, self.lined_ms = True, 0.0
 
     # What may be done, by the rules.
 
@@ -70,11 +74,15 @@
         """Return how many allocations are out."""
         return sum(a.outcome is None for a in self.allocs)
 
+    def over(self) -> bool:
+        """Return whether it has its answer and nothing out."""
+        return self.done and not self.out()
+
     def may_send(self) -> bool:
         """Return whether another allocation is allowed now, to some executor at least."""
         node, now = self.node, self.node.port.now()
         sent = len(self.allocs) - len(self.work.prior)
-        if self.done or self.unfit or sent >= min(self.most, node.set.max_allocs):
+        if self.done or self.unfit or not self.turn or sent >= min(self.most, node.set.max_allocs):
             return False
         if now >= self.work.expires_ms - node.margin:
             return False
@@ -300,6 +308,8 @@
             if a.outcome is None and not a.cancelled and self.node.set.may_cancel:
                 a.cancelled = True
                 self.node.port.cancel(self, i)
+        if self.line is not None and not self.out():
+            self.line.left(self)
 
     def settled(self, alloc: int, outcome: Outcome, final: bool, report: Report | None) -> None:
         """Take in how an allocation ended."""
@@ -310,6 +320,8 @@
         # Guards executors against blame, and others against the same again, for a client's own mistake.
         self.unfit = self.unfit or outcome is Outcome.UNFIT
         node.hold(a.executor, self, alloc, -self.work.slots)
+        if self.line is not None and outcome in MAY_RUN_ON:
+            self.line.rest(node.port.after, node.set.turn_gap_ms)
         node.ended(self, a, report)
         if final or self.done:
             self.left()
@@ -334,6 +346,7 @@
         self.subscribed, self.next_ask = not settings.asked_roster, 0.0
         self.awake = False
         self.looking: Handle | None = None  # of those in line, whose home is being asked
+        self.turns: dict[str, Line] = {}  # by key
         self.sweep()
 
     def configure(self, settings: Settings) -> None:
@@ -669,9 +682,23 @@
         self.note(work)
         wu = self.handle(self, work)
         self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
-        wu.place()
+        self.line_up(wu)
+        left = wu.slack(min(self.kind_pace))
+        if wu.turn:
+            wu.place()
+        elif wu.line.ahead_ms - wu.lined_ms < left:
+            self.port.after(left, lambda: wu.turn or wu.answer())
+        else:
+            wu.answer()  # it cannot be in time behind those before it
         return wu
 
+    def line_up(self, wu: Handle) -> None:
+        """Put a work unit in its key's line where its type asks for that."""
+        key = wu.work.key if self.types[wu.work.type].in_turn else None
+        if key is not None and wu.line is None:
+            line = self.turns.setdefault(key, Line(self.turns, key))
+            line.join(wu, wu.work.hint_ms or self.run[wu.work.type])
+
     def wake(self, e: int | None = None) -> None:
         """See to it that what stands, maybe at an executor, is looked at; else a node sleeps."""
         if e is not None:
--- /dev/null
+++ b/tests/test_turns.py
@@ -0,0 +1,216 @@
+"""Work of one key one at a time: each hard case, any history, and that nothing is kept for a key."""
+
+from dataclasses import replace
+from heapq import heappop, heappush
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from marlseam import core
+from marlseam.core import Core
+from marlseam.interface import Listing, Outcome, State, WorkUnit
+from tests.conftest import EXCLUSIVE, RERUNNABLE, SETTINGS
+
+TURNED = replace(EXCLUSIVE, in_turn=True)
+ALSO = replace(RERUNNABLE, in_turn=True)
+RULED = replace(
+    SETTINGS, types=(TURNED, ALSO, RERUNNABLE), turn_gap_ms=50.0, asked_roster=False, may_probe=False
+)
+
+
+class World:
+    """A reducer in virtual time that notes sends, and what is broken of the order as the rule words it."""
+
+    def __init__(self, rules=RULED):
+        self.core, self.clock, self.timers, self.sent, self.wrong = Core(), 1000.0, [], [], []
+        self.keys, self.over, self.out, self.rests, self.ended = {}, {}, {}, {}, []
+        self.post(core.Begin(rules, 7))
+        self.core.node.run = [50.0] * 3
+        self.post(
+            core.Roster(Listing.FULL, [core.Entry(f"e{i}", State.READY, 0, 0, 0, None) for i in range(4)])
+        )
+
+    def post(self, event):
+        for effect in self.core.reduce(self.clock, event):
+            if type(effect) is core.Timer:
+                heappush(self.timers, (self.clock + effect.delay_ms, effect.mark))
+            elif type(effect) is core.Send:
+                self.sent.append(effect.ref)
+                key, before = self.keys.get(effect.ref, (None, []))
+                held = [r for r in before if not self.over[r] or self.out[r]]
+                if held or any(self.rests.get(r, 0.0) > self.clock for r in before):
+                    self.wrong.append((effect.ref, held))
+                self.out[effect.ref].add(effect.alloc)
+            elif type(effect) in (core.Defer, core.Abort, core.Complete):
+                self.over[effect.ref] = True
+                self.ended.append((type(effect).__name__, effect.ref))
+
+    def take(self, ref, key="k", type=0, limit=5000.0):
+        if key is not None and type < 2:
+            self.keys[ref] = key, [r for r, (other, _) in self.keys.items() if other == key]
+        self.over[ref], self.out[ref] = False, set()
+        self.post(core.Arrival(WorkUnit(ref, type, self.clock + limit, key=key)))
+
+    def settle(self, ref, outcome=Outcome.COMPLETED):
+        alloc = min(self.out[ref])
+        self.out[ref].discard(alloc)
+        if outcome in (Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.WITHDRAWN):
+            self.rests[ref] = self.clock + 50.0
+        done = outcome is Outcome.COMPLETED
+        self.over[ref] = self.over[ref] or done
+        self.post(core.Settled(ref, alloc, outcome, self.over[ref], None))
+
+    def wait(self, ms):
+        until = self.clock + ms
+        while self.timers and self.timers[0][0] <= until:
+            at, mark = heappop(self.timers)
+            self.clock = max(self.clock, at)
+            self.post(core.Due(mark))
+        self.clock = until
+
+    def kept(self):
+        return len(self.core.node.turns)
+
+
+@pytest.fixture
+def world():
+    return World()
+
+
+def test_one_key_one_at_a_time_in_the_order_taken_and_types_share_keys(world):
+    for ref, type in (("a", 0), ("b", 1), ("c", 0)):
+        world.take(ref, type=type)
+    world.take("other", key="x")
+    world.take("free", key=None)
+    world.take("plain", type=2)
+    assert world.sent == ["a", "other", "free", "plain"]
+    world.settle("a")
+    world.settle("b")
+    assert world.sent[4:] == ["b", "c"]
+
+
+@pytest.mark.parametrize("outcome", [Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.WITHDRAWN])
+def test_a_key_rests_after_what_may_still_run(world, outcome):
+    world.take("a")
+    world.take("b")
+    world.settle("a", outcome)
+    world.wait(49.0)
+    assert world.sent == ["a"] and world.over["a"]
+    world.wait(1.0)
+    assert world.sent == ["a", "b"]
+
+
+def test_the_first_is_given_up_while_its_allocation_is_out(world):
+    world.take("a", limit=700.0)
+    world.take("b", limit=3000.0)
+    world.wait(699.0)
+    assert world.over["a"] and world.sent == ["a"]
+    world.wait(30.0)
+    world.settle("a", Outcome.WITHDRAWN)
+    world.wait(50.0)
+    assert world.sent == ["a", "b"] or world.over["b"]
+
+
+def test_a_rest_that_outlasts_the_next_ones_limit_ends_it_in_time():
+    world = World(replace(RULED, turn_gap_ms=900.0))
+    world.take("a")
+    world.take("b", limit=600.0)
+    world.settle("a", Outcome.BROKEN)
+    world.wait(600.0)
+    assert ("Defer", "b") in world.ended and world.sent == ["a"]
+    world.wait(300.0)
+    assert world.kept() == 0
+
+
+def test_a_deferral_from_the_middle_leaves_the_others_in_order(world):
+    for ref in "abc":
+        world.take(ref)
+    world.post(core.Left("b"))
+    world.over["b"] = True
+    world.settle("a")
+    assert world.sent == ["a", "c"]
+
+
+def test_a_retry_that_comes_while_the_first_try_waits_goes_to_the_back(world):
+    for ref in ("a", "b", "c", "b again"):
+        world.take(ref)
+    for ref in "abc":
+        world.settle(ref)
+    assert world.sent == ["a", "b", "c", "b again"]
+
+
+def test_a_line_of_hundreds_ends_with_its_node_and_what_cannot_be_in_time_is_answered_at_once(world):
+    for i in range(600):
+        world.take(f"w{i}")
+    assert 0 < len(world.ended) < 600 and world.sent == ["w0"]
+    world.post(core.Closing(10.0))
+    world.wait(10.0)
+    assert all(world.over.values())
+    world.settle("w0", Outcome.WITHDRAWN)
+    world.wait(50.0)
+    assert world.kept() == 0 and not world.wrong
+
+
+def test_a_reload_that_drops_the_type_keeps_what_stands_and_one_that_asks_for_it_holds_open_work(world):
+    world.take("a")
+    world.take("b")
+    world.post(core.Renewed(replace(RULED, types=(EXCLUSIVE, RERUNNABLE, RERUNNABLE))))
+    assert world.sent == ["a"]
+    world.keys.clear()
+    world.take("c")
+    world.take("d")
+    assert world.sent == ["a", "c", "d"]
+    world.wrong.clear()  # what was sent while no order was asked for
+    world.post(core.Renewed(RULED))
+    world.keys |= {"e": ("k", ["c", "d"])}
+    world.over["e"], world.out["e"] = False, set()
+    world.post(core.Arrival(WorkUnit("e", 0, world.clock + 5000.0, key="k")))
+    for ref in "abcd":
+        world.settle(ref)
+    assert world.sent == ["a", "c", "d", "b", "e"] and not world.wrong
+
+
+def test_nothing_is_kept_for_keys_that_are_done(world):
+    for i in range(100_000):
+        world.take(f"w{i}", key=f"k{i}", limit=300.0)
+        if world.out[f"w{i}"]:
+            world.settle(f"w{i}", Outcome.BROKEN if i % 100 == 0 else Outcome.COMPLETED)
+        world.keys.clear()
+        if i % 5000 == 0:
+            world.wait(500.0)
+    world.wait(500.0)
+    assert world.kept() == 0 and not world.core.open
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["take", "take", "settle", "wait", "left"]),
+        st.integers(0, 5),
+        st.sampled_from([o for o in Outcome if o is not Outcome.DROPPED]),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(STEPS)
+def test_over_any_history_order_is_kept_and_each_line_ends(steps):
+    world = World()
+    for i, (what, n, outcome) in enumerate(steps):
+        out = [ref for ref, allocs in world.out.items() if allocs]
+        if what == "take":
+            world.take(f"w{i}", key="kl"[n % 2], type=n % 3, limit=400.0 + 600.0 * n)
+        elif what == "settle" and out:
+            world.settle(out[n % len(out)], outcome)
+        elif what == "wait":
+            world.wait(40.0 * n)
+        elif what == "left" and (alive := [r for r, over in world.over.items() if not over]):
+            world.over[alive[n % len(alive)]] = True
+            world.post(core.Left(alive[n % len(alive)]))
+    while any(world.out.values()) or not all(world.over.values()):
+        for ref in [ref for ref, allocs in world.out.items() if allocs]:
+            world.settle(ref)
+        world.wait(1000.0)
+    world.wait(100.0)
+    assert not world.wrong and world.kept() == 0
