Our own part at an executor says what the others have where reports are old or untrue

Waits learned by kind (figures.py, waited) charged all executors for what a few did. Ruled out: the cold budget (3% of the long waits). Change: the others' part is scaled by our own against our mean; home is first sought where there is room; learned waits are struck out.

--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -17,7 +17,6 @@
 NEAREST = 6  # points of a key that are looked at
 TRUST = 0.3  # what remains by now of a departure from the level that a late weight or report shows
 OWN = 0.75  # part of the level that our own work says, against the list
-FADE = 0.8  # what is left of a learned wait by the next list
 DOUBT = 30.0  # how much a doubtful report counts less
 LESSONS = 10.0  # waits of our own that a mean of them remembers
 WORDS_MOST = 64  # executors in a message
@@ -75,7 +74,6 @@
         self.kind_pace: list[float] = []  # run over the project type's mean
         self.paced: list[float] = []  # runs that this rests on
         self.top_weight: list[float] = []  # that of an executor that holds nothing
-        self.unseen: list[float] = []  # how much longer our own work waits than is planned
         self.listed: list[float] = []  # what the others have at one, as a mean of the latest list
         self.level: list[float] = []  # what the others have at an executor, by our own part of all work
         # By project type: mean run, and how many were seen; run times slots over all types.
@@ -98,7 +96,7 @@
         blanks = (
             (self.members, 0), (self.known, 0), (self.others_sum, 0.0), (self.ours_sum, 0.0),
             (self.most_free, 0.0), (self.kind_pace, 1.0), (self.paced, GUESS_WEIGHT),
-            (self.top_weight, 0.0), (self.level, 0.0), (self.listed, 0.0), (self.unseen, 0.0),
+            (self.top_weight, 0.0), (self.level, 0.0), (self.listed, 0.0),
         )  # fmt: skip
         for array, blank in blanks:
             array[-1:-1] = [blank] * (kinds + 1 - len(array))
@@ -248,8 +246,6 @@
             held = self.slots(e) * (self.top_weight[kind] / weight - 1.0) * self.mean_slots
             mine = sum(wu.work.slots for wu, i in self.own[e] if wu.allocs[i].sent_ms < taken_ms)
             found.setdefault(kind, []).append((e, held - mine))
-        # Guards against a kind that is kept away from, and so never again shows how long work waits there.
-        self.unseen = [unseen * FADE for unseen in self.unseen]
         for kind, rows in found.items():
             self.listed[kind] = sum(others for _, others in rows) / len(rows)
             own = self.ours_sum[kind] * peers / max(1, self.members[kind])
@@ -286,14 +282,9 @@
             self.hear(e, (old or 0.0) + gain * (held - mine - (old or 0.0)))
 
     def waited(self, a: Alloc, wait: float) -> None:
-        """Learn from one of ours how much longer it waited than was planned when it was sent."""
+        """Learn from one of ours whether it waited where no wait was planned when it was sent."""
         planned, a.planned_ms = a.planned_ms, None
-        if planned is not None and self.set.answers_report:
-            # Guards against all nodes sending by old reports under overload: our own waits are news of today.
-            kind, most = self.kind[a.executor], self.queue_ms
-            self.unseen[kind] += max(-most, min(most, wait - planned)) / LESSONS
-            self.unseen[kind] = max(-most, min(2.0 * most, self.unseen[kind]))
-        elif planned == 0.0:
+        if planned == 0.0 and not self.set.answers_report:
             # Guards against reports that come late, on nodes with too little work to see it in the reports.
             self.doubt += (float(wait > 4.0 * self.queue_ms) - self.doubt) / LESSONS
 
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -45,6 +45,7 @@
 TELL = 0.3  # how long changes are gathered before the other nodes are told, in waits for a probe
 TESTS = 24  # usable executors that one draw weighs at most
 LOOKS = 4  # looks in vain in one serving of the lines
+PRIOR = 1.0  # allocations of ours that our own part at an executor is weighed against
 COLD = 0.6  # part of a cold executor's budget that the nodes plan to use
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
 
@@ -144,8 +145,9 @@
         """Return what is decided of it now and its home, if there is one; nothing is done yet."""
         node, home = self.node, -1
         if self.waited or not node.waits_for_more(self):
-            # Where nodes tell each other what they have, home is first sought where there is room at once.
-            for test in (self.has_room, self.in_time) if node.peers else (self.in_time,):
+            # Where the others' part is no report of now, home is first sought where there is room at once.
+            ours = node.peers or node.set.answers_report
+            for test in (self.has_room, self.in_time) if ours else (self.in_time,):
                 home = node.draw(lambda e, test=test: test(e) and self.fits(e), self)
                 if home >= 0:
                     return (Decision.ASK, home) if node.stale(home) else (self.at(home), home)
@@ -436,9 +438,16 @@
     # What an executor's figures say.
 
     def count(self, e: int) -> float:
-        """Return an executor's count: what the others had there at its last report, and what is ours now."""
-        others = self.others[e]
-        return (self.unheard() if others is None else max(0.0, others)) + self.ours[e]
+        """Return an executor's count: what the others had there at its last report, and what is ours now.
+
+        Where reports are old when they come, our part against our mean elsewhere says what the others have:
+        work stays where it is slow, stuck or more than is told. Guards against reports that are not true.
+        """
+        others, ours, kind = self.others[e], self.ours[e], self.kind[e]
+        others = self.unheard() if others is None else max(0.0, others)
+        if self.set.answers_report:
+            others *= (PRIOR + ours) / (PRIOR + self.ours_sum[kind] / max(1, self.members[kind]))
+        return others + ours
 
     def unheard(self) -> float:
         """Return what the others are taken to have on an executor never heard from: their mean elsewhere."""
@@ -465,7 +474,7 @@
             ahead, slots = self.ours[e], max(slots, work.slots)
         if self.set.answers_report:
             served /= 1.0 + (work.slots - 1.0) / 3.0  # wide work waits until so many slots are free together
-        return max(0.0, max(0.0, ahead + work.slots - slots) / served + self.unseen[self.kind[e]])
+        return max(0.0, ahead + work.slots - slots) / served
 
     def avoids(self, e: int) -> bool:
         """Return whether an executor gets nothing now: not ready, sick, or not answering its probe."""
