--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -561,13 +561,14 @@
 def test_an_executor_that_keeps_our_work_counts_as_full_whatever_it_reports(make, unit):
     # Seen at ledger-semarang: slow executors of one hall told a tenth of their load, and all nodes sent on.
     node = make(3.0, 3.0, 3.0, 3.0, **LIVE)
+    node.listed[0] = node.level[0] = 3.0
     for _ in range(3):
         unit(node, allocs=((0, None),))
     node.take_report(0, Report(queued=0.0, free_slots=4.0), node.port.now())
     assert node.over(0, unit(node).work) and not node.over(1, unit(node).work)
     assert node.count(0) - node.ours[0] > 2.0 * node.count(1)
     for wu, _ in list(node.own[0]):
-        wu.settled(0, Outcome.COMPLETED, True, None)
+        wu.settled(0, Outcome.COMPLETED, True, Report(queued=0.0, free_slots=4.0))
     assert not node.over(0, unit(node).work)
 
 
