Homes by key go where there is room; counts come from free slots where both are told

Of sends planned to start at once, those to executors that had just reported fewer free slots than needed waited 394 ms on average, the others 35 (memory: 1 of 556 too small, ruled out): take_report read work units held as slots. And draws by key concentrate work (candidates, patient), while others had room. Change: a count is at least the slots not free, and work units times their mean width; where homes go by key, home is first sought where there is room at once, and only then is it waited for the key's executors. Our own part scales the others' only where nodes do not tell each other.

--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -296,8 +296,9 @@
     """Return which of a load report's names mean which of our figures."""
     names = dict(REPORT_NAMES)
     for extra in ("X0", "X1"):
-        if "slot" in str(info.get("report" + extra, "")):
-            names[extra.lower()] = "free_slots"
+        for word, figure in (("slot", "free_slots"), ("memory", "free_memory")):
+            if word in str(info.get("report" + extra, "")):
+                names[extra.lower()] = figure
     return names
 
 
--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -265,10 +265,11 @@
         if report.free_slots is not None:
             self.room[e] = report.free_slots
             self.most_free[kind] = max(self.most_free[kind], float(round(report.free_slots)))
-        if held is None and report.free_slots is not None:
+        if report.free_slots is not None:
             # Guards against taking an executor without a free slot for idle: a node that sees little may
-            # not have seen a free one of this kind yet.
-            held = max(0.0, self.slots(e) - report.free_slots) + (report.queued or 0.0)
+            # not have seen a free one of this kind yet. And against wide work, where work units are told.
+            busy = max(0.0, self.slots(e) - report.free_slots) + (report.queued or 0.0)
+            held = max(busy, (held or 0.0) * self.mean_slots)
         if held is not None and self.set.live_weights:
             self.depart(e, held - mine)
         elif held is not None:
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -145,10 +145,13 @@
         """Return what is decided of it now and its home, if there is one; nothing is done yet."""
         node, home = self.node, -1
         if self.waited or not node.waits_for_more(self):
-            # Where the others' part is no report of now, home is first sought where there is room at once.
-            ours = node.peers or node.set.answers_report
-            for test in (self.has_room, self.in_time) if ours else (self.in_time,):
-                home = node.draw(lambda e, test=test: test(e) and self.fits(e), self)
+            # Where the others' part is no report of now, or homes go by key, so that load is not even by
+            # chance, home is first sought where there is room at once.
+            uneven = node.peers or node.set.answers_report or node.set.fetch_price
+            for test in (self.has_room, self.in_time) if uneven else (self.in_time,):
+                # To wait for its key's executors pays only where no room elsewhere is known of.
+                patient = test != self.has_room or node.set.answers_report
+                home = node.draw(lambda e, test=test: test(e) and self.fits(e), self, patient)
                 if home >= 0:
                     return (Decision.ASK, home) if node.stale(home) else (self.at(home), home)
         return Decision.LINE, -1
@@ -445,7 +448,7 @@
         """
         others, ours, kind = self.others[e], self.ours[e], self.kind[e]
         others = self.unheard() if others is None else max(0.0, others)
-        if self.set.answers_report:
+        if self.set.answers_report and not self.peers:
             others *= (PRIOR + ours) / (PRIOR + self.ours_sum[kind] / max(1, self.members[kind]))
         return others + ours
 
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -112,6 +112,27 @@
     assert node.others[0] == 4.0 and node.count(0) == 5.0
 
 
+def test_wide_work_counts_by_the_slots_that_are_not_free(make):
+    # Seen at quito-render: a node that read work units held as slots sent to executors without a free one.
+    node = make(0.0)
+    node.take_report(0, Report(held=2.0, free_slots=0.0), node.port.now())
+    assert node.count(0) == 4.0
+    node.mean_slots = 1.5
+    node.take_report(0, Report(held=6.0, free_slots=0.0), node.port.now())
+    assert node.count(0) == 9.0
+
+
+@pytest.mark.parametrize(("counts", "home"), [((4.0, 4.0, 0.0, 4.0), 2), ((4.0, 4.0, 4.0, 4.0), -1)])
+def test_room_elsewhere_goes_before_a_wait_where_the_thing_is_kept(make, unit, counts, home):
+    node = make(*counts, fetch_price=0.03)
+    wu = unit(node)
+    wu.work = replace(wu.work, key="k")
+    node.ring = {-1: [(0, 1), (1 << 32, 1)]}
+    node.others[1] = 90.0
+    wu.taken += 9999.0  # so there is time to wait
+    assert wu.patient() and wu.first()[1] == home
+
+
 def test_full_marks_an_executor_until_its_next_report(make, unit):
     node = make(0.0)
     wu = unit(node, allocs=((0, None),))
