--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -125,12 +125,12 @@
         """Return whether an executor has the slots that it takes free, as far as is known."""
         return self.node.count(e) + self.work.slots <= self.node.slots(e) and not self.node.full[e]
 
-    def slack(self, pace: float) -> float:
+    def slack(self, pace: float, short: float = SHORT) -> float:
         """Return how long the work unit may still wait at an executor of some pace and be in time."""
         run = self.work.hint_ms or self.node.run[self.work.type]
-        spare = self.type.promised_ms + max(0.0, self.type.stretch - pace) * SHORT * run
+        spare = self.type.promised_ms + max(0.0, self.type.stretch - pace) * short * run
         # Guards clients that give up early: a mean run that does not fit says little of runs that vary.
-        spare = min(spare, self.work.expires_ms - self.taken - SHORT * run * pace)
+        spare = min(spare, self.work.expires_ms - self.taken - short * run * pace)
         return self.taken + spare - self.node.port.now()
 
     def may_defer(self) -> bool:
@@ -695,7 +695,7 @@
         wu = self.handle(self, work)
         self.port.after(work.expires_ms - self.port.now() - self.margin, wu.answer)
         self.line_up(wu)
-        left = wu.slack(min(self.kind_pace))
+        left = wu.slack(min(self.kind_pace), 1.0 if work.hint_ms else SHORT)
         if wu.turn:
             wu.place()
         elif wu.line.ahead_ms - wu.lined_ms < left:
