Where draining alone binds, one off the list stays in use until we see it fail

Change: one listed as gone, or left out, without having drained stays in use; once it rests for what we saw ourselves, list and evidence together are believed until it is listed again. Price: at most one home's wait for a probe a node and executor. Hurts where the list is right and quick.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -352,6 +352,7 @@
         self.awake = False
         self.looking: Handle | None = None  # of those in line, whose home is being asked
         self.turns: dict[str, Line] = {}  # by key
+        self.unlisted: dict[int, None] = {}  # used though the list calls them gone
         self.sweep()
 
     def configure(self, settings: Settings) -> None:
@@ -386,12 +387,15 @@
         if listing is not Listing.CACHED:
             self.subscribed, self.backoff = True, 0.0
         if listing is not Listing.DELTA:
-            self.leave(set(range(len(self.state))) - {m.executor for m in members})
+            gone = set(range(len(self.state))) - {m.executor for m in members}
+            self.leave({e for e in gone if not self.doubts_leave(e)})
+        members = [m for m in members if m.state is not State.GONE or not self.doubts_leave(m.executor)]
         now = self.port.now()
         if self.set.live_weights and listing is Listing.DELTA:
             self.period_ms += (min(now - self.listed_ms, 2.0 * self.period_ms) - self.period_ms) / 5.0
             self.listed_ms = now
         for m in members:
+            self.unlisted.pop(m.executor, None)
             self.enter(m)
             born = self.port.now() if doubt > SURE else m.born_ms  # guards what may have started meanwhile
             if born is not None and born != self.born[m.executor]:
@@ -413,6 +417,16 @@
                 self.rescue(e)
         self.pump()
 
+    def doubts_leave(self, e: int) -> bool:
+        """Return whether one that the list calls gone, or leaves out, is still used.
+
+        Where draining alone binds the list is no proof of what is up: it stays until it rests for what we saw.
+        """
+        used = e < len(self.state) and self.state[e] is State.READY and self.out_until[e] is None
+        if used and self.set.drain_binds_alone:
+            self.unlisted[e] = None
+        return used and self.set.drain_binds_alone
+
     def reborn(self, e: int, born: float) -> None:
         """Start afresh with an executor whose process has: it is cold and its old counts are void."""
         now = self.port.now()
@@ -632,6 +646,9 @@
             held = len(self.own[e])
             self.port.log(f"executor {e} rests {self.rest[e]:.0f} ms: {why}, holds {held} of ours")
             self.tally(e, -1)
+            if e in self.unlisted:
+                del self.unlisted[e]
+                self.state[e] = State.GONE
             self.out_until[e] = now + self.rest[e]
             self.wake(e)
             self.rest[e] = min(2.0 * self.rest[e], 8.0 * self.rest_ms)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -54,6 +54,15 @@
     assert not (settings.may_cancel or settings.may_probe or settings.second_copies or settings.max_advice_ms)
 
 
+def test_order_and_drains_are_read_and_off_without_them():
+    row = {"name": "x", "oneAtATime": True}
+    rules = {"turnGapUs": 50000, "drainBindsAlone": True}
+    now = deployment_from({"requestClasses": [row], "guarantees": rules}).settings
+    assert (now.types[0].in_turn, now.turn_gap_ms, now.drain_binds_alone) == (True, 50.0, True)
+    now = deployment_from({"requestClasses": [{"name": "x"}]}).settings
+    assert (now.types[0].in_turn, now.turn_gap_ms, now.drain_binds_alone) == (False, 0.0, False)
+
+
 def test_a_reports_extra_figure_has_the_meaning_that_the_settings_give(deployment):
     assert (deployment.report_names["x0"], "x1" in deployment.report_names) == ("free_slots", False)
 
@@ -174,6 +183,9 @@
         ("loadReport.how", "often", "settings.loadReport.how"),
         ("loadReport.how", "answers", "settings.loadReport.fields"),
         ("loadReport.fields", [3], "settings.loadReport.fields"),
+        ("requestClasses.1.oneAtATime", 1, "settings.requestClasses[1].oneAtATime"),
+        ("guarantees.turnGapUs", -5, "settings.guarantees.turnGapUs"),
+        ("guarantees.drainBindsAlone", "no", "settings.guarantees.drainBindsAlone"),
     ],
 )
 def test_a_faulty_setting_of_another_shape_ends_with_one_line(write, key, value, named):
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -231,6 +231,27 @@
     assert node.state[0] is State.GONE
 
 
+@pytest.mark.parametrize("left_out", [False, True])
+@pytest.mark.parametrize(("before", "used"), [("", True), ("drained", False), ("rests", False)])
+def test_where_draining_alone_binds_the_list_is_no_proof(make, left_out, before, used):
+    node = make(0.0, 0.0, drain_binds_alone=True)
+    rows = [Member(0, State.GONE, 0, 0, 0, None), Member(1, State.READY, 0, 0, 0, None)]
+    if before == "drained":
+        node.roster(Listing.DELTA, [Member(0, State.DRAINING, 0, 0, 0, None)])
+    elif before == "rests":
+        node.suspend(0, "test", True)
+    for _ in range(2):
+        node.roster(Listing.FULL if left_out else Listing.DELTA, rows[1:] if left_out else rows)
+    node.port.clock += node.rest_ms
+    assert (0 in ready(node)) is used
+    if used:  # what we see and what the list says together are believed, until it is listed again
+        node.suspend(0, "test", True)
+        node.port.clock = node.out_until[0]
+        assert ready(node) == [1] and node.state[0] is State.GONE
+        node.roster(Listing.DELTA, [Member(0, State.READY, 0, 0, 0, None)])
+        assert 0 in ready(node)
+
+
 def test_failed_subscription_is_tried_again_later(make):
     node = make(0.0)
     node.roster(Listing.FAILED, [])
