--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -420,7 +420,7 @@
     def doubts_leave(self, e: int) -> bool:
         """Return whether one that the list calls gone, or leaves out, is still used.
 
-        Where draining alone binds the list is no proof of what is up: it stays until it rests for what we saw.
+        Where draining alone binds the list is no proof of what is up: it stays until we see it fail.
         """
         used = e < len(self.state) and self.state[e] is State.READY and self.out_until[e] is None
         if used and self.set.drain_binds_alone:
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -7,7 +7,7 @@
 import h11
 
 from marlseam.config import Deployment
-from marlseam.core import Event, Probed, Progress, Settled, Started
+from marlseam.core import FORGET, Event, Probed, Progress, Settled, Started
 from marlseam.counters import Counters
 from marlseam.interface import Outcome, Report
 from marlseam.net import protocol
@@ -52,6 +52,7 @@
     name: str
     address: tuple[str, int] | None = None
     listed: bool = True
+    left_ms: float | None = None  # since when it is off the list
     count: int = 0
     idle: list[tuple[Connection, Task]] = field(default_factory=list)
 
@@ -95,8 +96,14 @@
             peer = self.peers.setdefault(name, Peer(name))
             if peer.address not in (None, address):
                 self.empty(peer)
-            peer.address, peer.listed = address, True
+            peer.address, peer.listed, peer.left_ms = address, True, None
+        settings, now = self.deployment.settings, self.loop.now()
+        kept_ms = FORGET * settings.must_ask_ms if settings.drain_binds_alone else 0.0
         for peer in [peer for peer in self.peers.values() if peer.name not in names]:
+            # Where draining alone binds it may still be sent to, for as long as the reducer knows it.
+            peer.left_ms = now if peer.left_ms is None else peer.left_ms
+            if now - peer.left_ms < kept_ms:
+                continue
             peer.listed = False
             self.empty(peer)
             self.forget(peer)
--- a/marlseam/net/handover.py
+++ b/marlseam/net/handover.py
@@ -87,7 +87,13 @@
 
     def call(self, path: Path) -> None:
         """Call another process; a name that refuses is that of one that was killed."""
-        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        except OSError as error:
+            # Guards a start where such sockets are refused: what the other knows stays unknown.
+            self.careful = True
+            self.say("unheard", f"{path.name}: {error}")
+            return
         sock.setblocking(False)
         try:
             sock.connect(str(path))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,6 +1,7 @@
 """Sockets: buffer, loop, log, connections, the pool and its allocations, clients, discovery, the end."""
 
 import copy
+import errno
 import json
 import resource
 import signal
@@ -212,6 +213,43 @@
 # Allocations.
 
 
+@pytest.mark.parametrize(("alone", "kept"), [(False, False), (True, True)])
+def test_where_draining_alone_binds_one_off_the_list_keeps_its_address(
+    executors, deployment, monkeypatch, alone, kept
+):
+    parts = executors(ANSWER)
+    settings = replace(deployment.settings, drain_binds_alone=alone)
+    parts.configure(replace(deployment, settings=settings), 64)
+    parts.listed(set(), {})
+    assert ("e1" in parts.peers) is kept
+    monkeypatch.setattr(executors_module, "FORGET", 0.0)  # its time is over
+    parts.listed(set(), {})
+    assert "e1" not in parts.peers
+
+
+def test_where_ipv6_is_refused_an_executor_there_costs_its_own_work_alone(
+    executors, loop, until, monkeypatch, capsys
+):
+    real = socket.socket
+
+    def refusing(family=socket.AF_INET, *rest, **named):
+        if family is socket.AF_INET6:
+            raise OSError(errno.EAFNOSUPPORT, "Address family not supported by protocol")
+        return real(family, *rest, **named)
+
+    monkeypatch.setattr("marlseam.net.connection.socket.socket", refusing)
+    caught = []
+
+    def call():
+        try:
+            yield from connect(loop, Log("test", loop.now), ("::1", 9), "executor e6", loop.now() + 1000.0)
+        except Ended as ended:
+            caught.append(ended.reason)
+
+    loop.spawn(call())
+    assert caught == [Reason.NO_SOCKETS] and "code=no-sockets" in capsys.readouterr().err
+
+
 def test_an_answer_completes(executors):
     parts = executors(ANSWER)
     assert sent(parts) == [Outcome.COMPLETED] and parts.events[0] == core.Started("1", 0)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -313,6 +313,23 @@
     assert err.count("code=full") == 1 and err.count("state is kept") == 2
 
 
+@pytest.mark.parametrize("number", [errno.ENOSYS, errno.EINVAL])
+def test_where_no_process_may_be_started_work_goes_on_without(
+    keeper, loop, until, capsys, monkeypatch, number
+):
+    def refused(*words, **named):
+        raise OSError(number, "refused")
+
+    monkeypatch.setattr("marlseam.store.keeper.subprocess.Popen", refused)
+    monkeypatch.setattr("marlseam.store.keeper.BACK_MS", 10.0)
+    part = keeper()
+    part.load()
+    part.begin()
+    until(lambda: part.back_ms > 40.0)  # it was tried more than once
+    assert part.append(sent("a")) == 0
+    assert capsys.readouterr().err.count("code=unsupported") == 1
+
+
 def test_a_slow_disk_holds_nothing_longer_than_its_patience(keeper, loop, until, capsys):
     part = keeper(wait_ms=1.0)
     part.load()
