--- a/marlseam/experiment/report.py
+++ b/marlseam/experiment/report.py
@@ -223,7 +223,7 @@
         for rule in summary["rules"]:
             kept = "kept" if not rule["broken"] else "broken"
             rows.append([rule["name"], f"{rule['margin']:.3f}", rule["means"], str(rule["broken"]), kept])
-        parts.append("<h2>The four rules</h2>" + table(rows, marks=True))
+        parts.append("<h2>The rules</h2>" + table(rows, marks=True))
         for rule in summary["rules"]:
             for example in rule["examples"]:
                 parts.append(f"<p>{escape(example['who'])}: {escape(example['what'])}</p>")
--- a/marlseam/experiment/virtual.py
+++ b/marlseam/experiment/virtual.py
@@ -267,7 +267,7 @@
         if not (out.open and seat.up and seat.life == out.life):
             return
         expires = out.client.expires + self.lines.figures.client_ms
-        work = WorkUnit(out.id, arrival.type, expires, arrival.slots)
+        work = WorkUnit(out.id, arrival.type, expires, arrival.slots, key=arrival.key)
         self.post(seat, core.Arrival(work))
 
     def reply(self, seat: Seat, effect: core.Complete | core.Defer | core.Abort) -> None:
@@ -335,6 +335,10 @@
         """Return whether a node and an executor hear each other."""
         return self.lines.passes(seat.zone, host.executor.name, host.zone)
 
+    def hears(self, seat: Seat, host: Host) -> bool:
+        """Return whether one message comes through between a node and an executor."""
+        return self.reaches(seat, host) and not self.lines.loses(seat.zone, host.zone)
+
     def write(self, flight: Flight) -> None:
         """A new connection is up and the job written to it."""
         flight.written = flight.open
@@ -342,7 +346,7 @@
     def deliver(self, flight: Flight) -> None:
         """An allocation's last byte comes to its executor."""
         host, seat = flight.host, flight.node
-        if not flight.written or not flight.open or not self.reaches(seat, host):
+        if not flight.written or not flight.open or not self.hears(seat, host):
             return  # given up on its way, or lost there
         if not host.executor.up:
             outcome = Outcome.DROPPED if flight.kept else Outcome.BROKEN
@@ -392,8 +396,10 @@
                 seat.idle[name] = seat.idle.get(name, 0) + 1
             elif outcome is not Outcome.UNREACHABLE:
                 flight.host.connections -= 1
-        done = outcome is Outcome.COMPLETED
-        self.post_in(seat, flight.life, core.Settled(flight.ref, flight.alloc, outcome, done, None))
+        done, report = outcome is Outcome.COMPLETED, None
+        if self.day.reports.answers and outcome in (Outcome.COMPLETED, Outcome.ERROR, Outcome.FULL):
+            report = flight.host.executor.report(self.now)
+        self.post_in(seat, flight.life, core.Settled(flight.ref, flight.alloc, outcome, done, report))
 
     def give_up(self, flight: Flight) -> None:
         """A node closes an allocation's connection; its executor hears of it if it can."""
@@ -450,7 +456,7 @@
         elif h.what != "progress":
             writer.add(records.Ended(t=h.t, by=name, id=ref, how=h.what, work=h.value))
         flight = host.flights.get(h.id)
-        if flight is None or not self.reaches(flight.node, host):
+        if flight is None or not self.hears(flight.node, host):
             return
         way = self.now + self.lines.delay(flight.node.zone, host.zone)
         if h.what in ENDS:
@@ -503,7 +509,7 @@
         way, back = self.lines.delay(seat.zone, host.zone), self.lines.delay(seat.zone, host.zone)
 
         def asked() -> None:
-            if not self.reaches(seat, host):
+            if not self.hears(seat, host) or self.now + back > sent + self.probe_ms:
                 self.at(sent + self.probe_ms, told, Outcome.TIMED_OUT, None)
             elif not host.executor.up:
                 self.at(self.now + back, told, Outcome.UNREACHABLE, None)
@@ -581,7 +587,7 @@
                 )
             )
         hosts = [self.hosts[name] for name in met.targets if name in self.hosts]
-        if what in ("slow", "errors", "tail", "neighbour", "late_reports"):
+        if what in ("slow", "errors", "tail", "neighbour", "late_reports", "false_reports"):
             for host in hosts:
                 self.look(host)
                 host.executor.ills = troubles.ills(self.schedule, host.executor.name, self.now)
@@ -593,6 +599,8 @@
         elif what == "zone_cut":
             self.lines.block(self.lines.cut_zones, met.targets[0], on)
             self.network.add(records.Cut(t=self.now, by="network", a=met.targets[0], b="*", mended=not on))
+        elif what == "slow_link":
+            self.lines.slow_way(met.targets[0], size, met.trouble.part, on)
         elif what == "roster_outage" and on:
             self.roster.outages.append((met.at, met.until))
             for seat in self.seats.values():
--- a/marlseam/judge/__init__.py
+++ b/marlseam/judge/__init__.py
@@ -1,1 +1,1 @@
-"""The four rules and the service figures, from records alone: no code of a node is looked at or needed."""
+"""The rules and the service figures, from records alone: no code of a node is looked at or needed."""
--- a/marlseam/load/generator.py
+++ b/marlseam/load/generator.py
@@ -33,7 +33,7 @@
 LOOK_AGAIN_MS = 250.0  # how often a node that is down is tried
 SLACK_MS = 50.0  # how long past its limit a client waits for an answer that is on its way
 REQUEST = (
-    b"POST /%b HTTP/1.1\r\nHost: %b\r\nX-Correlation-Id: %b\r\nX-Service-Class: %b\r\nX-Time-Left: %.3f\r\n"
+    b"POST /%b%b HTTP/1.1\r\nHost: %b\r\nX-Correlation-Id: %b\r\nX-Service-Class: %b\r\nX-Time-Left: %.3f\r\n"
     b"%bX-Facts: slots=%g,memory=%g\r\nContent-Length: %d\r\n\r\n%b"
 )
 
@@ -260,11 +260,12 @@
         receipt = f"Idempotency-Key: {arrival.receipt}\r\n" if arrival.receipt else ""
         if out.client.tries + arrival.number > 1:
             receipt += "X-Repeat: 1\r\n"
+        key = b"" if arrival.key is None else b"?user=" + arrival.key.encode()
         body = b'{"work":%.3f,"slots":%g,"memory":%g}' % (arrival.work, arrival.slots, arrival.memory)
         left = max(0.0, out.client.expires - now) / 1000.0
         host = "{}:{}".format(*self.addresses[line.node]).encode()
         line.rest = REQUEST % (
-            name, host, out.id.encode(), name, left, receipt.encode(), arrival.slots, arrival.memory,
+            name, key, host, out.id.encode(), name, left, receipt.encode(), arrival.slots, arrival.memory,
             len(body), body,
         )  # fmt: skip
         out.sent = now
--- a/marlseam/load/trace.py
+++ b/marlseam/load/trace.py
@@ -3,8 +3,8 @@
 What clients sent, one JSON object a line, replayed at the recorded times or written from records.
 
 The first line is a head, `{"trace": 1}`. Each other line is a try: `t` (ms), `id`, `type`, `zone`, `work`
-(standard work in ms), and where they matter `slots`, `memory`, `credit`, `receipt`; a retry has `first`, the
-id of its first try, and `number`, 1 for the first retry. A trace with retries inside is replayed as it is:
+(standard work in ms), and where they matter `slots`, `memory`, `credit`, `receipt`, `key`; a retry has
+`first`, the id of its first try, and `number`, 1 for the first retry. A trace with retries inside is replayed as it is:
 its tries are joined by `first`, and nothing is retried on top.
 """
 
@@ -44,6 +44,7 @@
     memory: NotNegative = 0.0
     credit: float | UnsetType = UNSET
     receipt: str | None = None
+    key: str | None = None
     first: str = ""
     number: int = 0
 
@@ -108,7 +109,7 @@
             at=(row.t - begin) * load.time_scale, id=row.id, type=numbers[row.type], zone=row.zone,
             work=row.work, slots=row.slots, memory=row.memory,
             credit=day.types[numbers[row.type]].credit if row.credit is UNSET else row.credit,
-            receipt=row.receipt, honours=True, leaves=False,
+            receipt=row.receipt, key=row.key, honours=True, leaves=False,
             first=(row.first or row.id) if inside else "", number=row.number,
         )
         for row in kept
@@ -139,7 +140,7 @@
         arrival = by_id[r.first]
         row = Row(
             t=round(r.t if r.number else r.intended, 3), id=r.id, type=r.type, zone=r.zone, work=arrival.work,
-            slots=arrival.slots, memory=arrival.memory, credit=r.credit, receipt=r.receipt,
+            slots=arrival.slots, memory=arrival.memory, credit=r.credit, receipt=r.receipt, key=r.key,
             first=r.first if r.number else "", number=r.number,
         )  # fmt: skip
         yield msgspec.json.encode(row) + b"\n"
--- a/marlseam/records.py
+++ b/marlseam/records.py
@@ -61,6 +61,7 @@
     credit: float
     late_credit: float  # share of it for an answer past the promise
     receipt: str | None = None
+    key: str | None = None
 
 
 class Answered(Record, tag="answered"):
--- a/marlseam/standin/network.py
+++ b/marlseam/standin/network.py
@@ -40,6 +40,7 @@
 
     def carry(self, loop: Loop, source: socket.socket, target: socket.socket) -> Coroutine:
         """Pass bytes one way until the source ends."""
+        lost = False
         try:
             while True:
                 yield (source.fileno(), READ, inf)
@@ -48,6 +49,10 @@
                 except BlockingIOError:
                     continue
                 yield from self.door.held()
+                if self.door.loses():
+                    lost = True  # as is all that follows: what comes after a hole is nobody's message
+                if lost and data:
+                    continue
                 delay = self.door.delay()
                 if delay > 0.0:
                     yield from sleep(loop.now() + delay)
@@ -108,6 +113,10 @@
         """Return how long bytes take, in ms; within a zone the loopback's own time stands for it."""
         return self.lines.delay(self.zone, self.place) if self.zone != self.place else 0.0
 
+    def loses(self) -> bool:
+        """Return whether what comes now is lost."""
+        return self.lines.loses(self.zone, self.place)
+
     def held(self) -> Coroutine:
         """Wait until bytes pass."""
         while not self.passes():
@@ -169,7 +178,13 @@
                 if (passage.zone == met.targets[0]) != (passage.place == met.targets[0]):
                     passage.mend()
 
+    def slow(met: troubles.Met, on: bool) -> None:
+        lines.slow_way(met.targets[0], met.trouble.size, met.trouble.part, on)
+
     for met in troubles.schedule(day, seed):
+        if met.trouble.what == "slow_link":
+            stand.at(met.at, lambda met=met: slow(met, True))
+            stand.at(met.until, lambda met=met: slow(met, False))
         if met.trouble.what == "zone_cut":
             stand.at(met.at, lambda met=met: cut(met, True))
             stand.at(met.until, lambda met=met: cut(met, False))
--- a/marlseam/store/folder.py
+++ b/marlseam/store/folder.py
@@ -26,7 +26,8 @@
 CODES = {
     errno.ENOSPC: "full", errno.EDQUOT: "full", errno.EROFS: "read-only", errno.EACCES: "read-only",
     errno.EPERM: "read-only", errno.ENOENT: "vanished", errno.EIO: "broken", errno.ESTALE: "vanished",
-    errno.ENOTDIR: "vanished", errno.EAGAIN: "locked", errno.ENOSYS: "unsupported", errno.EINVAL: "unsupported",
+    errno.ENOTDIR: "vanished", errno.EAGAIN: "locked", errno.ENOSYS: "unsupported",
+    errno.EINVAL: "unsupported",
 }  # fmt: skip
 
 
--- a/marlseam/world/executor.py
+++ b/marlseam/world/executor.py
@@ -85,6 +85,7 @@
     tail: float = 0.0  # share of jobs that cost much more
     tail_size: float = 1.0
     late_ms: float = 0.0  # added to how late reports are
+    told: float = 1.0  # share of its load that it reports
 
 
 @dataclass
@@ -316,8 +317,9 @@
 
     def sample(self) -> Report:
         """Return the load as it is."""
-        queued = float(len(self.state.queue)) if self.tells_queue else None
-        return Report(queued=queued, free_slots=self.free_slots)
+        told, slots = self.ills.told, self.kind.slots
+        queued = told * len(self.state.queue) if self.tells_queue else None
+        return Report(queued=queued, free_slots=slots - told * (slots - self.free_slots))
 
     def report(self, now: float) -> Report:
         """Return the load report that is to be had at a time: refreshed now and then, and late."""
--- a/marlseam/world/fleet.py
+++ b/marlseam/world/fleet.py
@@ -58,5 +58,8 @@
         "grace_ms": day.rules.grace_ms,
         "second_copies": day.rules.second_copies,
         "effects": {type.name: (type.effect, type.group) for type in day.types},
+        "in_turn": [type.name for type in day.types if type.in_turn],
+        "turn_gap_ms": day.rules.turn_gap_ms,
+        "drain_binds_alone": day.rules.drain_binds_alone,
         "zones": {name: zone for name, _, _, zone, _ in executors(day)},
     }
--- a/marlseam/world/model.py
+++ b/marlseam/world/model.py
@@ -18,6 +18,7 @@
 TROUBLES = (
     "silent", "slow", "errors", "tail", "zone_cut", "shrink", "grow", "crash", "late_reports",
     "roster_outage", "neighbour", "node_kill", "node_roll", "node_reload", "reset", "surge",
+    "false_reports", "flapping", "slow_link",
 )  # fmt: skip
 
 
@@ -56,6 +57,11 @@
     memory_ms: Positive = 30000.0
     slots: tuple[Positive, ...] = (1.0,)  # shares of work units that take 1, 2, ... slots
     memory: NotNegative = 0.0
+    keys: Annotated[int, Meta(ge=0)] = (
+        0  # things that its work units need, the same for all types; 0 for none
+    )
+    key_skew: NotNegative = 1.1  # exponent of a thing's rank in how often it is asked for
+    in_turn: bool = False  # work of one key runs one at a time, in the order taken
 
 
 class Fleet(Strict):
@@ -115,6 +121,7 @@
     late_ms: NotNegative = 10.0
     probe_ms: NotNegative = 0.6
     queue: bool = True  # whether a report tells the queue, beside free slots
+    answers: bool = False  # whether answers bring reports too, and probes the last one again
 
 
 class Roster(Strict):
@@ -140,6 +147,8 @@
     max_advice_ms: NotNegative = 2000.0
     cross_price: NotNegative = 0.03
     tick_ms: Positive = 4.0
+    turn_gap_ms: NotNegative = 0.0  # how long a key rests after an allocation that may still be running
+    drain_binds_alone: bool = False
 
 
 class Trouble(Strict):
@@ -152,6 +161,9 @@
     size: NotNegative = 4.0
     type: str = ""  # for errors: the one project type that fails, all where empty
     targets: tuple[str, ...] = ()  # whom it meets, by name; drawn from the seed where none are named
+    part: Share = 0.4  # share of a turn that is bad, of load that is told, or of messages lost
+    how: Literal["silent", "crash"] = "silent"  # what a turn of flapping is
+    by: Literal["any", "zone"] = "any"  # whether those met are of one zone
 
 
 class Drawn(Strict):
@@ -217,6 +229,7 @@
                 "semantics": words[type.effect],
                 "dedupScope": type.group,
                 "memorySpanUs": type.memory_ms * 1000.0,
+                "oneAtATime": type.in_turn,
             }
             for type in day.types
         ],
@@ -233,7 +246,9 @@
             "mustAskInUs": rules.must_ask_ms * 1000.0, "warmWithinUs": warm * 1e6,
             "startCapacity": min(kind.cold_share for kind in day.fleet.kinds),
             "fallMultiple": rules.fall_multiple, "tipAfterUs": rules.fall_ms * 1000.0,
+            "turnGapUs": rules.turn_gap_ms * 1000.0, "drainBindsAlone": rules.drain_binds_alone,
         },
+        "loadReport": {"how": "answers" if day.reports.answers else "probe", "fields": ["backlog", "x0"]},
         "penalties": {"crossZone": rules.cross_price},
     }  # fmt: skip
 
--- a/marlseam/world/plan.py
+++ b/marlseam/world/plan.py
@@ -30,6 +30,7 @@
     leaves: bool
     first: str = ""  # in a trace with retries inside: the id of the first try, else empty
     number: int = 0
+    key: str | None = None  # the thing that it needs
 
 
 def times(
@@ -84,6 +85,16 @@
             np.searchsorted(steps, stream(seed, "slots", type.name).random(int(mine.sum())), side="right"),
             len(steps) - 1,
         )
+    keys: list[str | None] = [None] * n
+    for t, type in enumerate(day.types):
+        if type.keys:
+            ranks, mine = (
+                np.arange(1.0, type.keys + 1.0) ** -type.key_skew,
+                np.flatnonzero(types == t).tolist(),
+            )
+            drawn = stream(seed, "keys", type.name).choice(type.keys, len(mine), p=ranks / ranks.sum())
+            for i, key in zip(mine, drawn.tolist(), strict=True):
+                keys[i] = f"k{key}"
     honours, leaves = chance.random(n) < day.clients.honour, chance.random(n) < day.clients.leave
     found = []
     for i in range(n):
@@ -94,7 +105,7 @@
                 at=float(at[i]), id=id, type=int(types[i]), zone=zones[of_zone[i]], work=float(work[i]),
                 slots=float(slots[i]), memory=type.memory, credit=type.credit,
                 receipt=f"r{id}" if type.effect == "receipted" else None,
-                honours=bool(honours[i]), leaves=bool(leaves[i]),
+                honours=bool(honours[i]), leaves=bool(leaves[i]), key=keys[i],
             )
         )  # fmt: skip
     return found
--- a/marlseam/world/troubles.py
+++ b/marlseam/world/troubles.py
@@ -7,6 +7,9 @@
 from math import inf
 from typing import NamedTuple
 
+import msgspec
+import numpy as np
+
 from marlseam.interface import State
 from marlseam.world.chance import stream
 from marlseam.world.executor import Ills
@@ -46,19 +49,38 @@
         chance = stream(seed, "targets", i)
         if trouble.targets:
             targets = list(trouble.targets)
-        elif trouble.what == "zone_cut":
+        elif trouble.what in ("zone_cut", "slow_link"):
             targets = [day.fleet.zones[int(chance.integers(len(day.fleet.zones)))]]
         elif trouble.what in ("roster_outage", "surge"):
             targets = []
         else:
             pool = [name for name, _ in nodes(day)] if trouble.what in ON_NODES else names
             count = max(1, round(trouble.share * len(pool)))
+            if trouble.by == "zone":
+                zone = day.fleet.zones[int(chance.integers(len(day.fleet.zones)))]
+                pool = [name for name, _, _, place, _ in executors(day) if place == zone]
+                count = min(count, len(pool))
             targets = [pool[i] for i in sorted(chance.choice(len(pool), count, replace=False).tolist())]
         at = trouble.at_s * 1000.0
         found.append(Met(trouble, at, at + trouble.for_s * 1000.0, targets))
+        if trouble.what == "flapping":
+            found += turns(found[-1], chance)
     return sorted(found, key=lambda met: met.at)
 
 
+def turns(met: Met, chance: np.random.Generator) -> list[Met]:
+    """Return the turns in which a trouble fails its targets, each at times of its own."""
+    found, turn = [], 1000.0 * met.trouble.size
+    bad = msgspec.structs.replace(met.trouble, what=met.trouble.how)
+    for name in met.targets:
+        t = met.at + turn * chance.random()
+        while t < met.until:
+            end = min(met.until, t + turn * met.trouble.part * (0.5 + chance.random()))
+            found.append(Met(bad, t, end, [name]))
+            t = end + turn * (1.0 - met.trouble.part) * (0.5 + chance.random())
+    return found
+
+
 def surges(met: list[Met]) -> list[tuple[float, float, float]]:
     """Return the schedule's surges as `plan.times` takes them."""
     return [(m.at, m.until, m.trouble.size) for m in met if m.trouble.what == "surge"]
@@ -76,6 +98,9 @@
             found.errors, found.error_type = min(1.0, found.errors + trouble.size), trouble.type
         elif trouble.what == "tail":
             found.tail, found.tail_size = 0.05, max(found.tail_size, trouble.size)
+        elif trouble.what == "false_reports":
+            found.slow *= max(1.0, trouble.size)
+            found.told = min(found.told, trouble.part)
         elif trouble.what == "late_reports":
             found.late_ms += 1000.0 * trouble.size
     return found
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -5,7 +5,7 @@
 
 import msgspec
 import pytest
-from worlds import day, played
+from worlds import TYPES, day, played
 
 from marlseam import records
 from marlseam.core import Core
@@ -14,7 +14,7 @@
 from marlseam.judge.rules import judge
 from marlseam.judge.service import figures
 from marlseam.logic import Handle, Node
-from marlseam.records import Answered, Asked, Begin, End, Tried
+from marlseam.records import Answered, Asked, Begin, End, Ended, Took, Tried, Withdrawn
 
 
 def dispatcher(handle, **node):
@@ -73,6 +73,12 @@
             self.done = True
 
 
+class Jumps(Handle):
+    """Waits for no turn."""
+
+    turn = property(lambda self: True, lambda self, value: None)
+
+
 def always(self, *_):
     return True
 
@@ -88,12 +94,14 @@
 
 
 CRASH = {"what": "crash", "at_s": 3, "for_s": 2, "share": 0.4}
+TURNED = [row | {"keys": 3, "in_turn": True} for row in TYPES]
 DRAIN = {"what": "shrink", "at_s": 2, "for_s": 8, "share": 0.4}
 WRONG = {
     "mute": ("one answer", dispatcher(Mute), {"rate": 60.0}),
     "late": ("one answer", dispatcher(Late), {}),
     "twice": ("no effect twice", dispatcher(Twice), {}),
     "copies": ("no effect twice", dispatcher(Copies), {}),
+    "jumps": ("in turn", dispatcher(Jumps), {"types": TURNED, "rules": {"turn_gap_ms": 50.0}}),
     "deaf": ("drains kept", dispatcher(Handle, roster=deaf), {"troubles": [DRAIN]}),
     "rash": ("cold spared", dispatcher(Handle, warm=always, cost=lambda self, work: 0.0, in_time=always), {
         "troubles": [CRASH], "rate": 40.0, "rules": {"fall_multiple": 0.7, "fall_ms": 2000.0},
@@ -121,6 +129,7 @@
     for system in ("clients", "executors", "roster", "driver"):
         mine = [r for r in rows if r.by == system]
         rules = {"slack_ms": 10.0, "grace_ms": 100.0, "effects": {"t": ("exclusive", "cell")}}
+        rules |= {"in_turn": ["u"], "turn_gap_ms": 50.0}
         stream = [Begin(t=0.0, by=system, system=system, rules=rules if system == "driver" else {}), *mine]
         stream.append(End(t=99.0, by=system))
         for n, record in enumerate(stream, 1):
@@ -219,6 +228,32 @@
         assert bool(found["drains kept"].broken) == broken
 
 
+LINE = {"node": "n0", "type": "u", "key": "k"}
+END = {"by": "executors", "id": "a"}
+
+
+@pytest.mark.parametrize(
+    ("end", "over", "took", "broken"),
+    [
+        (Ended(t=300.0, how="done", **END), 300.0, 310.0, False),
+        (Ended(t=300.0, how="done", **END), 300.0, 250.0, True),  # it was still out
+        (Ended(t=300.0, how="done", **END), 900.0, 500.0, True),  # it had no answer
+        (Withdrawn(t=300.0, **END), 300.0, 330.0, True),  # the rest was cut short
+        (Withdrawn(t=300.0, **END), 300.0, 345.0, False),
+        (Ended(t=300.0, how="lost", **END), 300.0, 330.0, True),
+        (None, 300.0, 800.0, True),  # nothing ever told of its end
+    ],
+)
+def test_a_send_out_of_turn_breaks_the_rule_on_order(end, over, took, broken):
+    rows = [
+        tried(**LINE), tried("b", "b", t=100.0, **LINE), Took(t=50.0, by="executors", id="a"), answered(over),
+        Took(t=took, by="executors", id="b"), Ended(t=took + 5.0, by="executors", id="b", how="done"),
+        answered(took + 5.0, id="b"),
+    ]  # fmt: skip
+    found = rules(*rows, *([end] if end else []))[0]
+    assert bool(found["in turn"].broken) is broken
+
+
 def test_service_counts_retries_with_their_first_try_from_the_intended_send():
     rows = run(
         tried(intended=0.0, t=30.0), answered(40.0, "deferred"), tried("a.1", "a", 1, 60.0),
