--- a/marlseam/load/trace.py
+++ b/marlseam/load/trace.py
@@ -4,8 +4,8 @@
 
 The first line is a head, `{"trace": 1}`. Each other line is a try: `t` (ms), `id`, `type`, `zone`, `work`
 (standard work in ms), and where they matter `slots`, `memory`, `credit`, `receipt`, `key`; a retry has
-`first`, the id of its first try, and `number`, 1 for the first retry. A trace with retries inside is replayed as it is:
-its tries are joined by `first`, and nothing is retried on top.
+`first`, the id of its first try, and `number`, 1 for the first retry. A trace with retries inside is replayed
+as it is: its tries are joined by `first`, and nothing is retried on top.
 """
 
 from collections.abc import Iterable, Iterator
