What others have follows our own work at once, not with the next lists

Planned waits were 5 ms in the first 2.5 s and 92 ms after, true ones 49 to 601 and 313 to 715: the kind's level was 0 until lists had come, then 8 where arrivals times stay (21.6 a second times 0.54 s) give 11.6, as weigh halved the distance at each list. 238 rests for standing work went by reports of over a second before (standing). Change: our own part of the level is reckoned when it is asked for (Figures.lift); an old report shows no standing work.

--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -77,7 +77,6 @@
         self.paced: list[float] = []  # runs that this rests on
         self.top_weight: list[float] = []  # that of an executor that holds nothing
         self.listed: list[float] = []  # what the others have at one, as a mean of the latest list
-        self.level: list[float] = []  # what the others have at an executor, by our own part of all work
         # By project type: mean run, and how many were seen; run times slots over all types.
         self.run: list[float] = []
         self.seen: list[float] = []
@@ -99,7 +98,7 @@
         blanks = (
             (self.members, 0), (self.known, 0), (self.others_sum, 0.0), (self.ours_sum, 0.0),
             (self.most_free, 0.0), (self.kind_pace, 1.0), (self.paced, GUESS_WEIGHT),
-            (self.top_weight, 0.0), (self.level, 0.0), (self.listed, 0.0),
+            (self.top_weight, 0.0), (self.listed, 0.0),
         )  # fmt: skip
         for array, blank in blanks:
             array[-1:-1] = [blank] * (kinds + 1 - len(array))
@@ -167,7 +166,7 @@
             self.ours_sum[kind] += sign * self.ours[e]
             if others is not None:
                 self.known[kind] += sign
-                self.others_sum[kind] += sign * max(0.0, others)
+                self.others_sum[kind] += sign * (others if self.set.live_weights else max(0.0, others))
 
     def hear(self, e: int, others: float | None) -> None:
         """Note what the others have at an executor."""
@@ -243,7 +242,7 @@
         """Return how many slots an executor seems to have at least."""
         return max(1.0, self.most_free[self.kind[e]])
 
-    def weigh(self, weights: list[tuple[int, float]], taken_ms: float, peers: int) -> None:
+    def weigh(self, weights: list[tuple[int, float]], taken_ms: float) -> None:
         """Take weights that move with load, size over one plus the work units held a core, for reports.
 
         Each counts as a departure from its kind's level, since it says little of now. The level is mostly our
@@ -260,8 +259,6 @@
             found.setdefault(kind, []).append((e, held - mine))
         for kind, rows in found.items():
             self.listed[kind] = sum(others for _, others in rows) / len(rows)
-            own = self.ours_sum[kind] * peers / max(1, self.members[kind])
-            self.level[kind] += (own - self.level[kind]) / 2.0
             for e, others in rows:
                 self.depart(e, others)
 
@@ -304,8 +301,14 @@
     def depart(self, e: int, others: float) -> None:
         """Note what the others had at an executor some time ago, as a departure from its kind's level."""
         if not self.peers:
-            listed, level = self.listed[self.kind[e]], self.level[self.kind[e]]
-            self.hear(e, max(0.0, OWN * level + (1.0 - OWN) * listed + TRUST * (others - listed)))
+            listed = self.listed[self.kind[e]]
+            self.hear(e, (1.0 - OWN) * listed + TRUST * (others - listed))
+
+    def lift(self, kind: int) -> float:
+        """Return the part of what the others have at one of a kind that our own work says, as one of many."""
+        if not self.set.live_weights or self.peers or not self.members[kind]:
+            return 0.0
+        return OWN * self.ours_sum[kind] * (self.set.nodes - 1) / self.members[kind]
 
     def leans(self, types: tuple[ProjectType, ...]) -> list[float]:
         """Return for each kind how much of its part work that any kind may run should take of it.
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -405,7 +405,7 @@
             self.unsure[m.executor] = doubt
         if self.set.live_weights:
             weights = [(m.executor, m.weight) for m in members if m.weight and m.state is State.READY]
-            self.weigh(weights, now - LATE * self.period_ms, self.set.nodes - 1)
+            self.weigh(weights, now - LATE * self.period_ms)
         before = self.near, self.far
         self.near, self.far = self.by_zone(self.set.zone)
         if self.set.fetch_price and (self.near, self.far) != before:
@@ -461,7 +461,7 @@
         work stays where it is slow, stuck or more than is told. Guards against reports that are not true.
         """
         others, ours, kind = self.others[e], self.ours[e], self.kind[e]
-        others = self.unheard() if others is None else max(0.0, others)
+        others = max(0.0, (self.unheard() if others is None else others) + self.lift(kind))
         if self.set.answers_report and not self.peers:
             others *= (PRIOR + ours) / (PRIOR + self.ours_sum[kind] / max(1, self.members[kind]))
         return others + ours
@@ -478,7 +478,7 @@
         """Return the mean count of a kind's ready executors, rounded up."""
         members = self.members[kind]
         guess = (members - self.known[kind]) * self.unheard()
-        total = self.others_sum[kind] + self.ours_sum[kind] + guess
+        total = self.others_sum[kind] + self.ours_sum[kind] + guess + members * self.lift(kind)
         return ceil(total / members - 1e-6) if members else 0.0  # running sums drift in the last digits
 
     def wait(self, e: int, work: Work) -> float:
@@ -633,7 +633,8 @@
             late = 4.0 * self.queue_ms if a.planned_ms is None else a.planned_ms + self.queue_ms
             if a.started_ms is None and now - a.sent_ms > max(late, 4.0 * self.queue_ms):
                 self.waited(a, inf)
-            idle = self.set.tells_start and all_free and self.heard_ms[e] > a.sent_ms + self.fresh_ms
+            seen = self.heard_ms[e] - self.period_ms * self.set.answers_report
+            idle = self.set.tells_start and all_free and seen > a.sent_ms + self.fresh_ms
             unstarted = 2.0 * self.fresh_ms if idle else 0.0
             due = unstarted if a.started_ms is None else STANDS * self.set.progress_ms
             if 0.0 < due < quiet:
