--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -611,7 +611,7 @@
 
 
 def test_what_others_have_follows_our_own_work_at_once(make, unit):
-    # Incident ie3063f: 21 nodes at a day's start and in a burst knew of no load before the next lists told it.
+    # Incident ie3063f: at a start and in a burst 21 nodes knew of no load before lists told it.
     node = make(None, None, **LIVE)
     before = node.threshold(0), node.count(1)
     for e in (0, 0, 1, 1):
