--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -191,6 +191,22 @@
             end.close()
 
 
+@pytest.fixture
+def refuse(monkeypatch: pytest.MonkeyPatch) -> Callable[[int, int], None]:
+    """Return a function that has one family of sockets refused with an error number."""
+    real = socket.socket
+
+    def begin(refused: int, number: int) -> None:
+        def made(family: int = socket.AF_INET, *rest: object, **named: object) -> socket.socket:
+            if family == refused:
+                raise OSError(number, "refused")
+            return real(family, *rest, **named)
+
+        monkeypatch.setattr(socket, "socket", made)
+
+    return begin
+
+
 @pytest.fixture
 def deployment() -> Deployment:
     return deployment_from(OPTIONS)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -227,17 +227,8 @@
     assert "e1" not in parts.peers
 
 
-def test_where_ipv6_is_refused_an_executor_there_costs_its_own_work_alone(
-    executors, loop, until, monkeypatch, capsys
-):
-    real = socket.socket
-
-    def refusing(family=socket.AF_INET, *rest, **named):
-        if family is socket.AF_INET6:
-            raise OSError(errno.EAFNOSUPPORT, "Address family not supported by protocol")
-        return real(family, *rest, **named)
-
-    monkeypatch.setattr("marlseam.net.connection.socket.socket", refusing)
+def test_where_ipv6_is_refused_an_executor_there_costs_its_own_work_alone(loop, refuse, capsys):
+    refuse(socket.AF_INET6, errno.EAFNOSUPPORT)
     caught = []
 
     def call():
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -374,17 +374,10 @@
     node.loop.finish()
 
 
-def test_where_unix_sockets_are_refused_a_node_starts_and_says_so(made, tmp_path, capsys, monkeypatch):
+def test_where_unix_sockets_are_refused_a_node_starts_and_says_so(made, refuse, tmp_path, capsys):
     # A call to a process found in the folder raised, and the node did not start.
     (tmp_path / "marlseam-9.sock").touch()
-    real = socket.socket
-
-    def refusing(family=socket.AF_INET, *rest, **named):
-        if family is socket.AF_UNIX:
-            raise OSError(errno.ENOSYS, "Function not implemented")
-        return real(family, *rest, **named)
-
-    monkeypatch.setattr("marlseam.net.handover.socket.socket", refusing)
+    refuse(socket.AF_UNIX, errno.ENOSYS)
     node = made()
     assert node.ready() and capsys.readouterr().err.count("code=unheard") == 2
     assert node.core.untold is not None  # what the other knows stays unknown
