--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -296,9 +296,8 @@
     """Return which of a load report's names mean which of our figures."""
     names = dict(REPORT_NAMES)
     for extra in ("X0", "X1"):
-        for word, figure in (("slot", "free_slots"), ("memory", "free_memory")):
-            if word in str(info.get("report" + extra, "")):
-                names[extra.lower()] = figure
+        if "slot" in str(info.get("report" + extra, "")):
+            names[extra.lower()] = "free_slots"
     return names
 
 
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -142,7 +142,6 @@
     held: float | None = None
     queued: float | None = None
     free_slots: float | None = None
-    free_memory: float | None = None  # in units, of which an executor has one a slot
 
 
 @dataclass(frozen=True)
@@ -153,7 +152,6 @@
     type: int
     expires_ms: float
     slots: float = 1.0
-    memory: float = 0.0  # in units, of which an executor has one a slot
     hint_ms: float | None = None
     receipt: str | None = None  # the key under which a repeat is known
     key: str | None = None  # the thing that it needs
--- a/marlseam/simhost/instance.py
+++ b/marlseam/simhost/instance.py
@@ -77,7 +77,6 @@
             expires_ms=wire.ms(values, "expiresUs")
             or self.clock + self.deployment.settings.types[type].limit_ms,
             slots=wire.number(values, "needs", 1.0) or 1.0,
-            memory=wire.number(values, "memNeeded", 0.0),
             hint_ms=wire.ms(values, "workHintUs"),
             key=values["pathKey"],
         )
