An executor forgotten while in use leaves its kind's sums

Cause: read over once more: where draining alone binds, one long off the list may still be in use; Core.forget_executors cleared it without taking it out of the running sums (Figures.clear sets its state alone), so members and known stayed one too high for good. Change: it leaves first. Measured: the test fails without it.

--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -392,6 +392,9 @@
         for name in [name for name, since in self.gone.items() if since < long_ago]:
             e = self.index[name]
             if not node.own[e] and node.asked_ms[e] is None:
+                # Guards the sums by kind where draining alone binds: one off the list may still be in use.
+                node.leave({e})
+                node.unlisted.pop(e, None)
                 node.clear(e)
                 self.spare.append(e)
                 del self.gone[name], self.index[name]
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -152,3 +152,14 @@
     assert begun.node.run[0] == 77.0 and of(take(begun, "2", type=2), core.Send)
     assert begun.reduce(9.0, end("1", Outcome.COMPLETED, b"x"))[0] == core.Complete("1", b"x")
     assert begun.node.members == [2, 0, 0, 0] and begun.node.set.max_advice_ms == 9.0
+
+
+@pytest.mark.parametrize("alone", [False, True])
+def test_one_long_off_the_list_leaves_the_sums_with_its_figures(begun, deployment, alone):
+    # Where draining alone binds it is still in use then; forgotten so, it stayed in the sums for good.
+    begun.reduce(2.0, core.Renewed(replace(deployment.settings, drain_binds_alone=alone)))
+    for t in (3.0, 4.0 + core.FORGET * deployment.settings.must_ask_ms):
+        begun.reduce(t, core.Roster(Listing.FULL, [entry("e1")]))
+    node = begun.node
+    assert list(begun.index) == ["e1"] and not node.unlisted
+    assert (node.members[0], node.known[0]) == (1, 1)
