--- a/marlseam/experiment/processes.py
+++ b/marlseam/experiment/processes.py
@@ -25,11 +25,16 @@
     """One process; `words` are the arguments of `python -m marlseam`."""
 
     def __init__(
-        self, words: list[str], log: Path, env: dict[str, str] | None = None, profile: Path | None = None
+        self,
+        words: list[str],
+        log: Path,
+        env: dict[str, str] | None = None,
+        profile: Path | None = None,
+        module: str = "marlseam",
     ) -> None:
         self.words, self.log = words, log
         python = [sys.executable, "-m"]
-        python += ["cProfile", "-o", str(profile), "-m", "marlseam"] if profile else ["marlseam"]
+        python += ["cProfile", "-o", str(profile), "-m", module] if profile else [module]
         with log.open("ab") as err:
             self.process = subprocess.Popen(
                 [*python, *words],
--- a/marlseam/experiment/recovering.py
+++ b/marlseam/experiment/recovering.py
@@ -6,7 +6,7 @@
 import shutil
 import socket
 import time
-from concurrent.futures import ProcessPoolExecutor
+from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
 from pathlib import Path
 from typing import Literal
 
@@ -19,44 +19,144 @@
 from marlseam.experiment.plays import Played, Say, play
 from marlseam.experiment.sockets import Sockets
 from marlseam.experiment.virtual import Old, Virtual
+from marlseam.judge.book import Book
 from marlseam.load.process import arrivals_of
 from marlseam.load.verdict import Counted, merge
 from marlseam.records import Streams
 from marlseam.recovery import lists
+from marlseam.standin.disk import FAULTS, OVER, Faults
 from marlseam.store import format as form
-from marlseam.store.folder import Disk, Folder
+from marlseam.store.folder import Disk, Folder, first_life
 from marlseam.world.chance import stream
 from marlseam.world.model import Count, Day, NotNegative, Positive, Share, Strict, Trouble, executors
 
 STORE = '[store]\nfolder = "{{folder}}"\nsync = "{sync}"\nwait_ms = 1000\n'
 EFFECTS = "no effect twice"
+READING_MS = 2000.0  # of a pod's memory that may pass until a folder is read after a run
 
 
 def on_sockets(day: Day, seed: int, out: Path, **options: object) -> tuple[Played, Counted, Sockets]:
     """Play a day on loopback from empty state folders; return its figures, the generator's and the driver."""
     shutil.rmtree(out / "state", ignore_errors=True)
     (out / "state").mkdir(parents=True)
+    options.setdefault("prepare", lambda name, _: first_life(out / "state" / name, name))
     driver = Sockets(day, seed, out, **options)
     counted = merge(driver.run(), len(arrivals_of(day, seed)))
     return plays.judged(*records.read_folder(out / "records"), driver="sockets"), counted, driver
 
 
+class DiskCase(Faults):
+    """A disk under a node, by name; `torn`: a byte of what it holds changes before every so many-th start."""
+
+    name: str = "quick"
+    torn: int = 0
+
+
 class Receipts(Strict):
-    """Kills at chance moments."""
+    """Kills at chance moments, on each of some disks, several side by side."""
 
     kills: Count = 10
     sync: Literal["durable", "written"] = "durable"
+    wait_ms: NotNegative = 1000.0
+    disks: list[DiskCase] = []
+    at_once: Count = 4
 
 
-@play("receipts")
-def receipts(experiment: Experiment, out: Path, say: Say) -> Played:
-    """Kill nodes at chance moments under work with receipts, with the store and without it."""
+def damage(path: Path, starts: int, every: int) -> None:
+    """Change a byte in the middle of a folder's newest journal, before some starts."""
+    journals = sorted(path.glob("journal-*"))
+    if every and starts % every == 0 and journals:
+        data = bytearray(journals[-1].read_bytes())
+        data[len(data) // 2] ^= 0x10
+        journals[-1].write_bytes(data)
+
+
+def not_on_record(book: Book, day: Day, path: Path, name: str, now: float) -> list[str]:
+    """Return the keys that executors took, and still know, of which the node's folder knows nothing.
+
+    What the folder says is lost is no such key: the next life takes it as perhaps run.
+    """
+    state = Folder(Disk(path), name).load(1000.0 * time.time())
+    if state.lost_ms is not None:
+        return []
+    memory = {type.name: type.memory_ms for type in day.types if type.effect == "receipted"}
+    found = []
+    for id, sends in book.took.items():
+        tried = book.tries.get(id)
+        if tried is None or tried.receipt is None or tried.receipt in state.sent:
+            continue
+        ran = [t for t in sends if not any(isinstance(e, records.Refused) for e in book.ends.get(id, ()))]
+        if any(now - t.t < memory.get(tried.type, 0.0) - READING_MS for t in ran):
+            found.append(tried.receipt)
+    return found
+
+
+def on_disk(
+    experiment: Experiment, day: Day, case: DiskCase, out: Path
+) -> tuple[dict[str, float], list[str]]:
+    """Play kills on one disk; return its figures and its row of the table."""
+    table, starts = experiment.tables["receipts"], iter(range(1, 1 << 30))
+    own = STORE.format(sync=table.sync).replace("wait_ms = 1000", f"wait_ms = {table.wait_ms:g}")
+    faults = {name: getattr(case, name) for name in Faults.__struct_fields__}
+    over = out / "over"
+    out.mkdir(parents=True, exist_ok=True)
+    over.unlink(missing_ok=True)
+    env = {FAULTS: msgspec.json.encode(faults).decode(), OVER: str(over)}
+    try:
+        played, _, driver = on_sockets(
+            day, experiment.head.seed, out, own=own, module="marlseam.standin.disk", env=env,
+            between=lambda name: damage(out / "state" / name, next(starts), case.torn),
+        )  # fmt: skip
+    finally:
+        over.touch()
+    book, now = played.book, driver.now()
+    missing = [
+        key for name in driver.nodes for key in not_on_record(book, day, out / "state" / name, name, now)
+    ]
+    twice = [what for rule in played.verdict.rules if rule.name == EFFECTS for what in rule.broken]
+    keyed = {tried.id for tried in book.tries.values() if tried.receipt is not None}
+    refused = sum(r.how in ("deferred", "aborted") and r.id in keyed for r in book.of(records.Answered))
+    found = {
+        "repeats": float(len(twice)), "missing": float(len(missing)), "refused": refused / max(1, len(keyed)),
+        "service": played.figures["service"], "rules_broken": played.figures["rules_broken"],
+    }  # fmt: skip
+    row = [case.name, *(f"{found[name]:.0f}" for name in ("repeats", "missing", "rules_broken"))]
+    return found, [*row, f"{found['service']:.3f}", f"{found['refused']:.3f}"]
+
+
+@play("receipts_disks")
+def receipts_disks(experiment: Experiment, out: Path, say: Say) -> Played:
+    """Kill a node at chance moments under work with receipts, on each of some disks."""
     table: Receipts = experiment.tables["receipts"]
+    day = with_kills(experiment, table)
+    rows = [["disk", "two effects", "keys not on disk", "rules broken", "service", "keyed tries refused"]]
+    found: dict[str, float] = {}
+    with ThreadPoolExecutor(table.at_once) as pool:
+        runs = [(case, pool.submit(on_disk, experiment, day, case, out / case.name)) for case in table.disks]
+        for case, run in runs:
+            figures, row = run.result()
+            say(f"{case.name} played")
+            rows.append(row)
+            found |= {f"{case.name}_{name}": value for name, value in figures.items()}
+    for name in ("repeats", "missing", "rules_broken"):
+        found[name] = sum(value for key, value in found.items() if key.endswith(f"_{name}"))
+    return Played(found, tables=[(f"{table.kills} kills on each disk", rows)], driver="sockets")
+
+
+def with_kills(experiment: Experiment, table: Receipts) -> Day:
+    """Return the day with its kills."""
     head, day = experiment.head, experiment.day
     chance = stream(head.seed, "kills")
     at = np.sort(chance.uniform(0.1 * day.seconds, 0.95 * day.seconds, table.kills)).tolist()
     kills = [Trouble(what="node_kill", at_s=t, for_s=1.0, share=1.0) for t in at]
-    day = msgspec.structs.replace(day, troubles=[*day.troubles, *kills])
+    return msgspec.structs.replace(day, troubles=[*day.troubles, *kills])
+
+
+@play("receipts")
+def receipts(experiment: Experiment, out: Path, say: Say) -> Played:
+    """Kill nodes at chance moments under work with receipts, with the store and without it."""
+    table: Receipts = experiment.tables["receipts"]
+    head, day = experiment.head, with_kills(experiment, table)
     found: dict[str, float] = {}
     rows = [["store", "kills", "tries", "lost", "receipted work with two effects", "service"]]
     kept: Played | None = None
--- a/marlseam/experiment/sockets.py
+++ b/marlseam/experiment/sockets.py
@@ -45,17 +45,23 @@
         profile: Path | None = None,
         own: str = "",
         prepare: Callable[[str, dict[str, str]], None] | None = None,
+        between: Callable[[str], None] | None = None,
+        module: str = "marlseam",
+        env: dict[str, str] | None = None,
     ) -> None:
         """Make one.
 
-        `proxied` says whether the network stands between, by default where zones are cut or apart.
+        `proxied` says whether the network stands between, by default where zones are cut or apart; `prepare`
+        is called before a node's first start, `between` before each further one; `module` and `env` are what
+        nodes run as.
         """
         self.day, self.seed, self.out = day, seed, out
         self.generators, self.connections, self.parts = generators, connections, parts
         self.schedule = troubles.schedule(day, seed)
         cut = any(met.trouble.what in ("zone_cut", "slow_link") for met in self.schedule)
         self.proxied = (cut or len(day.fleet.zones) > 1) if proxied is None else proxied
-        self.profile, self.own, self.prepare = profile, own, prepare
+        self.profile, self.own, self.prepare, self.between = profile, own, prepare, between
+        self.module, self.env = module, env
         self.ready_s: list[float] = []  # from each node's start until clients may come
         self.started: list[Process] = []
         self.nodes: dict[str, Process] = {}
@@ -95,7 +101,7 @@
             settings_path.write_text(self.own.format(folder=self.out / "state" / name))
             words += ["--settings", str(settings_path)]
         self.began_s = time.monotonic()
-        process = Process(words, log, profile=self.profile)
+        process = Process(words, log, self.env, self.profile, self.module)
         self.started.append(process)
         end = time.monotonic() + 30.0
         while True:
@@ -257,6 +263,8 @@
                 driver.add(
                     records.Node(t=self.now(), by="driver", node=name, state="ended", zone=zones[name])
                 )
+                if self.between is not None:
+                    self.between(name)
                 self.nodes[name] = self.node(name, zones[name], self.addresses[name])
                 driver.add(
                     records.Node(t=self.now(), by="driver", node=name, state="began", zone=zones[name])
--- a/marlseam/store/keeper.py
+++ b/marlseam/store/keeper.py
@@ -168,7 +168,7 @@
             raise
         finally:
             theirs.close()
-        self.channel, self.works = ours, True
+        self.channel, self.writer, self.works = ours, None, True
         self.base = self.done = self.sent
         self.out.clear()
 
@@ -224,6 +224,8 @@
     def write(self, channel: socket.socket) -> Coroutine:
         """Write to the helper what waits."""
         yield from sleep(self.loop.now())
+        if channel is not self.channel:
+            return  # guards against a helper that ended in this very turn
         # A copy of the descriptor: the loop knows one task a socket, and another reads the answers.
         copy = channel.dup()
         try:
--- a/marlseam/world/model.py
+++ b/marlseam/world/model.py
@@ -101,6 +101,7 @@
     wait_ms: NotNegative = 40.0
     honour: Share = 0.8
     leave: Share = 0.0
+    marks: bool = False  # whether nodes are told that clients mark their retries
     resend: bool = False  # whether a receipted try whose connection broke goes out again under its key
     notice_s: NotNegative = 3.0  # after which a front has noticed a node's death
 
@@ -250,6 +251,7 @@
         },
         "loadReport": {"how": "answers" if day.reports.answers else "probe", "fields": ["backlog", "x0"]},
         "penalties": {"crossZone": rules.cross_price},
+        "clients": {"marksRetry": day.clients.marks},
     }  # fmt: skip
 
 
