--- a/marlseam/net/http.py
+++ b/marlseam/net/http.py
@@ -22,12 +22,11 @@
 
 
 def bound(address: tuple[str, int]) -> socket.socket:
-    """Return a socket that listens at an address; OSError where it is not free."""
+    """Return a socket that has an address; OSError where that is not free."""
     sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind(address)
-        sock.listen(BACKLOG)
         sock.setblocking(False)
     except OSError:
         sock.close()
@@ -66,6 +65,10 @@
         first: bool = False,
     ) -> None:
         self.loop, self.sock, self.room, self.taken = loop, sock, room, taken
+        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            # Not before: a client's time runs, unseen by the node, while it waits for a start that reads its
+            # memory; and one that is turned away goes elsewhere at once.
+            sock.listen(BACKLOG)
         self.task = loop.spawn(self.accept(), first)
 
     def accept(self) -> Coroutine:
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -128,7 +128,8 @@
             self.handover = Handover(self, self.take_over)
             self.handover.begin()
         else:
-            self.server.listen()
+            with usable(*door):
+                self.server.listen()
 
     def take_over(self, version: int, hosts: list[dict]) -> None:
         """Begin to serve, from what another process of this node told."""
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import time
 from dataclasses import replace
 
@@ -549,11 +550,11 @@
     """Return a maker of nodes that keep their state in one folder."""
     nodes = []
 
-    def made():
+    def made(listen="127.0.0.1:0"):
         config, own = tmp_path / "node.json", tmp_path / "own.toml"
         host = {"host": "e1", "dial": "127.0.0.1:1", "health": "active", "site": "here", "class": "plain"}
         known = {"seq": 1, "whole": True, "hosts": [host | {"block": 4}]}
-        values = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": KEYED, "known": known}
+        values = {"listen": listen, "discovery": "127.0.0.1:1", "settings": KEYED, "known": known}
         config.write_text(json.dumps(values))
         own.write_text(f'[store]\nfolder = "{tmp_path / "state"}"\n')
         node = Node(load(str(config), {}, own=str(own)))
@@ -585,6 +586,23 @@
         node.loop.turn()
 
 
+def test_clients_are_let_in_only_once_the_memory_was_sought(live, tmp_path, monkeypatch):
+    seen = []
+
+    def load(keeper):
+        port = json.loads((tmp_path / "node.json").read_text())["listen"].rpartition(":")[2]
+        with socket.socket() as sock:
+            seen.append(sock.connect_ex(("127.0.0.1", int(port))))
+
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    monkeypatch.setattr(Keeper, "load", load)
+    # The old code let them in before, and counted their time from when it was done with its memory.
+    node = live(f"127.0.0.1:{port}")
+    assert seen == [errno.ECONNREFUSED] and node.ready()
+
+
 @pytest.mark.parametrize("started", [0, 1])
 def test_a_node_whose_folder_another_has_sends_no_keyed_work_until_it_has_read_it(
     live, tmp_path, started, monkeypatch
