--- a/marlseam/__main__.py
+++ b/marlseam/__main__.py
@@ -16,6 +16,7 @@
 
 OWN = click.option("--settings", "own", help="The operator's own settings, else by MARLSEAM_SETTINGS.")
 GROUPS = {  # of marlseam/cli: imported only when named, so that a node stays small
+    "fleet": "See who of a fleet is there; search for what breaks its bounds.",
     "experiment": "Run experiments, list and compare them.",
     "load": "Send load to nodes; write traces.",
     "standin": "Run parts of the world on loopback.",
--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -20,6 +20,7 @@
 EFFECTS = {"safe": Effect.RERUNNABLE, "keyed": Effect.RECEIPTED, "unsafe": Effect.EXCLUSIVE}
 REPORT_NAMES = {"outstanding": "held", "inflight": "held", "backlog": "queued", "queue": "queued"}
 FILE, SOCKET, FOLDER = "EDGE_CONFIG", "EDGE_SOCKET_FD", "TMPDIR"
+MEMBERS_MOST, NAME_MOST = 1000, 64  # members of a fleet, and characters of a member's name
 OWN = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY", "admin": "EDGE_ADMIN"}
 OWN_FILE = "MARLSEAM_SETTINGS"
 WEIGHTS = {"none": False, "nominal": False, "rough": False, "live": True}
@@ -82,6 +83,15 @@
         return replace(settings, **{name: value for name, value in found.items() if value is not None})
 
 
+@dataclass(frozen=True)
+class FleetSettings:
+    """Which nodes may belong to one fleet, and where each is heard."""
+
+    name: str
+    members: dict[str, tuple[str, int]]
+    period_ms: float  # in which each looks at one other
+
+
 @dataclass(frozen=True)
 class Config:
     """A real node's configuration."""
@@ -103,6 +113,7 @@
     folder: str | None = None  # that processes of one node share, with the socket
     store: StoreSettings | None = None
     watch: WatchSettings | None = None
+    fleet: FleetSettings | None = None
     settings_path: str | None = None
 
 
@@ -361,10 +372,13 @@
                     keep(row, dict.fromkeys(inner[0]), f"{at}[{i}].")
 
 
-def own_settings(path: str | None) -> tuple[StoreSettings | None, WatchSettings | None]:
+Own = tuple[StoreSettings | None, WatchSettings | None, FleetSettings | None]
+
+
+def own_settings(path: str | None) -> Own:
     """Read the operator's own settings, a table a subsystem; what has no table is off."""
     if path is None:
-        return None, None
+        return None, None, None
     try:
         values = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except (OSError, ValueError) as error:
@@ -372,6 +386,7 @@
     known = {
         "store": ("folder", "sync", "journal_mb", "wait_ms", "keys"),
         "watch": ("reports", "weights", "fetch_price", "worth_by", "every_s"),
+        "fleet": ("name", "members", "period_ms", "trusted"),
     }
     for name, table in values.items():
         if name not in known:
@@ -379,7 +394,47 @@
         for key in Table(table, name).values:
             if key not in known[name]:
                 raise ConfigError(f"{name}.{key}", table[key], "one of " + ", ".join(known[name]))
-    return store_from(values), watch_from(values)
+    return store_from(values), watch_from(values), fleet_from(values)
+
+
+def fleet_from(values: Mapping[str, Any]) -> FleetSettings | None:
+    """Read who belongs to a fleet.
+
+    Nothing that is said there is signed: loopback only, unless the settings say that the network is trusted.
+    """
+    if "fleet" not in values:
+        return None
+    fleet = Table(values["fleet"], "fleet")
+    trusted = fleet.flag("trusted")
+    members = fleet.table("members")
+    if not 1 <= len(members.values) <= MEMBERS_MOST:
+        raise ConfigError("fleet.members", len(members.values), f"1 to {MEMBERS_MOST} names")
+    found: dict[str, tuple[str, int]] = {}
+    for name, value in members.values.items():
+        key = members.path(name)
+        if not 1 <= len(name) <= NAME_MOST:
+            raise ConfigError(key, name, f"a name of 1 to {NAME_MOST} characters")
+        host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+        host = host.strip("[]")
+        try:
+            here = ip_address(host).is_loopback
+        except ValueError:
+            raise ConfigError(key, value, "an IP address and a port") from None
+        if not (port.isdecimal() and 0 < int(port) < 65536):
+            raise ConfigError(key, value, "an IP address and a port")
+        if not (here or trusted):
+            raise ConfigError(key, value, "a loopback address, or trusted = true")
+        if (host, int(port)) in found.values():
+            raise ConfigError(key, value, "an address of its own")
+        found[name] = host, int(port)
+    return FleetSettings(
+        name=fleet.text("name"), members=found, period_ms=fleet.number("period_ms", 1000.0, least=20.0)
+    )
+
+
+def in_force_name(top: Table, env: Mapping[str, str]) -> str:
+    """Return the node's name, by the environment or its file."""
+    return env.get(OWN["name"]) or top.text("name", "node")
 
 
 def watch_from(values: Mapping[str, Any]) -> WatchSettings | None:
@@ -439,7 +494,11 @@
     except ValueError:
         raise ConfigError("seed", seed, "a hexadecimal number") from None
     own = own or env.get(OWN_FILE) or (before.settings_path if before else None)
-    store, watch = own_settings(own)
+    store, watch, fleet = own_settings(own)
+    if fleet is not None and in_force_name(top, env) not in fleet.members:
+        raise ConfigError(
+            "fleet.members", sorted(fleet.members), f"this node's name, {in_force_name(top, env)}"
+        )
     settings = top.table("settings")
     if before is not None:
         keep(values, before.shape)
@@ -471,5 +530,6 @@
         folder=before.folder if before is not None else env.get(FOLDER),
         store=store,
         watch=watch,
+        fleet=fleet,
         settings_path=own,
     )
--- /dev/null
+++ b/marlseam/experiment/fleet.py
@@ -0,0 +1,423 @@
+"""Real nodes of one fleet, with every datagram between them passing through here, and faults at named steps.
+
+Each ordered pair of nodes has a socket of its own between them: what one says to another can be cut, lost,
+doubled or kept back in that direction alone. A fault strikes before the n-th letter of a kind that a node
+sends or receives, so a run is decided by what is said, not by sleep. Real are nodes, their sockets, signals
+and time.
+"""
+
+import heapq
+import http.client
+import json
+import os
+import re
+import select
+import signal
+import socket
+import threading
+import time
+from concurrent.futures import ProcessPoolExecutor
+from math import inf
+from pathlib import Path
+from zlib import crc32
+
+from marlseam import records
+from marlseam.experiment import file, plays
+from marlseam.experiment.file import Experiment
+from marlseam.experiment.plays import Played, Say, play
+from marlseam.experiment.processes import Failed
+from marlseam.experiment.sockets import Sockets
+from marlseam.fleet import hunt
+from marlseam.fleet.hunt import FAULTS, detect_ms, heal_ms
+from marlseam.fleet.members import HEALTH_MOST, Members
+from marlseam.fleet.words import Kind, Odd, read
+from marlseam.load.process import arrivals_of
+from marlseam.world.model import Count, NotNegative, Positive, Share, Strict, nodes
+
+SAID = re.compile(r"member (\S+) (here|suspect|gone|left) life=(\d+)")
+LOOK_S, ASK_S = 0.02, 0.25
+SLACK_MS = 250.0  # until a line of a node's log is seen, and a datagram has passed through
+
+
+class Fault(Strict):
+    """A fault, and the step before which it strikes: `sends ping 20`."""
+
+    node: str
+    step: str
+    fault: str
+    other: str = ""
+    for_ms: NotNegative = 0.0
+
+
+class Fleet(Strict):
+    """What the nodes' fleet is like, and what strikes it."""
+
+    period_ms: Positive = 200.0
+    loss: Share = 0.0
+    doubles: Share = 0.0
+    faults: list[Fault] = []  # none: those of a schedule of chance, by the seed
+    until_s: Positive = 30.0  # of the day; later steps are no faults any more
+
+
+def reserved() -> str:
+    """Return an address for datagrams on loopback that was free a moment ago."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "{}:{}".format(*sock.getsockname())
+
+
+class Rig:
+    """Stands between the nodes, in a thread of its own, and lets faults strike."""
+
+    def __init__(self, names: list[str], table: Fleet, seed: int, out: Path) -> None:
+        self.names, self.table, self.seed, self.out, self.draws = names, table, seed, out, 0
+        self.real = {name: reserved() for name in names}
+        self.held: list[socket.socket] = []
+        self.doors = {name: self.door() for name in names}
+        self.between: dict[tuple[str, str], socket.socket] = {}
+        for a in names:
+            for b in names:
+                if a != b:
+                    sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                    sock.bind(("127.0.0.1", 0))
+                    sock.setblocking(False)
+                    self.between[a, b] = sock
+        self.strikes: dict[tuple[str, bool, int, int], Fault] = {}
+        for fault in table.faults or self.by_chance():
+            self.strikes[self.key(fault)] = fault
+        self.counts: dict[tuple[str, bool, int], int] = {}
+        self.cuts: list[tuple[str, str, float]] = []
+        self.spells: list[tuple[str, str, float, float]] = []  # who, which fault, since, until
+        self.late: list[tuple[float, int, tuple[str, str], bytes]] = []
+        self.told: list[tuple[float, str, str, str, int]] = []  # when, by whom, of whom, what, life
+        self.read_to = dict.fromkeys(names, 0)
+        self.passed = self.lost = self.count = 0
+        self.error: BaseException | None = None
+        self.over = threading.Event()
+        self.driver: Sockets | None = None
+        self.thread = threading.Thread(target=self.run, daemon=True)
+
+    def door(self) -> str:
+        """Return an address for operators, held by a socket that does not listen while its node is away."""
+        held = socket.socket()
+        held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        held.bind(("127.0.0.1", 0))
+        self.held.append(held)
+        return "{}:{}".format(*held.getsockname())
+
+    def by_chance(self) -> list[Fault]:
+        """Return the schedule of the seed, as `fleet hunt` has it, with times in this fleet's periods."""
+        found = []
+        for s in hunt.schedule(len(self.names), self.seed):
+            step = f"{'sends' if s.sends else 'receives'} {s.kind.name.lower()} {s.count}"
+            for_ms = s.for_ms * self.table.period_ms / hunt.PERIOD_MS
+            found.append(Fault(s.node, step, "hold" if s.fault == "twin" else s.fault, s.other, for_ms))
+        return found
+
+    def key(self, fault: Fault) -> tuple[str, bool, int, int]:
+        """Return the step of a fault."""
+        way, kind, count = fault.step.split()
+        if way not in ("sends", "receives") or fault.fault not in FAULTS or fault.fault == "twin":
+            raise file.FileError(f"fleet.faults: {fault} has no known step or fault")
+        if fault.node not in self.names or (fault.fault == "pair" and fault.other not in self.names):
+            raise file.FileError(f"fleet.faults: {fault} names no node")
+        return fault.node, way == "sends", int(Kind[kind.upper()]), int(count)
+
+    def settings(self, name: str) -> tuple[dict, str]:
+        """Return a node's further configuration: its operators' door, and the fleet as it meets it."""
+        rows = [f'{name} = "{self.real[name]}"']
+        for other in self.names:
+            if other != name:
+                rows.append('{} = "{}:{}"'.format(other, *self.between[name, other].getsockname()))
+        own = f'[fleet]\nname = "rig"\nperiod_ms = {self.table.period_ms:g}\n[fleet.members]\n'
+        return {"admin": self.doors[name]}, own + "\n".join(rows) + "\n"
+
+    def chance(self) -> float:
+        """Return the next number in [0, 1)."""
+        self.draws += 1
+        return crc32(b"rig:%d:%d" % (self.seed, self.draws)) / 2.0**32
+
+    def run(self) -> None:
+        """Pass on what comes until the experiment is over."""
+        pairs = {sock.fileno(): pair for pair, sock in self.between.items()}
+        poll = select.epoll()
+        for fd in pairs:
+            poll.register(fd, select.EPOLLIN)
+        looked = 0.0
+        try:
+            while not self.over.is_set():
+                for fd, _ in poll.poll(LOOK_S):
+                    pair = pairs[fd]
+                    try:
+                        data = self.between[pair].recv(65536)
+                    except OSError:
+                        continue
+                    self.pass_on(pair, data)
+                now = self.driver.now()
+                while self.late and self.late[0][0] <= now:
+                    _, _, pair, data = heapq.heappop(self.late)
+                    self.deliver(pair, data)
+                if now - looked > 1000.0 * LOOK_S:
+                    looked = now
+                    self.look(now)
+        except BaseException as error:  # told to whoever waits for the run
+            self.error = error
+        finally:
+            poll.close()
+
+    def pass_on(self, pair: tuple[str, str], data: bytes) -> None:
+        """Let one datagram go through, unless it is cut, lost or kept back."""
+        a, b = pair
+        fault = self.struck(a, True, data)
+        if fault is not None:
+            self.strike(fault, pair, data)
+        now = self.driver.now()
+        if (
+            any(u > now and x in ("", a) and y in ("", b) for x, y, u in self.cuts)
+            or self.chance() < self.table.loss
+        ):
+            self.lost += 1
+            return
+        for _ in range(1 + (self.chance() < self.table.doubles)):
+            self.deliver(pair, data)
+
+    def deliver(self, pair: tuple[str, str], data: bytes) -> None:
+        """Hand a datagram to its node."""
+        fault = self.struck(pair[1], False, data)
+        if fault is not None:
+            self.strike(fault, pair, data)
+        host, _, port = self.real[pair[1]].rpartition(":")
+        self.passed += 1
+        try:
+            self.between[pair].sendto(data, (host, int(port)))
+        except OSError:
+            self.lost += 1
+
+    def struck(self, name: str, sends: bool, data: bytes) -> Fault | None:
+        """Count a step, and return what strikes at it."""
+        try:
+            kind = int(read(data, "rig", frozenset(self.names)).kind)
+        except Odd:
+            return None
+        key = name, sends, kind
+        self.counts[key] = self.counts.get(key, 0) + 1
+        return self.strikes.pop((*key, self.counts[key]), None)
+
+    def strike(self, fault: Fault, pair: tuple[str, str], data: bytes) -> None:
+        """Let a fault strike."""
+        now, name = self.driver.now(), fault.node
+        until = now + fault.for_ms
+        pid = self.driver.nodes[name].process.pid
+        self.spells.append((name, fault.fault, now, until))
+        if fault.fault in ("kill", "restart"):
+            self.driver.fell(name, fault.for_ms if fault.fault == "kill" else 0.0)
+            os.kill(pid, signal.SIGKILL)
+        elif fault.fault == "stop":
+            self.driver.streams.of("driver").add(
+                records.Node(t=now, by="driver", node=name, state="stopped", until=until)
+            )
+            os.kill(pid, signal.SIGSTOP)
+            threading.Timer(fault.for_ms / 1000.0, os.kill, (pid, signal.SIGCONT)).start()
+        elif fault.fault == "pair":
+            self.cuts.append((name, fault.other, until))
+        elif fault.fault == "hold":
+            self.count += 1
+            heapq.heappush(self.late, (until, self.count, pair, data))
+        else:
+            if fault.fault != "deaf":
+                self.cuts.append((name, "", until))
+            if fault.fault != "mute":
+                self.cuts.append(("", name, until))
+
+    def look(self, now: float) -> None:
+        """Read what nodes have logged of one another."""
+        for name in self.names:
+            with (self.out / "logs" / f"{name}.log").open("rb") as log:
+                log.seek(self.read_to[name])
+                text = log.read()
+            text = text[: text.rfind(b"\n") + 1]
+            self.read_to[name] += len(text)
+            for line in text.decode(errors="replace").splitlines():
+                if found := SAID.search(line):
+                    self.told.append((now, name, found[1], found[2], int(found[3])))
+
+    def ask(self, name: str) -> dict | None:
+        """Return what a node says of its fleet, or None where it does not say."""
+        host, _, port = self.doors[name].rpartition(":")
+        try:
+            call = http.client.HTTPConnection(host, int(port), timeout=1.0)
+            call.request("GET", "/control/fleet")
+            return json.loads(call.getresponse().read())
+        except (OSError, ValueError, http.client.HTTPException):
+            return None
+
+    def agree(self) -> list[str]:
+        """Return who holds what is not so, by what all nodes say now."""
+        said = {name: self.ask(name) for name in self.names}
+        lives = {n: next(m["life"] for m in s["members"] if m["name"] == n) for n, s in said.items() if s}
+        wrong = [f"{name} says nothing" for name, s in said.items() if s is None]
+        for name, s in said.items():
+            for m in s["members"] if s else ():
+                if m["standing"] != "here" or m["life"] != lives.get(m["name"]):
+                    wrong.append(f"{name} holds {m['name']} as {m['standing']} life {m['life']}")
+        return wrong
+
+
+@play("fleet_members")
+def fleet_members(experiment: Experiment, out: Path, say: Say) -> Played:
+    """Have real nodes find out who of them is there, while faults strike, under load that the judge sees."""
+    table: Fleet = experiment.tables["fleet_members"]
+    day, seed = experiment.day, experiment.head.seed
+    names = [name for name, _ in nodes(day)]
+    rig = Rig(names, table, seed, out)
+    driver = rig.driver = Sockets(day, seed, out, more=rig.settings)
+    healed: list[float] = []
+    begun = [False]
+
+    def progress(now: float) -> None:
+        if not begun[0]:
+            begun[0] = True
+            rig.thread.start()
+        if rig.error is not None:
+            raise Failed(f"the rig ended: {rig.error!r}")
+        say(f"{max(0.0, now) / 1000.0:.0f} s of {day.seconds:g}, {len(rig.spells)} faults")
+        over = max([until for *_, until in rig.spells], default=0.0)
+        if now > 1000.0 * table.until_s and not table.faults:
+            rig.strikes.clear()
+        if not rig.strikes and now > over and not healed and not rig.agree():
+            healed.append(driver.now() - over)
+
+    try:
+        driver.run(arrivals_of(day, seed), progress)
+    finally:
+        rig.over.set()
+        if rig.thread.is_alive():
+            rig.thread.join()
+        for sock in (*rig.between.values(), *rig.held):
+            sock.close()
+    played = plays.judged(*records.read_folder(out / "records"), driver="sockets")
+    figures, rows = verdict(rig, len(names), table, healed)
+    return Played(
+        played.figures | figures, played.verdict, played.book, [("Members under faults", rows)], "sockets"
+    )
+
+
+def verdict(
+    rig: Rig, count: int, table: Fleet, healed: list[float]
+) -> tuple[dict[str, float], list[list[str]]]:
+    """Hold what nodes logged against the bounds; return figures and a table."""
+    period = table.period_ms
+    suspicion = Members("rig", "n0", frozenset(rig.names), 0, 0, period, 0.0).suspicion_ms(0)
+    alone, many = (detect_ms(count, suspicion, period, h) + SLACK_MS for h in (0, HEALTH_MOST))
+    rows = [["node", "fault", "at, s", "for, s", "gone with the first, s", "with the last, s", "bound, s"]]
+    past = slowest = held = 0.0
+    for name, fault, since, until in rig.spells:
+        # One that has doubted itself trusts itself again with each answer that it gets.
+        since_calm = since - (HEALTH_MOST + 1) * HEALTH_MOST * period
+        beside = [s for s in rig.spells if s[0] != name and s[2] < since + alone and s[3] > since_calm]
+        bound = many if beside else alone
+        ill = {s[0] for s in beside}
+        first = {}
+        for at, by, of, what, _ in rig.told:
+            if of == name and what == "gone" and since <= at < until + SLACK_MS and by not in ill:
+                first.setdefault(by, at - since)
+        due = fault in ("kill", "stop", "cut") and until - since > bound
+        took = [first.get(n, inf) for n in rig.names if n != name and n not in ill]
+        if due:
+            slowest = max(slowest, max(took) / bound)
+            past += sum(t > bound for t in took)
+            held += 1.0
+        seen = sorted(first.values())
+        shown = [f"{t / 1000.0:.2f}" for t in (seen[0], seen[-1])] if seen else ["-", "-"]
+        rows.append([name, fault, f"{since / 1000.0:.1f}", f"{(until - since) / 1000.0:.1f}", *shown,
+                     f"{bound / 1000.0:.1f}" if due else "none"])  # fmt: skip
+    false = 0
+    for at, _, of, what, _ in rig.told:
+        calm = all(s[3] + many < at or s[2] > at for s in rig.spells)
+        false += what == "gone" and calm and not table.loss and bool(of)
+    heal = heal_ms(count, period) + SLACK_MS
+    figures = {
+        "faults": float(len(rig.spells)), "not_struck": float(len(rig.strikes)),
+        "past_bound": past, "held_to_bound": held,
+        "nearest_detection": slowest, "false_gone": float(false), "letters": float(rig.passed),
+        "heal_s": healed[0] / 1000.0 if healed else inf,
+        "nearest_heal": healed[0] / heal if healed else inf,
+    }  # fmt: skip
+    return figures, rows
+
+
+class Sizes(Strict):
+    """Fleets in virtual time: one member is killed, some letters are lost."""
+
+    nodes: list[Count]
+    loss: list[Share]
+    calm_s: Positive = 20.0
+    watched_s: Positive = 60.0
+
+
+def one_size(count: int, loss: float, seed: int, table: Sizes) -> dict[str, float]:
+    """Play one fleet: find each other, lose one, and tell how long that took and what was said."""
+    began = time.process_time()
+    world = hunt.World(count, seed, [], loss=loss)
+    world.run(1000.0 * table.calm_s)
+    early = sum(map(len, world.gone_at.values()))
+    before = sum(seat.letters for seat in world.seats.values()), sum(s.bytes for s in world.seats.values())
+    world.ends(world.seats["n1"])
+    killed = world.now
+    world.run(killed + 1000.0 * table.watched_s)
+    took = sorted(
+        min([t for t in world.gone_at.get((name, "n1"), ()) if t >= killed], default=inf) - killed
+        for name in world.names - {"n1"}
+    )
+    false = early + sum(len(times) for (_, of), times in world.gone_at.items() if of != "n1")
+    spent = count * table.watched_s
+    letters = sum(seat.letters for seat in world.seats.values()) - before[0]
+    size = sum(seat.bytes for seat in world.seats.values()) - before[1]
+    return {
+        "median_s": took[len(took) // 2] / 1000.0, "p99_s": took[int(0.99 * (len(took) - 1))] / 1000.0,
+        "most_s": took[-1] / 1000.0, "false": float(false), "letters": letters / spent, "bytes": size / spent,
+        "cpu_s": time.process_time() - began,
+    }  # fmt: skip
+
+
+@play("fleet_scale")
+def fleet_scale(experiment: Experiment, out: Path, say: Say) -> Played:
+    """Measure membership by the fleet's size and the share of letters that are lost, in virtual time."""
+    table: Sizes = experiment.tables["fleet_scale"]
+    rows = [["members", "loss", "gone at half, s", "99%, s", "all, s", "bound, s", "false words",
+             "letters a node and s", "bytes", "CPU, s"]]  # fmt: skip
+    found: dict[str, float] = {}
+    with ProcessPoolExecutor() as pool:
+        runs = {
+            (count, loss): pool.submit(one_size, count, loss, experiment.head.seed, table)
+            for count in table.nodes for loss in table.loss
+        }  # fmt: skip
+        for (count, loss), run in runs.items():
+            seen = run.result()
+            say(f"{count} members, {loss:.0%} lost")
+            names = frozenset(f"n{i}" for i in range(count))
+            machine = Members("fleet", "n0", names, 0, 0, hunt.PERIOD_MS, 0.0)
+            bound = detect_ms(count, machine.suspicion_ms(0), hunt.PERIOD_MS, 0) / 1000.0
+            found |= {f"n{count}_loss{round(100 * loss)}_{key}": value for key, value in seen.items()}
+            shown = [f"{seen[key]:.1f}" for key in ("median_s", "p99_s", "most_s")]
+            rows.append(
+                [
+                    str(count),
+                    f"{loss:.0%}",
+                    *shown,
+                    f"{bound:.0f}",
+                    f"{seen['false']:.0f}",
+                    *(f"{seen[key]:.{n}f}" for key, n in (("letters", 2), ("bytes", 0), ("cpu_s", 0))),
+                ]
+            )
+            if not loss:
+                found["false"] = found.get("false", 0.0) + seen["false"]
+                found["nearest"] = max(found.get("nearest", 0.0), seen["most_s"] / bound)
+            found["bytes_most"] = max(found.get("bytes_most", 0.0), seen["bytes"])
+    return Played(found, tables=[("Members by size and loss", rows)], driver="virtual")
+
+
+def register() -> None:
+    """Make the tables of these plays known to experiment files."""
+    file.register("fleet_members", Fleet)
+    file.register("fleet_scale", Sizes)
--- /dev/null
+++ b/marlseam/fleet/explore.py
@@ -0,0 +1,233 @@
+"""Every interleaving of agreement in a small size: three voters, two operators; crash, loss, repeats, delay.
+
+What was said once may come at any time, any number of times or never, so the network is the set of all that
+was ever said. A state is what disks and processes hold, and that set; each is looked at once, up to a depth.
+A step is one process's: hear one message, begin a round, take some majority's promises, crash, restart.
+"""
+
+from collections.abc import Callable, Iterator
+from itertools import combinations
+from typing import NamedTuple
+from zlib import crc32
+
+from marlseam.fleet.agree import (
+    Accept,
+    Accepted,
+    Acceptor,
+    Ballot,
+    Message,
+    Prepare,
+    Promise,
+    Promised,
+    Proposer,
+    majority,
+)
+
+NUMBER = 2  # the number that is agreed on
+
+
+class Voter(NamedTuple):
+    """What a voter's disk holds, and what its process does."""
+
+    disk: Promised = Promised()
+    process: Promised = Promised()
+
+
+class Operator(NamedTuple):
+    """One that publishes: its disk's round, its process's, what it likes, if it has begun, what it asked."""
+
+    disk: int = 0
+    round: int = 0
+    value: str = ""
+    open: bool = False
+    asked: str | None = None
+    lives: int = 0
+
+
+class State(NamedTuple):
+    """All of it."""
+
+    voters: tuple[Voter, ...]
+    operators: tuple[Operator, ...]
+    said: frozenset[Message]
+    crashes: int = 0
+
+
+class Rules:
+    """The machines as they are; a planted defect overrides one of these."""
+
+    voters = ("a", "b", "c")
+    rounds, crashes = 2, 1
+
+    def electorate(self, place: int) -> frozenset[str]:
+        """Return the voters as an operator knows them."""
+        return frozenset(self.voters)
+
+    def carries(self, by: set[str]) -> bool:
+        """Return whether those that took one content under one ballot have chosen it for some operator."""
+        electorates = {self.electorate(1), self.electorate(2)}
+        return any(len(by & electorate) >= self.enough(electorate) for electorate in electorates)
+
+    def enough(self, electorate: frozenset[str]) -> int:
+        """Return how many voters choose."""
+        return majority(electorate)
+
+    def acceptor(self, name: str, held: Promised) -> Acceptor:
+        """Return a voter's machine."""
+        return Acceptor(name, {NUMBER: held})
+
+    def proposer(self, place: int, operator: Operator) -> Proposer:
+        """Return an operator's machine in its present round."""
+        electorate = self.electorate(place)
+        held = operator.round, operator.open
+        return Proposer(place, NUMBER, operator.value, electorate, *held, asked=operator.asked)
+
+    def on_disk(self, voter: Voter, new: Promised) -> Promised:
+        """Return what a voter's disk holds before it speaks."""
+        return new
+
+    def round_on_disk(self, operator: Operator, round: int) -> int:
+        """Return what an operator's disk holds of its rounds before it speaks."""
+        return round
+
+    def content(self, place: int, operator: Operator) -> str:
+        """Return what an operator asks for: another thing in each round and life."""
+        return f"{'xy'[place - 1]}{operator.round + 1}.{operator.lives}"
+
+
+def beginning(rules: Rules) -> State:
+    """Return the state in which nothing has been said."""
+    return State(tuple(Voter() for _ in rules.voters), (Operator(), Operator()), frozenset())
+
+
+def steps(state: State, rules: Rules) -> Iterator[tuple[str, State]]:
+    """Yield each next step with its name."""
+    for i, voter in enumerate(state.voters):
+        for message in state.said:
+            if type(message) in (Prepare, Accept):
+                machine = rules.acceptor(rules.voters[i], voter.process)
+                new, answer = machine.heard(message)
+                if new is None and answer in state.said:
+                    continue
+                after = voter if new is None else Voter(rules.on_disk(voter, new), new)
+                yield (
+                    f"{rules.voters[i]} hears {message}",
+                    state._replace(
+                        voters=(*state.voters[:i], after, *state.voters[i + 1 :]), said=state.said | {answer}
+                    ),
+                )
+        if state.crashes < rules.crashes and voter.process != voter.disk:
+            after = Voter(voter.disk, voter.disk)
+            voters = (*state.voters[:i], after, *state.voters[i + 1 :])
+            yield f"{rules.voters[i]} restarts", state._replace(voters=voters, crashes=state.crashes + 1)
+    for i, operator in enumerate(state.operators):
+        place = i + 1
+
+        def put(new: Operator, *messages: Message, i: int = i, crash: int = 0) -> State:
+            operators = (*state.operators[:i], new, *state.operators[i + 1 :])
+            return State(state.voters, operators, state.said | set(messages), state.crashes + crash)
+
+        if operator.round < rules.rounds:
+            asks = operator._replace(value=rules.content(place, operator), open=True, asked=None)
+            machine = rules.proposer(place, asks)
+            message = machine.begin()
+            disk = rules.round_on_disk(operator, machine.round)
+            begun = asks._replace(disk=disk, round=machine.round)
+            yield f"{place} begins {machine.round}", put(begun, message)
+        if operator.open and operator.asked is None:
+            heard = [m for m in state.said if type(m) is Promise and m.ballot == (operator.round, place)]
+            for some in combinations(sorted(heard), rules.enough(rules.electorate(place))):
+                machine, message = rules.proposer(place, operator), None
+                for promise in some:
+                    message = machine.heard(promise) or message
+                if message is not None:
+                    asked = operator._replace(asked=machine.asked)
+                    yield f"{place} asks for {message.value}", put(asked, message)
+        if state.crashes < rules.crashes and operator.round:
+            yield (
+                f"{place} restarts",
+                put(Operator(operator.disk, operator.disk, lives=operator.lives + 1), crash=1),
+            )
+
+
+def contents(state: State, rules: Rules) -> set[str]:
+    """Return what a majority has said that it took under one ballot, as any that hears them holds it."""
+    took: dict[tuple[Ballot, str], set[str]] = {}
+    for message in state.said:
+        if type(message) is Accepted:
+            took.setdefault((message.ballot, message.value), set()).add(message.voter)
+    return {value for (_, value), by in took.items() if rules.carries(by)}
+
+
+class Explored(NamedTuple):
+    """How many states there were, to what depth all of them, and a way to two contents, if there is one."""
+
+    states: int
+    depth: int
+    way: list[str]
+
+
+def explore(
+    depth: int,
+    rules: Rules | None = None,
+    states_most: int = 10_000_000,
+    tell: Callable[[int, int], None] | None = None,
+) -> Explored:
+    """Look at each state up to a depth, nearest first."""
+    rules = rules or Rules()
+    first = beginning(rules)
+    came: dict[State, tuple[State, str] | None] = {first: None}
+    layer = [first]
+    for level in range(1, depth + 1):
+        following = []
+        for state in layer:
+            for name, new in steps(state, rules):
+                if new in came:
+                    continue
+                came[new] = state, name
+                if len(contents(new, rules)) > 1:
+                    return Explored(len(came), level, way(came, new))
+                following.append(new)
+            if len(came) > states_most:
+                return Explored(len(came), level - 1, [])
+        layer = following
+        if tell is not None:
+            tell(level, len(came))
+        if not layer:
+            return Explored(len(came), level, [])
+    return Explored(len(came), depth, [])
+
+
+def way(came: dict[State, tuple[State, str] | None], state: State) -> list[str]:
+    """Return the steps that lead to a state."""
+    found = []
+    while (before := came[state]) is not None:
+        state, name = before
+        found.append(name)
+    return found[::-1]
+
+
+def after(path: list[str], rules: Rules) -> State:
+    """Return the state that some steps lead to, each named by its beginning.
+
+    Raises StopIteration where there is no such step.
+    """
+    state = beginning(rules)
+    for name in path:
+        state = next(new for told, new in steps(state, rules) if told.startswith(name))
+    return state
+
+
+def wander(walks: int, length: int, rules: Rules, first: State | None = None, seed: int = 1) -> list[str]:
+    """Go ways of chance; return one that leads to two contents, or none: `explore` does not come as far."""
+    for walk in range(walks):
+        state, gone = first or beginning(rules), list[str]()
+        for at in range(length):
+            following = sorted(steps(state, rules), key=lambda step: step[0])
+            if not following:
+                break
+            name, state = following[crc32(b"%d:%d:%d" % (seed, walk, at)) % len(following)]
+            gone.append(name)
+            if len(contents(state, rules)) > 1:
+                return gone
+    return []
--- /dev/null
+++ b/marlseam/fleet/hunt.py
@@ -0,0 +1,378 @@
+"""Members of a fleet in virtual time, under faults of a seeded schedule, held against their bounds.
+
+A fault strikes at a named step: before the n-th letter of a kind that a member sends, or receives. What is
+wrong is told by a checker that knows the faults and what members said of one another, not how they think.
+"""
+
+import heapq
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from math import inf
+from typing import Any, NamedTuple
+from zlib import crc32
+
+from marlseam.fleet.members import HEALTH_MOST, Changed, Members, Say, Twin
+from marlseam.fleet.words import Kind, Letter, Odd, Standing, read, write
+
+PERIOD_MS = 1000.0
+BUFFER = 200  # letters that a stopped process's socket keeps
+SETTLE = 4.0  # periods before the first fault
+DRIFT = 0.001  # by which clocks may run fast or slow
+FAULTS = ("kill", "restart", "stop", "cut", "deaf", "mute", "pair", "hold", "twin")
+
+
+class Strike(NamedTuple):
+    """A fault, and the step that it strikes at."""
+
+    node: str
+    sends: bool  # at a letter that the node sends, else at one that it receives
+    kind: Kind
+    count: int  # the n-th of them
+    fault: str
+    other: str  # the second member of a fault between two
+    for_ms: float
+
+
+def detect_ms(nodes: int, suspicion_ms: float, period_ms: float, health: int) -> float:
+    """Return within what time a member that says nothing counts as gone with every one that is well.
+
+    Each pings each other at least once in two turns of its list, less one; a ping takes a period, and each
+    lasts longer by what the pinging one doubts itself; then the longest suspicion.
+    """
+    return (2.0 * (nodes - 1) + 1.0) * period_ms * (1.0 + health) + suspicion_ms
+
+
+def heal_ms(nodes: int, period_ms: float) -> float:
+    """Return within what time, after the last fault, all hold all that live as here.
+
+    Whoever was held as gone hears of it with the first answer that it gets, and then each in two turns.
+    """
+    return (2.0 * (nodes - 1) + 3.0) * period_ms * (1.0 + HEALTH_MOST)
+
+
+@dataclass
+class Seat:
+    """One process: its machine, its clock, and what the schedule has done to it."""
+
+    name: str
+    machine: Members
+    rate: float
+    begun: float
+    live: bool = True
+    stopped_until: float = 0.0
+    kept: list[bytes] = field(default_factory=list)
+    tick_at: float = inf
+    counts: dict[tuple[bool, int], int] = field(default_factory=dict)
+    letters: int = 0
+    bytes: int = 0
+
+
+class Found(NamedTuple):
+    """What a run showed: breaches, and how near it came to each bound, as a share of it."""
+
+    broken: list[str]
+    nearest: dict[str, float]
+    twins: int
+
+
+class World:
+    """A fleet in virtual time; times in ms."""
+
+    def __init__(
+        self,
+        nodes: int,
+        seed: int,
+        strikes: list[Strike],
+        loss: float = 0.0,
+        doubles: float = 0.0,
+        drift: float = DRIFT,
+        machine: type[Members] = Members,
+    ) -> None:
+        self.seed, self.draws, self.now, self.count = seed, 0, 0.0, 0
+        self.names = frozenset(f"n{i}" for i in range(nodes))
+        self.loss, self.doubles, self.drift, self.machine = loss, doubles, drift, machine
+        self.strikes = {(s.node, s.sends, int(s.kind), s.count): s for s in strikes}
+        self.queue: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.lives = 0
+        self.seats: dict[str, Seat] = {}
+        self.twins: list[Seat] = []
+        self.cuts: list[tuple[str, str, float]] = []  # from, to ("" for all), until
+        self.spells: list[tuple[str, float, float]] = []  # members that could not be heard: from, until
+        self.touched: list[tuple[float, float]] = []  # when any fault was there
+        self.gone_at: dict[tuple[str, str], list[float]] = {}  # by who and of whom
+        self.told_twins = 0
+        for name in sorted(self.names):
+            self.seats[name] = self.start(name)
+
+    # The world.
+
+    def chance(self) -> float:
+        """Return the next number in [0, 1)."""
+        self.draws += 1
+        return crc32(b"world:%d:%d" % (self.seed, self.draws)) / 2.0**32
+
+    def at(self, when: float, call: Callable[..., None], *words: Any) -> None:  # noqa: ANN401
+        """Call at a time."""
+        self.count += 1
+        heapq.heappush(self.queue, (when, self.count, call, words))
+
+    def start(self, name: str) -> Seat:
+        """Start a process."""
+        self.lives += 1
+        rate = 1.0 + self.drift * (2.0 * self.chance() - 1.0)
+        seed = crc32(b"%d:%s:%d" % (self.seed, name.encode(), self.lives))
+        machine = self.machine("fleet", name, self.names, self.lives, seed, PERIOD_MS, 0.0)
+        seat = Seat(name, machine, rate, self.now)
+        self.at(self.now + PERIOD_MS * self.chance(), self.tick, seat)
+        return seat
+
+    def local(self, seat: Seat) -> float:
+        """Return a process's own time."""
+        return (self.now - seat.begun) * seat.rate
+
+    def tick(self, seat: Seat) -> None:
+        """Wake a process whose time has come."""
+        if not seat.live:
+            return
+        if seat.stopped_until > self.now:
+            self.at(seat.stopped_until, self.tick, seat)
+            return
+        seat.tick_at = inf
+        kept, seat.kept = seat.kept, []
+        for data in kept:
+            self.hear(seat, data)
+        if seat.machine.next_ms <= self.local(seat) + 1e-6:
+            self.act(seat, seat.machine.tick(self.local(seat)))
+        self.plan(seat)
+
+    def plan(self, seat: Seat) -> None:
+        """See to it that a process wakes in time."""
+        due = max(self.now, seat.begun + seat.machine.next_ms / seat.rate)
+        if seat.live and due < seat.tick_at - 1e-6:
+            seat.tick_at = due
+            self.at(due + 1e-6, self.tick, seat)
+
+    def act(self, seat: Seat, effects: list[Any]) -> None:
+        """Carry out what a process asks for."""
+        for effect in effects:
+            if type(effect) is Say:
+                strike = self.struck(seat, True, effect.letter.kind)
+                if strike is not None:
+                    self.strike(strike, seat)
+                if seat.live:
+                    held = strike.for_ms if strike is not None and strike.fault == "hold" else 0.0
+                    self.send(seat, effect.to, write(effect.letter), held)
+            elif type(effect) is Changed and effect.claim.standing == Standing.GONE:
+                self.gone_at.setdefault((seat.name, effect.name), []).append(self.now)
+            elif type(effect) is Twin:
+                self.told_twins += 1
+
+    def send(self, seat: Seat, to: str, data: bytes, held: float) -> None:
+        """Put a datagram on its way: it may be lost, doubled, late."""
+        seat.letters += 1
+        seat.bytes += len(data)
+        if any(until > self.now and a in ("", seat.name) and b in ("", to) for a, b, until in self.cuts):
+            return
+        copies = 1 + (self.chance() < self.doubles) + (held > 0.0)
+        for i in range(copies):
+            if self.chance() >= self.loss:
+                delay = 0.3 + 2.0 * self.chance() + (held if i else 0.0)
+                self.at(self.now + delay, self.arrive, to, data)
+
+    def arrive(self, to: str, data: bytes) -> None:
+        """Bring a datagram to its address; one of two processes there gets it."""
+        seats = [seat for seat in (self.seats[to], *self.twins) if seat.name == to and seat.live]
+        if not seats:
+            return
+        seat = seats[int(self.chance() * len(seats))]
+        if seat.stopped_until > self.now:
+            if len(seat.kept) < BUFFER:
+                seat.kept.append(data)
+            return
+        self.hear(seat, data)
+        self.plan(seat)
+
+    def hear(self, seat: Seat, data: bytes) -> None:
+        """Hand a letter to a process."""
+        try:
+            letter: Letter = read(data, "fleet", self.names)
+        except Odd:
+            return
+        strike = self.struck(seat, False, letter.kind)
+        if strike is not None:
+            self.strike(strike, seat)
+        if seat.live and seat.stopped_until <= self.now:
+            self.act(seat, seat.machine.heard(self.local(seat), letter))
+
+    # Faults.
+
+    def struck(self, seat: Seat, sends: bool, kind: int) -> Strike | None:
+        """Count a step, and return what strikes at it."""
+        key = sends, int(kind)
+        seat.counts[key] = seat.counts.get(key, 0) + 1
+        return self.strikes.pop((seat.name, *key, seat.counts[key]), None)
+
+    def strike(self, strike: Strike, seat: Seat) -> None:
+        """Let a fault strike."""
+        until, name, fault = self.now + strike.for_ms, seat.name, strike.fault
+        self.touched.append((self.now, self.now if fault == "hold" else until))
+        if fault in ("kill", "restart"):
+            seat.live = False
+            back = until if fault == "kill" else self.now + 1.0
+            self.spells.append((name, self.now, back))
+            self.at(back, self.again, name, seat)
+        elif fault == "stop":
+            seat.stopped_until = max(seat.stopped_until, until)
+            self.spells.append((name, self.now, until))
+            self.at(until, self.tick, seat)
+        elif fault in ("cut", "deaf", "mute"):
+            if fault != "deaf":
+                self.cuts.append((name, "", until))
+            if fault != "mute":
+                self.cuts.append(("", name, until))
+            if fault == "cut":
+                self.spells.append((name, self.now, until))
+        elif fault == "pair":
+            self.cuts.append((name, strike.other, until))
+        elif fault == "twin":
+            twin = self.start(name)
+            self.twins.append(twin)
+            self.at(until, self.ends, twin)
+
+    def again(self, name: str, dead: Seat) -> None:
+        """Start a killed process again."""
+        if self.seats[name] is dead:
+            self.seats[name] = self.start(name)
+
+    def ends(self, seat: Seat) -> None:
+        """End a process for good."""
+        seat.live = False
+
+    # A run and its verdict.
+
+    def run(self, until: float) -> None:
+        """Play up to a time."""
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, call, words = heapq.heappop(self.queue)
+            call(*words)
+        self.now = until
+
+    def calm(self, since: float, until: float) -> bool:
+        """Return whether no fault touched a span."""
+        return all(b < since or a > until for a, b in self.touched)
+
+    def agree(self) -> list[str]:
+        """Return who holds what is not so of whom."""
+        wrong = []
+        for seat in self.seats.values():
+            for name, member in seat.machine.members.items():
+                own = self.seats[name].machine.own
+                if (
+                    member.claim is None
+                    or member.claim.standing != Standing.HERE
+                    or member.claim.life != own.life
+                ):
+                    wrong.append(f"{seat.name} holds {name} as {member.claim}")
+        return wrong
+
+
+def judge(world: World, detect: float, lonely: float) -> Found:
+    """Hold a run against the bounds on detection and on false words.
+
+    `detect`: the bound while others are in trouble too, `lonely`: while no other fault is there.
+    """
+    broken, nearest = [], {"detection": 0.0, "detection, one fault": 0.0}
+    for name, since, until in world.spells:
+        others = [(a, b) for a, b in world.touched if a != since]
+        alone = all(b < since - detect or a > until for a, b in others)
+        bound = lonely if alone else detect
+        if until - since <= bound:
+            continue
+        ill = {n for n, a, b in world.spells if a < since + bound and b > since}
+        cut = {n for c in world.cuts for n in c[:2] if n}
+        for seer in world.names - ill - cut:
+            told = [t for t in world.gone_at.get((seer, name), ()) if since <= t < until]
+            took = min(told, default=inf) - since
+            kind = "detection, one fault" if alone else "detection"
+            nearest[kind] = max(nearest[kind], took / bound)
+            if took > bound:
+                broken.append(f"{seer} held {name} for {took:.0f} ms after {since:.0f}, bound {bound:.0f}")
+    false = 0
+    for (seer, name), times in world.gone_at.items():
+        for t in times:
+            if world.calm(t - detect, t) and not world.loss:
+                false += 1
+                broken.append(f"{seer} called {name} gone at {t:.0f} with no fault there")
+    return Found(broken, nearest, world.told_twins)
+
+
+def schedule(nodes: int, seed: int, most: int = 4) -> list[Strike]:
+    """Return a schedule of chance."""
+    draws = 0
+
+    def chance(count: int) -> int:
+        nonlocal draws
+        draws += 1
+        return crc32(b"schedule:%d:%d" % (seed, draws)) % count
+
+    found = []
+    for _ in range(1 + chance(most)):
+        node, other = chance(nodes), chance(nodes - 1)
+        other += other >= node
+        kind = Kind(1 + chance(4)) if chance(4) == 0 else Kind(1 + chance(2))
+        count = 3 + chance(4) if kind > Kind.ACK else 6 + chance(30)
+        fault = FAULTS[chance(len(FAULTS))]
+        for_ms = PERIOD_MS * (1.0 + chance(90))
+        found.append(Strike(f"n{node}", bool(chance(2)), kind, count, fault, f"n{other}", for_ms))
+    return found
+
+
+def play(nodes: int, seed: int, strikes: list[Strike], machine: type[Members] = Members) -> Found:
+    """Play a schedule, wait until its last fault is over, and judge."""
+    world = World(nodes, seed, strikes, doubles=0.02, machine=machine)
+    suspicion = world.seats["n0"].machine.suspicion_ms(0)
+    detect = detect_ms(nodes, suspicion, PERIOD_MS, HEALTH_MOST) * (1.0 + 2.0 * DRIFT)
+    lonely = detect_ms(nodes, suspicion, PERIOD_MS, 0) * (1.0 + 2.0 * DRIFT)
+    world.run(SETTLE * PERIOD_MS)
+    broken = [f"at the start {what}" for what in world.agree()] if world.calm(0.0, world.now) else []
+    world.run(PERIOD_MS * 60.0)
+    over = max([b for _, b in world.touched], default=0.0)
+    held = max([s.for_ms for s in strikes if s.fault == "hold"], default=0.0)
+    world.strikes.clear()  # a later step would begin a fault when all is to heal
+    heal = heal_ms(nodes, PERIOD_MS) * (1.0 + 2.0 * DRIFT)
+    end = max(world.now, over, world.now + held)
+    world.run(end)
+    step, wrong = end, world.agree()
+    while wrong and step < end + heal:
+        step += PERIOD_MS / 2.0
+        world.run(step)
+        wrong = world.agree()
+    found = judge(world, detect, lonely)
+    found.nearest["heal"] = (step - end) / heal
+    broken += [f"{heal:.0f} ms after all healed {what}" for what in wrong[:3]] + found.broken
+    return Found(broken, found.nearest, found.twins)
+
+
+def shrunk(nodes: int, seed: int, strikes: list[Strike], machine: type[Members] = Members) -> list[Strike]:
+    """Return a shortest part of a schedule that still breaks a bound."""
+    at = 0
+    while at < len(strikes):
+        fewer = strikes[:at] + strikes[at + 1 :]
+        if play(nodes, seed, fewer, machine).broken:
+            strikes = fewer
+        else:
+            at += 1
+    return strikes
+
+
+def hunted(nodes: int, seed: int) -> Found:
+    """Play the schedule of a seed."""
+    return play(nodes, seed, schedule(nodes, seed))
+
+
+def told(strike: Strike) -> str:
+    """Return a fault for people."""
+    way = "sends" if strike.sends else "receives"
+    step = f"{strike.node} {way} its {strike.kind.name.lower()} no. {strike.count}"
+    other = f" towards {strike.other}" if strike.fault == "pair" else ""
+    return f"before {step}: {strike.fault}{other} for {strike.for_ms:.0f} ms"
--- /dev/null
+++ b/marlseam/fleet/members.py
@@ -0,0 +1,331 @@
+"""Who of a fleet is there, as one of its members finds out; pure: no clock, no socket.
+
+SWIM (Das, Gupta, Motivala 2002): in each period one member, in a shuffled turn, is pinged; one that does not
+answer is asked for by others; then it is suspected, and counts as gone if it does not refute that in time.
+What is known travels with these letters. From Lifeguard (Dadgar, Phillips, Currey 2017): whoever misses
+answers looks at itself first and waits longer, a suspicion ends sooner the more members share it, and a
+member is told what is said of it. docs/design/fleet.md has what was kept and changed, and the bounds.
+
+Times in ms on the member's own clock. Who may belong is in the settings; who is there is found out.
+"""
+
+from dataclasses import dataclass, field
+from math import ceil, inf, log, log2, log10
+from typing import NamedTuple
+from zlib import crc32
+
+from marlseam.fleet.words import (
+    NUMBER_MOST,
+    RUMOURS_MOST,
+    VERSION,
+    Claim,
+    Kind,
+    Letter,
+    Rumour,
+    Standing,
+)
+
+HELPERS = 3  # members that are asked to ask
+DIRECT = 0.3  # of a period, after which they are asked
+NACK_AT = 0.25  # of a period, after which one that asks for another says that it has not heard
+LEAST = 2.0  # shortest suspicion, in periods and powers of ten of members
+MOST = 3.0  # longest, in the shortest
+SHARED = 3  # others that must share a suspicion for the shortest
+HEALTH_MOST = 3  # how much longer one waits that doubts itself, in its ordinary waits
+TELLINGS = 4.0  # how often a change is passed on, in powers of two of members
+OLD = 2  # rumours in a letter on members whose turn it is, changed or not: mends what loss has hidden
+LATE = 2.0  # periods between two looks from which a process must have been stopped
+
+
+class Say(NamedTuple):
+    """Send a letter to a member."""
+
+    to: str
+    letter: Letter
+
+
+class Changed(NamedTuple):
+    """A member's standing is another, or another process has taken its name."""
+
+    name: str
+    claim: Claim
+
+
+class Twin(NamedTuple):
+    """Two processes act under one name: a life that another had followed spoke again."""
+
+    name: str
+    life: int
+
+
+Effect = Say | Changed | Twin
+
+
+@dataclass(slots=True)
+class Member:
+    """What is held of one member."""
+
+    claim: Claim | None = None  # nothing heard of it yet
+    since_ms: float = 0.0  # when that claim came to hold
+    heard_ms: float = -inf  # its last letter
+    suspects: dict[str, None] = field(default_factory=dict)
+    ends_ms: float = inf  # of the suspicion
+    former: int = -1  # the life before this one
+
+
+@dataclass(slots=True)
+class Look:
+    """A ping that is out, for ourselves or for another."""
+
+    name: str
+    due_ms: float  # when it counts as missed
+    ask_ms: float = inf  # when others are asked
+    asker: str = ""
+    asker_seq: int = 0
+    nacks: int = 0  # helpers that have not said yet that they heard nothing
+
+
+class Members:
+    """One member's machine: `tick` when `next_ms` has come, `heard` for each letter; both return effects."""
+
+    def __init__(
+        self, fleet: str, me: str, names: frozenset[str], life: int, seed: int, period_ms: float, now: float
+    ) -> None:
+        self.fleet, self.me, self.seed, self.draws = fleet, me, seed, 0
+        self.period_ms, self.now, self.looked_ms = period_ms, now, now
+        self.own = Claim(0, life, Standing.HERE)
+        self.members = {name: Member(since_ms=now) for name in sorted(names - {me})}
+        self.turn: list[str] = []
+        self.turn_old: list[str] = []
+        self.looks: dict[int, Look] = {}
+        self.seq = self.health = 0
+        self.news: dict[str, int] = {me: 0}  # members with news to pass on, and how often it was
+        self.next_probe_ms = now
+        self.effects: list[Effect] = []
+        self.suspected: set[str] = set()
+
+    # Figures.
+
+    @property
+    def next_ms(self) -> float:
+        """When `tick` is due."""
+        ends = [self.members[name].ends_ms for name in self.suspected]
+        looks = [min(look.due_ms, look.ask_ms) for look in self.looks.values()]
+        return min([self.next_probe_ms, *ends, *looks])
+
+    def here(self) -> list[str]:
+        """Return the members that count as there, ourselves apart."""
+        return [n for n, m in self.members.items() if m.claim and m.claim.standing <= Standing.SUSPECT]
+
+    def suspicion_ms(self, shared: int) -> float:
+        """Return how long a suspicion lasts that so many others share."""
+        least = LEAST * max(1.0, log10(1.0 + len(self.members))) * self.period_ms
+        share = min(1.0, log(1.0 + shared) / log(1.0 + SHARED))
+        return max(least, MOST * least - (MOST - 1.0) * least * share)
+
+    def wait_ms(self) -> float:
+        """Return a period as this member takes it, longer where it doubts itself."""
+        return self.period_ms * (1.0 + self.health)
+
+    def chance(self) -> float:
+        """Return the next number in [0, 1) of this member's own sequence."""
+        self.draws += 1
+        return crc32(b"%d:%s:%d" % (self.seed, self.me.encode(), self.draws)) / 2.0**32
+
+    def shuffled(self, names: list[str]) -> list[str]:
+        """Return names in an order of chance."""
+        return [name for _, name in sorted((self.chance(), name) for name in names)]
+
+    # Events.
+
+    def tick(self, now: float) -> list[Effect]:
+        """Do what is due."""
+        self.begin(now)
+        for seq, look in list(self.looks.items()):
+            if look.ask_ms <= now:
+                look.ask_ms = inf
+                others = [n for n in self.here() if n != look.name]
+                helpers = self.shuffled(others)[:HELPERS]
+                look.nacks = len(helpers)
+                for helper in helpers:
+                    self.say(helper, Kind.ASK, seq, look.name)
+            if look.due_ms <= now:
+                del self.looks[seq]
+                self.missed(look)
+        for name in sorted(self.suspected):
+            member = self.members[name]
+            if member.ends_ms <= now:
+                self.take(Rumour(name, self.held(member, Standing.GONE)))
+        if self.next_probe_ms <= now:
+            self.next_probe_ms = now + self.wait_ms()
+            self.probe()
+        return self.effects
+
+    def begin(self, now: float) -> None:
+        """Note the time. One that was stopped has no evidence against others: their time starts anew."""
+        gap, self.effects = now - self.looked_ms, []
+        if gap > LATE * self.wait_ms():
+            self.looks.clear()
+            self.health = min(HEALTH_MOST, self.health + 1)
+            for name in self.suspected:
+                self.members[name].ends_ms += gap
+        self.now = self.looked_ms = now
+
+    def probe(self) -> None:
+        """Ping the next in turn, and one of those that are not there, which may be again."""
+        here = set(self.here())
+        while self.turn and self.turn[-1] not in here:
+            self.turn.pop()
+        if not self.turn:
+            self.turn = self.shuffled(sorted(here))
+        if self.turn:
+            self.ping(self.turn.pop())
+        away = [name for name in self.members if name not in here]
+        if away:
+            self.say(away[int(self.chance() * len(away))], Kind.PING, 0)
+
+    def ping(self, name: str, asker: str = "", asker_seq: int = 0) -> None:
+        """Ping a member, for ourselves or for another."""
+        self.seq += 1
+        if asker:
+            look = Look(name, self.now + NACK_AT * self.period_ms, inf, asker, asker_seq)
+        else:
+            wait = self.wait_ms()
+            look = Look(name, self.now + 0.9 * wait, self.now + DIRECT * wait)
+        self.looks[self.seq] = look
+        self.say(name, Kind.PING, self.seq)
+
+    def missed(self, look: Look) -> None:
+        """Take in that a ping has no answer."""
+        if look.asker:
+            self.say(look.asker, Kind.NACK, look.asker_seq, look.name)
+            return
+        # Helpers that say nothing either speak against our own way, not against the member.
+        self.health = min(HEALTH_MOST, self.health + min(1, look.nacks))
+        member = self.members[look.name]
+        if member.claim is not None and member.claim.standing <= Standing.SUSPECT:
+            self.take(Rumour(look.name, self.held(member, Standing.SUSPECT), self.me))
+
+    def held(self, member: Member, standing: Standing) -> Claim:
+        """Return the claim on a member with another standing."""
+        return Claim(member.claim.incarnation, member.claim.life, standing)
+
+    def heard(self, now: float, letter: Letter) -> list[Effect]:
+        """Take in a letter."""
+        self.begin(now)
+        if letter.sender == self.me:
+            # Another process under our name, or a letter of our own that came back.
+            self.claimed(letter.own)
+            return self.effects
+        member = self.members[letter.sender]
+        member.heard_ms = now
+        self.take(Rumour(letter.sender, letter.own))
+        for rumour in letter.rumours:
+            self.take(rumour)
+        if letter.kind == Kind.PING:
+            self.say(letter.sender, Kind.ACK, letter.seq, self.me)
+        elif letter.kind == Kind.ASK and letter.about in self.members:
+            self.ping(letter.about, letter.sender, letter.seq)
+        elif letter.kind == Kind.ACK:
+            look = self.looks.get(letter.seq)
+            if look is not None and look.name == letter.about:
+                del self.looks[letter.seq]
+                if look.asker:
+                    self.say(look.asker, Kind.ACK, look.asker_seq, look.name)
+                else:
+                    self.health = max(0, self.health - 1)
+        elif letter.kind == Kind.NACK:
+            look = self.looks.get(letter.seq)
+            if look is not None:
+                look.nacks = max(0, look.nacks - 1)
+        return self.effects
+
+    def leave(self, now: float) -> list[Effect]:
+        """Say goodbye."""
+        self.begin(now)
+        self.own = Claim(self.own.incarnation, self.own.life, Standing.LEFT)
+        self.news[self.me] = 0
+        for name in self.shuffled(self.here())[: HELPERS + 1]:
+            self.say(name, Kind.PING, 0)
+        return self.effects
+
+    # What is said.
+
+    def claimed(self, claim: Claim) -> None:
+        """Hear a claim on ourselves: one that is not ours, or no praise, is refuted by a new incarnation."""
+        if claim < self.own or self.own.standing == Standing.LEFT:
+            return
+        if claim.life == self.own.life and claim.standing == Standing.HERE:
+            return
+        if claim.life == self.own.life:
+            self.health = min(HEALTH_MOST, self.health + 1)  # others did not hear us: our own way may be bad
+        if claim.incarnation < NUMBER_MOST:
+            self.own = Claim(claim.incarnation + 1, self.own.life, Standing.HERE)
+            self.news[self.me] = 0
+
+    def take(self, rumour: Rumour) -> None:
+        """Take in a rumour."""
+        if rumour.name == self.me:
+            self.claimed(rumour.claim)
+            return
+        member, claim = self.members[rumour.name], rumour.claim
+        if member.claim is not None and claim <= member.claim:
+            if claim == member.claim and claim.standing == Standing.SUSPECT and rumour.by:
+                self.share(rumour.name, member, rumour.by)
+            return
+        before, member.claim = member.claim, claim
+        member.since_ms = self.now
+        if before is not None and before.life != claim.life:
+            if claim.life == member.former:
+                self.effects.append(Twin(rumour.name, claim.life))
+            member.former = before.life
+        self.news[rumour.name] = 0
+        self.suspected.discard(rumour.name)
+        member.suspects, member.ends_ms = {}, inf
+        if claim.standing == Standing.SUSPECT:
+            self.suspected.add(rumour.name)
+            member.ends_ms = self.now + self.suspicion_ms(0)
+            self.share(rumour.name, member, rumour.by or self.me)
+        if before is None or (before.standing, before.life) != (claim.standing, claim.life):
+            self.effects.append(Changed(rumour.name, claim))
+
+    def share(self, name: str, member: Member, by: str) -> None:
+        """Note who else suspects a member: the more do, the sooner it counts as gone."""
+        if by in member.suspects or len(member.suspects) > SHARED:
+            return
+        member.suspects[by] = None
+        member.ends_ms = min(member.ends_ms, member.since_ms + self.suspicion_ms(len(member.suspects) - 1))
+        self.news[name] = 0
+
+    def rumours(self, to: str) -> list[Rumour]:
+        """Return what a letter to someone carries: what is said of it, news, some in their turn."""
+        most = ceil(TELLINGS * log2(2.0 + len(self.members)))
+        first = [to] if to in self.members and self.doubted(to) else []
+        fresh = sorted((n for n in self.news if n not in (self.me, to)), key=self.news.__getitem__)
+        if not self.turn_old:
+            self.turn_old = self.shuffled([n for n, m in self.members.items() if m.claim is not None])
+        old = [self.turn_old.pop() for _ in range(min(OLD, len(self.turn_old)))]
+        found = list(dict.fromkeys([*first, *fresh[: RUMOURS_MOST - OLD - 1], *old]))
+        for name in found:
+            if name in self.news:
+                self.news[name] += 1
+                if self.news[name] >= most:
+                    del self.news[name]
+        return [self.rumour(name) for name in found]
+
+    def doubted(self, name: str) -> bool:
+        """Return whether something is said of a member that it would refute."""
+        claim = self.members[name].claim
+        return claim is not None and claim.standing != Standing.HERE
+
+    def rumour(self, name: str) -> Rumour:
+        """Return what is held of a member, as it is told."""
+        member = self.members[name]
+        by = self.me if self.me in member.suspects else next(iter(member.suspects), "")
+        return Rumour(name, member.claim, by if member.claim.standing == Standing.SUSPECT else "")
+
+    def say(self, to: str, kind: Kind, seq: int, about: str = "") -> None:
+        """Send a letter."""
+        rumours = self.rumours(to)
+        letter = Letter(VERSION, self.fleet, self.me, self.own, kind, seq, about, rumours)
+        self.effects.append(Say(to, letter))
--- a/marlseam/judge/book.py
+++ b/marlseam/judge/book.py
@@ -55,6 +55,7 @@
         self.ends: dict[str, list[Record]] = defaultdict(list)  # of allocations: whatever closes one
         self.told: dict[tuple[str, str], list[Told]] = defaultdict(list)
         self.killed: dict[str, list[float]] = defaultdict(list)
+        self.stopped: dict[str, list[tuple[float, float]]] = defaultdict(list)  # from, until
         self.chains: dict[str, list[Tried]] = defaultdict(list)  # tries by their first
         for r in self.records:
             match r:
@@ -75,6 +76,8 @@
                     self.ends[r.id].append(r)
                 case Told():
                     self.told[r.node, r.executor].append(r)
+                case Node() if r.state == "stopped":
+                    self.stopped[r.node].append((r.t, r.until))
                 case Node() if r.state in ("killed", "ended"):
                     self.killed[r.node].append(r.t)
         self.slack = float(self.rules.get("slack_ms", 0.0))
--- a/marlseam/judge/rules.py
+++ b/marlseam/judge/rules.py
@@ -31,6 +31,9 @@
         ended = book.answers.get(id, [])
         if len(finals) > 1:
             rule.broken.append((id, f"{len(finals)} final answers"))
+        due, slack = tried.expires, book.slack
+        if any(a <= due + slack and b >= due - slack for a, b in book.stopped.get(tried.node, ())):
+            continue  # its node was stopped when its time ran out
         if finals:
             took = (finals[0].t - tried.t) / max(1.0, tried.expires - tried.t)
             rule.margin = max(rule.margin, took)
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -31,7 +31,15 @@
 DRAIN_MOST_MS = 3000.0  # how long work goes on after SIGTERM, or for the longest hard limit if that is less
 KEEP_SHARE = 0.4  # of that time, in which clients may go on using the connections that they have
 ANSWER_MS, EXIT_MS = 300.0, 500.0  # by when after that all is answered, and the node ends at the latest
-FIXED = ("name", "listen", "admin", "seed", "store", "watch")  # what a node keeps for as long as it runs
+FIXED = (
+    "name",
+    "listen",
+    "admin",
+    "seed",
+    "store",
+    "watch",
+    "fleet",
+)  # what a node keeps for as long as it runs
 
 
 def alone(settings: Settings, processes: int = 1) -> Settings:
@@ -109,8 +117,17 @@
                 "/control/out-of-service": ("POST", self.leave_service),
                 "/control/in-service": ("POST", self.enter_service),
             }
+            if config.fleet is not None:
+                calls["/control/fleet"] = ("GET", lambda: (200, self.peers.status()))
             with usable("admin", "{}:{}".format(*config.admin), "a free address"):
                 self.admin = Admin(self.loop, self.log, config.admin, OPERATORS, calls)
+        self.peers = None
+        if config.fleet is not None:
+            # Imported here: a node that is of no fleet needs nothing of it.
+            from marlseam.net.peers import Peers
+
+            with usable("fleet.members", config.fleet.members[config.name], "a free address of this machine"):
+                self.peers = Peers(self.loop, self.log, config.fleet, config.name, config.seed)
         self.post(core.Begin(alone(config.deployment.settings), config.seed))
         self.memory = self.handover = None
         if config.store is not None:
@@ -164,6 +181,8 @@
         self.executors.close()
         if self.handover is not None:
             self.handover.close()
+        if self.peers is not None:
+            self.peers.close()
         self.loop.finish()
         if self.memory is not None:
             self.memory.keeper.close()
--- /dev/null
+++ b/marlseam/net/peers.py
@@ -0,0 +1,165 @@
+"""A node's place among the members of its fleet: a datagram socket, the pure machine, what staff see."""
+
+import errno
+import json
+import socket
+import time
+from collections import Counter
+from math import inf
+
+from marlseam import __version__
+from marlseam.config import FleetSettings
+from marlseam.fleet.members import Changed, Effect, Members, Say
+from marlseam.fleet.words import LETTER_MOST, Odd, Standing, read, write
+from marlseam.net.log import Log
+from marlseam.net.loop import READ, Coroutine, Loop
+
+READS = 32  # letters read in one turn
+
+
+class Peers:
+    """Joins a member's machine to the loop; raises OSError where its address can never be had.
+
+    Where another process has the address (the old one in an upgrade, or a second one by mistake) this one is
+    no member until it is free.
+    """
+
+    def __init__(self, loop: Loop, log: Log, settings: FleetSettings, name: str, seed: int) -> None:
+        self.loop, self.log, self.settings, self.name, self.seed = loop, log, settings, name, seed
+        self.names = frozenset(settings.members)
+        self.dropped: Counter[str] = Counter()  # what was no letter of ours, by code
+        self.sent = self.came = self.sent_bytes = self.came_bytes = 0
+        self.machine = self.machine_now()
+        self.sock: socket.socket | None = None
+        self.closed, self.timer = False, loop.at(loop.now(), lambda: None)
+        self.join()
+
+    def machine_now(self) -> Members:
+        """Return a machine that begins now.
+
+        A life's number need only differ from an earlier one's: incarnations order them.
+        """
+        life, period = int(time.time() * 1000.0), self.settings.period_ms
+        return Members(self.settings.name, self.name, self.names, life, self.seed, period, self.loop.now())
+
+    def join(self) -> None:
+        """Take the address and begin, or try again after a period."""
+        if self.closed:
+            return
+        address = self.settings.members[self.name]
+        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            sock.setblocking(False)
+            sock.bind(address)
+        except OSError as error:
+            sock.close()
+            if error.errno != errno.EADDRINUSE:
+                raise
+            if not self.dropped["in-use"]:
+                self.log.line(
+                    "fleet code=in-use: another process has this member's address; no member until then"
+                )
+            self.dropped["in-use"] += 1
+            self.loop.at(self.loop.now() + self.settings.period_ms, self.join)
+            return
+        self.sock, self.machine = sock, self.machine_now()
+        self.loop.spawn(self.listen())
+        self.tick()
+
+    def listen(self) -> Coroutine:
+        """Take in letters, some in each turn of the loop."""
+        while True:
+            yield (self.sock.fileno(), READ, inf)
+            for _ in range(READS):
+                try:
+                    data = self.sock.recv(LETTER_MOST + 1)
+                except OSError:
+                    break  # nothing more, or a port on this machine where nobody listens
+                self.came, self.came_bytes = self.came + 1, self.came_bytes + len(data)
+                try:
+                    letter = read(data, self.settings.name, self.names)
+                except Odd as odd:
+                    self.drop(odd.code)
+                    continue
+                self.act(self.machine.heard(self.loop.now(), letter))
+            self.plan()
+
+    def drop(self, code: str) -> None:
+        """Count what is no letter of ours; the first of a kind is told."""
+        self.dropped[code] += 1
+        if self.dropped[code] == 1:
+            self.log.line(f"fleet code={code}: a letter was left out, others like it are counted")
+
+    def tick(self) -> None:
+        """Do what is due."""
+        self.act(self.machine.tick(self.loop.now()))
+        self.plan()
+
+    def plan(self) -> None:
+        """Be woken when something is due."""
+        self.loop.drop(self.timer)
+        self.timer = self.loop.at(self.machine.next_ms, self.tick)
+
+    def act(self, effects: list[Effect]) -> None:
+        """Carry out what the machine asks for."""
+        for effect in effects:
+            if type(effect) is Say:
+                self.send(effect.to, write(effect.letter))
+            elif type(effect) is Changed:
+                claim = effect.claim
+                standing = Standing(claim.standing).name.lower()
+                self.log.line(
+                    f"member {effect.name} {standing} life={claim.life} incarnation={claim.incarnation}"
+                )
+            else:
+                self.log.line(
+                    f"fleet code=twin: {effect.name} life={effect.life} speaks after another took its name"
+                )
+
+    def send(self, to: str, data: bytes) -> None:
+        """Send a datagram; one that the system does not take is lost like any other."""
+        try:
+            self.sock.sendto(data, self.settings.members[to])
+        except OSError:
+            self.dropped["unsent"] += 1
+            return
+        self.sent, self.sent_bytes = self.sent + 1, self.sent_bytes + len(data)
+
+    def status(self) -> str:
+        """Return what is held of each member, as JSON; ages in ms."""
+        now, own = self.loop.now(), self.machine.own
+        standing = "here" if self.sock is not None else "out"
+        rows = [
+            {
+                "name": self.name, "standing": standing, "life": own.life, "incarnation": own.incarnation,
+                "since_ms": round(now), "heard_ms": 0, "suspected_by": [], "former_life": None,
+            }
+        ]  # fmt: skip
+        for name, member in self.machine.members.items():
+            claim = member.claim
+            heard = None if member.heard_ms == -inf else round(now - member.heard_ms)
+            rows.append(
+                {
+                    "name": name,
+                    "standing": "unheard" if claim is None else Standing(claim.standing).name.lower(),
+                    "life": claim and claim.life, "incarnation": claim and claim.incarnation,
+                    "since_ms": round(now - member.since_ms), "heard_ms": heard,
+                    "suspected_by": sorted(member.suspects),
+                    "former_life": member.former if member.former >= 0 else None,
+                }
+            )  # fmt: skip
+        told = {
+            "fleet": self.settings.name, "by": self.name, "program": __version__,
+            "health": self.machine.health, "period_ms": self.settings.period_ms,
+            "letters": {"sent": self.sent, "came": self.came, "bytes_sent": self.sent_bytes,
+                        "bytes_came": self.came_bytes, "left_out": dict(self.dropped)},
+            "members": sorted(rows, key=lambda row: row["name"]),
+        }  # fmt: skip
+        return json.dumps(told) + "\n"
+
+    def close(self) -> None:
+        """Say goodbye, and go."""
+        self.closed = True
+        if self.sock is not None:
+            self.act(self.machine.leave(self.loop.now()))
+            self.loop.close(self.sock)
--- a/marlseam/records.py
+++ b/marlseam/records.py
@@ -185,8 +185,9 @@
     """A node of the dispatcher's began, ended or was killed."""
 
     node: str
-    state: str
+    state: str  # began, closing, killed, ended; stopped: the system gave it no time, until then
     zone: str = ""
+    until: float = 0.0
 
 
 AnyRecord = (
--- /dev/null
+++ b/tests/test_agree.py
@@ -0,0 +1,171 @@
+"""Agreement on a version's content: every interleaving in a small size, and defects that the search finds."""
+
+import pytest
+
+from marlseam.fleet.agree import (
+    NONE,
+    Accept,
+    Accepted,
+    Acceptor,
+    Prepare,
+    Promise,
+    Promised,
+    Proposer,
+    Refused,
+)
+from marlseam.fleet.explore import NUMBER, Rules, after, contents, explore, wander
+
+
+def test_no_interleaving_of_few_steps_gives_one_number_two_contents():
+    found = explore(8)
+    assert found.way == [] and found.depth == 8 and found.states > 10000
+
+
+def test_far_ways_of_chance_find_none_either():
+    assert wander(150, 24, Rules()) == []
+
+
+def changed(**named):
+    return type("Changed", (Proposer,), named)
+
+
+class ForgetsPromise(Rules):
+    """Planted: a voter's promise is not on its disk, what it accepted is."""
+
+    def on_disk(self, voter, new):
+        return new if new.accepted > voter.disk.accepted else voter.disk
+
+
+class ForgetsAccepted(Rules):
+    """Planted: what a voter accepted is not on its disk, its promise is."""
+
+    def on_disk(self, voter, new):
+        return new._replace(accepted=NONE, value="")
+
+
+class SpeaksFirst(Rules):
+    """Planted: a voter speaks before its disk has it."""
+
+    def on_disk(self, voter, new):
+        return voter.process
+
+
+class Proposers(Rules):
+    """Operators of another kind."""
+
+    kind = Proposer
+
+    def proposer(self, place, operator):
+        held = operator.round, operator.open
+        electorate = self.electorate(place)
+        return self.kind(place, NUMBER, operator.value, electorate, *held, asked=operator.asked)
+
+
+class HalfIsEnough(Proposers):
+    """Planted: half of the voters count as a majority."""
+
+    kind = changed(enough=lambda self: len(self.voters) // 2)
+
+    def enough(self, electorate):
+        return len(electorate) // 2
+
+
+class WrongVoters(Rules):
+    """Planted: an operator takes the voters of another version."""
+
+    voters = ("a", "b", "c", "d", "e")
+
+    def electorate(self, place):
+        return frozenset("abc" if place == 1 else "cde")
+
+
+class OwnGoesFirst(Proposers):
+    """Planted: what was accepted before is not looked at."""
+
+    kind = changed(
+        heard=lambda self, m: Proposer.heard(self, m._replace(accepted=NONE) if type(m) is Promise else m)
+    )
+
+
+def earliest(self, message):
+    if type(message) is Promise and message.accepted > NONE:
+        message = message._replace(accepted=(9 - message.accepted[0], 9 - message.accepted[1]))
+    return Proposer.heard(self, message)
+
+
+class EarliestGoesFirst(Proposers):
+    """Planted: of what was accepted before, the earliest is taken."""
+
+    kind = changed(heard=earliest)
+
+
+class SameRoundAgain(Rules):
+    """Planted: an operator that restarts begins its rounds anew."""
+
+    def round_on_disk(self, operator, round):
+        return 0
+
+
+class TakesAnything(Rules):
+    """Planted: a voter accepts under an earlier ballot than it promised."""
+
+    def acceptor(self, name, held):
+        class Lax(Acceptor):
+            def heard(self, message):
+                if type(message) is Prepare:
+                    return super().heard(message)
+                new = Promised(max(message.ballot, held.ballot), message.ballot, message.value)
+                return new, Accepted(message.number, message.ballot, name, message.value)
+
+        return Lax(name, {NUMBER: held})
+
+
+ONE = ["1 begins 1", "a hears Prepare", "b hears Prepare", "1 asks", "a hears Accept"]
+TWO = ["2 begins 1", *(f"{v} hears Prepare(number=2, ballot=(1, 2)" for v in "bc"), "2 asks"]
+FAR = [*ONE, *TWO, *(f"{v} hears Accept(number=2, ballot=(1, 2)" for v in "bc"), "1 begins 2"]
+
+
+@pytest.mark.parametrize(
+    ("rules", "path"),
+    [
+        (ForgetsPromise, ONE[:4]), (ForgetsAccepted, ONE), (SpeaksFirst, ONE[:4]), (HalfIsEnough, []),
+        (WrongVoters, [*ONE, "b hears Accept", "2 begins 1"]), (OwnGoesFirst, ONE),
+        (EarliestGoesFirst, FAR), (SameRoundAgain, ONE), (TakesAnything, ONE[:4]),
+    ],
+    ids=lambda value: getattr(value, "__name__", ""),
+)  # fmt: skip
+def test_a_planted_defect_is_found(rules, path):
+    assert wander(1500, 16, rules(), after(path, rules()))
+    assert wander(60, 16, Rules(), after(path, Rules())) == []
+
+
+def test_what_is_said_again_or_late_changes_nothing():
+    voter = Acceptor("a", {})
+    new, answer = voter.heard(Prepare(2, (2, 1)))
+    voter.keep(2, new)
+    assert voter.heard(Prepare(2, (2, 1))) == (None, answer)
+    assert voter.heard(Accept(2, (1, 2), "y")) == (None, Refused(2, (1, 2), (2, 1)))
+    new, _ = voter.heard(Accept(2, (2, 1), "x"))
+    voter.keep(2, new)
+    assert voter.heard(Prepare(3, (1, 2)))[0] == Promised((1, 2))  # each number for itself
+
+
+def test_an_operator_hears_only_voters_of_its_version_in_its_own_round():
+    operator = Proposer(1, 2, "x", frozenset("abc"))
+    assert operator.heard(Promise(2, (0, 1), "a", NONE, "")) is None  # nothing has begun
+    operator.begin()
+    for number, place, voter in ((2, 1, "z"), (3, 1, "a"), (2, 2, "a")):
+        assert operator.heard(Promise(number, (1, place), voter, NONE, "")) is None and not operator.promises
+    assert operator.heard(Refused(2, (1, 1), (4, 2))) == Prepare(2, (5, 1))
+    operator.heard(Promise(2, (5, 1), "a", (3, 2), "y"))
+    assert operator.heard(Promise(2, (5, 1), "b", (1, 1), "x")) == Accept(2, (5, 1), "y")
+    for voter in "ab":
+        operator.heard(Accepted(2, (5, 1), voter, "y"))
+    assert operator.chosen == "y" and operator.heard(Accepted(2, (5, 1), "c", "y")) is None
+
+
+def test_two_contents_are_seen_where_a_majority_took_each():
+    state = after(FAR, Rules())
+    assert contents(state, Rules()) == {"y1.0"}
+    both = state.said | {Accepted(2, (2, 1), voter, "x2.0") for voter in "ab"}
+    assert contents(state._replace(said=both), Rules()) == {"y1.0", "x2.0"}
