Fleet: a letter's cost no longer grows with the fleet; the rig reads its own run's logs

Cause: 1,000 members did not end in 170 s, each letter sorted all news; a reused folder's old lines counted as false words. Change: orders made anew when used up, news as a queue.

--- a/examples/members.py
+++ b/examples/members.py
@@ -1,6 +1,6 @@
 """Seven nodes of one fleet on loopback, with stand-in executors and a roster, until Ctrl-C.
 
-    python examples/members.py
+    PYTHONPATH=. python examples/members.py
 
 Each node is a process of its own. What is printed tells where to ask who is there; stop one (kill -STOP), or
 end it, and ask again.
--- a/marlseam/experiment/fleet.py
+++ b/marlseam/experiment/fleet.py
@@ -90,7 +90,9 @@
         self.spells: list[tuple[str, str, float, float]] = []  # who, which fault, since, until
         self.late: list[tuple[float, int, tuple[str, str], bytes]] = []
         self.told: list[tuple[float, str, str, str, int]] = []  # when, by whom, of whom, what, life
-        self.read_to = dict.fromkeys(names, 0)
+        logs = {name: out / "logs" / f"{name}.log" for name in names}
+        # From here on: the folder may hold what nodes of an earlier run have logged.
+        self.read_to = {name: log.stat().st_size if log.exists() else 0 for name, log in logs.items()}
         self.passed = self.lost = self.count = 0
         self.error: BaseException | None = None
         self.over = threading.Event()
--- a/marlseam/fleet/members.py
+++ b/marlseam/fleet/members.py
@@ -9,6 +9,7 @@
 Times in ms on the member's own clock. Who may belong is in the settings; who is there is found out.
 """
 
+from collections import deque
 from dataclasses import dataclass, field
 from math import ceil, inf, log, log2, log10
 from typing import NamedTuple
@@ -95,11 +96,15 @@
         self.period_ms, self.now, self.looked_ms = period_ms, now, now
         self.own = Claim(0, life, Standing.HERE)
         self.members = {name: Member(since_ms=now) for name in sorted(names - {me})}
-        self.turn: list[str] = []
-        self.turn_old: list[str] = []
+        self.names = sorted(self.members)
+        # Orders of chance, made anew when one is used up: cost a letter does not grow with the fleet.
+        self.turn: list[str] = []  # of those that are there, to be pinged
+        self.turn_away: list[str] = []  # of those that are not
+        self.turn_old: list[str] = []  # of all that anything is held of, to be told of
         self.looks: dict[int, Look] = {}
         self.seq = self.health = 0
-        self.news: dict[str, int] = {me: 0}  # members with news to pass on, and how often it was
+        self.news: dict[str, int] = {}  # members with news to pass on, and how often it was
+        self.telling: deque[str] = deque()  # the same, what was told least first
         self.next_probe_ms = now
         self.effects: list[Effect] = []
         self.suspected: set[str] = set()
@@ -113,9 +118,23 @@
         looks = [min(look.due_ms, look.ask_ms) for look in self.looks.values()]
         return min([self.next_probe_ms, *ends, *looks])
 
+    def is_here(self, name: str) -> bool:
+        """Return whether a member counts as there."""
+        claim = self.members[name].claim
+        return claim is not None and claim.standing <= Standing.SUSPECT
+
     def here(self) -> list[str]:
         """Return the members that count as there, ourselves apart."""
-        return [n for n, m in self.members.items() if m.claim and m.claim.standing <= Standing.SUSPECT]
+        return [name for name in self.names if self.is_here(name)]
+
+    def some(self, count: int, but: str = "") -> list[str]:
+        """Return up to so many members that are there, by chance; few looks, however many there are."""
+        found: dict[str, None] = {}
+        for _ in range(4 * count if self.names else 0):
+            name = self.names[int(self.chance() * len(self.names))]
+            if len(found) < count and name != but and self.is_here(name):
+                found[name] = None
+        return list(found)
 
     def suspicion_ms(self, shared: int) -> float:
         """Return how long a suspicion lasts that so many others share."""
@@ -144,8 +163,7 @@
         for seq, look in list(self.looks.items()):
             if look.ask_ms <= now:
                 look.ask_ms = inf
-                others = [n for n in self.here() if n != look.name]
-                helpers = self.shuffled(others)[:HELPERS]
+                helpers = self.some(HELPERS, look.name)
                 look.nacks = len(helpers)
                 for helper in helpers:
                     self.say(helper, Kind.ASK, seq, look.name)
@@ -173,16 +191,22 @@
 
     def probe(self) -> None:
         """Ping the next in turn, and one of those that are not there, which may be again."""
-        here = set(self.here())
-        while self.turn and self.turn[-1] not in here:
-            self.turn.pop()
-        if not self.turn:
-            self.turn = self.shuffled(sorted(here))
-        if self.turn:
-            self.ping(self.turn.pop())
-        away = [name for name in self.members if name not in here]
-        if away:
-            self.say(away[int(self.chance() * len(away))], Kind.PING, 0)
+        self.turn, name = self.next_in(self.turn, True)
+        if name:
+            self.ping(name)
+        self.turn_away, name = self.next_in(self.turn_away, False)
+        if name:
+            self.say(name, Kind.PING, 0)
+
+    def next_in(self, turn: list[str], here: bool) -> tuple[list[str], str]:
+        """Return the rest of an order and its next that is there, or is not; a new order after the last."""
+        for _ in range(2):
+            while turn:
+                name = turn.pop()
+                if self.is_here(name) is here:
+                    return turn, name
+            turn = self.shuffled([name for name in self.names if self.is_here(name) is here])
+        return turn, ""
 
     def ping(self, name: str, asker: str = "", asker_seq: int = 0) -> None:
         """Ping a member, for ourselves or for another."""
@@ -244,8 +268,7 @@
         """Say goodbye."""
         self.begin(now)
         self.own = Claim(self.own.incarnation, self.own.life, Standing.LEFT)
-        self.news[self.me] = 0
-        for name in self.shuffled(self.here())[: HELPERS + 1]:
+        for name in self.some(HELPERS + 1):
             self.say(name, Kind.PING, 0)
         return self.effects
 
@@ -261,7 +284,6 @@
             self.health = min(HEALTH_MOST, self.health + 1)  # others did not hear us: our own way may be bad
         if claim.incarnation < NUMBER_MOST:
             self.own = Claim(claim.incarnation + 1, self.own.life, Standing.HERE)
-            self.news[self.me] = 0
 
     def take(self, rumour: Rumour) -> None:
         """Take in a rumour."""
@@ -279,7 +301,7 @@
             if claim.life == member.former:
                 self.effects.append(Twin(rumour.name, claim.life))
             member.former = before.life
-        self.news[rumour.name] = 0
+        self.tell(rumour.name)
         self.suspected.discard(rumour.name)
         member.suspects, member.ends_ms = {}, inf
         if claim.standing == Standing.SUSPECT:
@@ -295,23 +317,33 @@
             return
         member.suspects[by] = None
         member.ends_ms = min(member.ends_ms, member.since_ms + self.suspicion_ms(len(member.suspects) - 1))
-        self.news[name] = 0
+        self.tell(name)
+
+    def tell(self, name: str) -> None:
+        """Pass news of a member on, before what was told already."""
+        if self.news.get(name) != 0:
+            if name in self.news:
+                self.telling.remove(name)  # news of news; guards the memory against one that comes and goes
+            self.news[name] = 0
+            self.telling.appendleft(name)
 
     def rumours(self, to: str) -> list[Rumour]:
         """Return what a letter to someone carries: what is said of it, news, some in their turn."""
         most = ceil(TELLINGS * log2(2.0 + len(self.members)))
         first = [to] if to in self.members and self.doubted(to) else []
-        fresh = sorted((n for n in self.news if n not in (self.me, to)), key=self.news.__getitem__)
+        fresh: dict[str, None] = {}
+        while self.telling and len(fresh) < RUMOURS_MOST - OLD - 1:
+            fresh[self.telling.popleft()] = None
         if not self.turn_old:
             self.turn_old = self.shuffled([n for n, m in self.members.items() if m.claim is not None])
         old = [self.turn_old.pop() for _ in range(min(OLD, len(self.turn_old)))]
-        found = list(dict.fromkeys([*first, *fresh[: RUMOURS_MOST - OLD - 1], *old]))
-        for name in found:
-            if name in self.news:
-                self.news[name] += 1
-                if self.news[name] >= most:
-                    del self.news[name]
-        return [self.rumour(name) for name in found]
+        for name in fresh:
+            self.news[name] += 1
+            if self.news[name] >= most:
+                del self.news[name]
+            else:
+                self.telling.append(name)
+        return [self.rumour(name) for name in dict.fromkeys([*first, *fresh, *old])]
 
     def doubted(self, name: str) -> bool:
         """Return whether something is said of a member that it would refute."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -111,6 +111,14 @@
     assert effects and all(len(write(e.letter)) <= LETTER_MOST for e in effects if hasattr(e, "letter"))
 
 
+def test_one_that_comes_and_goes_costs_no_memory():
+    a = member()
+    for i in range(5000):
+        a.take(Rumour("b", Claim(i, 9, i % 4)))
+        a.rumours("c")
+    assert len(a.telling) == len(a.news) <= 2 and len(a.members["b"].suspects) <= 1
+
+
 # Bounds, and a checker that is known to check.
 
 
