--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,7 +10,7 @@
 import h11
 import pytest
 
-from marlseam.config import Deployment, deployment_from, load
+from marlseam.config import ConfigError, Deployment, deployment_from, load, own_settings
 from marlseam.core import Event
 from marlseam.counters import Counters
 from marlseam.interface import (
@@ -132,6 +132,16 @@
     "ceilings": {"sendCap": 4, "mayProbe": True, "cancel": True, "keepaliveUs": 1000000},
     "familyInfo": {"tellsStart": True, "reportX0": "free slots"},
 }  # fmt: skip
+PAYMENTS = OPTIONS | {
+    "requestClasses": [
+        *OPTIONS["requestClasses"],
+        {
+            "name": "payment", "aimUs": 200000, "deadlineUs": 5000000, "semantics": "keyed",
+            "dedupScope": "cell", "memorySpanUs": 30000000,
+        },
+    ],
+    "clients": {"marksRetry": True},
+}  # fmt: skip
 
 
 LINES = b'{"id":"9b","from":"e1","state":"started"}\n{"id":"9b","from":"e1","state":"done","result":"r"}\n'
@@ -212,6 +222,20 @@
     return deployment_from(OPTIONS)
 
 
+@pytest.fixture
+def at_fault(tmp_path: Path) -> Callable[[str], str]:
+    """Return a function that reads an operator's own settings and returns the key that is at fault."""
+
+    def read(text: str) -> str:
+        path = tmp_path / "own.toml"
+        path.write_text(text)
+        with pytest.raises(ConfigError) as error:
+            own_settings(str(path))
+        return error.value.key
+
+    return read
+
+
 @pytest.fixture
 def loop() -> Loop:
     def fault(text: str) -> None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,7 +13,7 @@
 from hypothesis import strategies as st
 
 from marlseam.cli import fleet as command
-from marlseam.config import ConfigError, FleetSettings, load, own_settings
+from marlseam.config import ConfigError, FleetSettings, load
 from marlseam.experiment.file import FileError
 from marlseam.experiment.fleet import Fault, Fleet, Rig
 from marlseam.fleet import hunt
@@ -322,12 +322,8 @@
         ("[fleet]\n[fleet.members]\na = '127.0.0.1:5'\n", "fleet.name"),
     ],
 )  # fmt: skip
-def test_a_wrong_setting_is_named(tmp_path, text, key):
-    path = tmp_path / "own.toml"
-    path.write_text(text)
-    with pytest.raises(ConfigError) as error:
-        own_settings(str(path))
-    assert error.value.key == key
+def test_a_wrong_setting_is_named(at_fault, text, key):
+    assert at_fault(text) == key
 
 
 def test_a_trusted_network_may_be_another_and_a_node_must_be_among_the_names(tmp_path):
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -10,13 +10,13 @@
 
 import pytest
 from click.testing import CliRunner
-from conftest import OPTIONS
+from conftest import PAYMENTS
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from marlseam import core
 from marlseam.__main__ import main
-from marlseam.config import ConfigError, StoreSettings, load, own_settings
+from marlseam.config import ConfigError, StoreSettings, load
 from marlseam.interface import WorkUnit
 from marlseam.net.log import Log
 from marlseam.net.node import Node
@@ -533,17 +533,6 @@
 
 # A whole node on its folder.
 
-KEYED = OPTIONS | {
-    "requestClasses": [
-        *OPTIONS["requestClasses"],
-        {
-            "name": "payment", "aimUs": 200000, "deadlineUs": 5000000, "semantics": "keyed",
-            "dedupScope": "cell", "memorySpanUs": 30000000,
-        },
-    ],
-    "clients": {"marksRetry": True},
-}  # fmt: skip
-
 
 @pytest.fixture
 def live(tmp_path):
@@ -554,7 +543,7 @@
         config, own = tmp_path / "node.json", tmp_path / "own.toml"
         host = {"host": "e1", "dial": "127.0.0.1:1", "health": "active", "site": "here", "class": "plain"}
         known = {"seq": 1, "whole": True, "hosts": [host | {"block": 4}]}
-        values = {"listen": listen, "discovery": "127.0.0.1:1", "settings": KEYED, "known": known}
+        values = {"listen": listen, "discovery": "127.0.0.1:1", "settings": PAYMENTS, "known": known}
         config.write_text(json.dumps(values))
         own.write_text(f'[store]\nfolder = "{tmp_path / "state"}"\n')
         node = Node(load(str(config), {}, own=str(own)))
@@ -661,12 +650,8 @@
         ("[store]\nfolder = 'x'\njournal_mb = -1\n", "store.journal_mb"),
     ],
 )  # fmt: skip
-def test_a_wrong_setting_is_named(tmp_path, text, key):
-    path = tmp_path / "own.toml"
-    path.write_text(text)
-    with pytest.raises(ConfigError) as error:
-        own_settings(str(path))
-    assert error.value.key == key
+def test_a_wrong_setting_is_named(at_fault, text, key):
+    assert at_fault(text) == key
 
 
 def test_staff_see_what_a_folder_holds(tmp_path):
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -10,7 +10,7 @@
 import time
 
 import pytest
-from conftest import OPTIONS
+from conftest import OPTIONS, PAYMENTS
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -206,16 +206,6 @@
     b"POST /payment HTTP/1.1\r\nHost: h\r\nX-Correlation-Id: p1\r\nX-Service-Class: payment\r\n"
     b"X-Time-Left: 5\r\nIdempotency-Key: k\r\n%bContent-Length: 3\r\n\r\nabc"
 )
-TYPES = OPTIONS | {
-    "requestClasses": [
-        *OPTIONS["requestClasses"],
-        {
-            "name": "payment", "aimUs": 200000, "deadlineUs": 5000000, "semantics": "keyed",
-            "dedupScope": "cell", "memorySpanUs": 30000000,
-        },
-    ],
-    "clients": {"marksRetry": True},
-}  # fmt: skip
 
 
 def pay(node, held, repeat=b""):
@@ -241,7 +231,7 @@
 def test_a_retry_goes_where_the_other_process_has_sent_the_first(made, old, held):
     hosts = [*HOSTS, HOSTS[0] | {"host": "e5", "block": 5}]
     talk = old(hello(), *form.snapshot(2, hosts, [sending(executor="gone", cell=5)]))
-    node = made(settings=TYPES)
+    node = made(settings=PAYMENTS)
     talk()
     turn(node, node.ready)
     wu, sock = pay(node, held)
@@ -252,7 +242,7 @@
 def test_what_is_told_before_a_client_comes_is_known_when_its_work_is_taken(made, old, held):
     # The old process tells of the sending before it answers; the retry may be read in the same turn.
     talk = old(hello(), WHOLE)
-    node = made(settings=TYPES)
+    node = made(settings=PAYMENTS)
     peer = talk()
     turn(node, node.ready)
     peer.sendall(form.sent([sending(executor="e9", cell=5)]))
@@ -307,7 +297,7 @@
 
 def test_a_marked_retry_is_refused_at_once_where_the_first_may_have_run_untold(made, old, held):
     talk = old(hello(), ends=True)
-    node = made(settings=TYPES)
+    node = made(settings=PAYMENTS)
     talk()
     turn(node, node.ready)
     sock = socket.create_connection(held.getsockname())
@@ -325,7 +315,7 @@
 @pytest.mark.parametrize(("last", "known"), [([form.OVER], True), ([], False)])
 def test_one_that_ends_without_saying_so_may_have_sent_what_it_did_not_tell(made, old, capsys, last, known):
     talk = old(hello(), WHOLE, *last)
-    node = made(settings=TYPES)
+    node = made(settings=PAYMENTS)
     peer = talk()
     turn(node, node.ready)
     assert not node.core.untold
@@ -337,7 +327,7 @@
 def test_one_that_tells_all_late_is_believed(made, old, monkeypatch):
     monkeypatch.setattr(handover_module, "WAIT_MS", 20.0)
     talk = old(hello())
-    node = made(settings=TYPES)
+    node = made(settings=PAYMENTS)
     peer = talk()
     turn(node, node.ready)
     assert node.core.untold_still()
@@ -436,7 +426,7 @@
 
 
 def test_a_later_process_is_told_what_there_is_and_what_comes(made, tmp_path):
-    node = made(settings=TYPES)
+    node = made(settings=PAYMENTS)
     node.core.receipts.note("k8", Trace("e1", 0, 4, node.loop.now(), node.loop.now() + 9999.0))
     later = caller(tmp_path)
     rows = [item for raw in told(node, later, b'"whole"') for item in form.read(raw)]
