--- a/marlseam/store/format.py
+++ b/marlseam/store/format.py
@@ -156,7 +156,8 @@
     for at in range(body + 1):
         length, check = FRAME.unpack_from(rest, at)
         inside = body - at
-        lengths = range(inside + 1) if at == 0 else [length] if length <= inside else []
+        # No frame is empty: eight zero bytes of an entry are not one. They made ordinary cuts count as lost.
+        lengths = range(1, inside + 1) if at == 0 else [length] if 0 < length <= inside else []
         if any(zlib.crc32(rest[at + FRAME.size : at + FRAME.size + n], n) == check for n in lengths):
             return False
     return True
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -271,6 +271,8 @@
     for cut in range(1, len(form.frame(sent("b", 2.0)))):
         state = ended(lambda data, cut=cut: data[:-cut])
         assert state.lost_ms is None and set(state.sent) == {"a"}
+    zeros = form.frame(Turned(0.0, 1.0))  # holds eight zero bytes
+    assert ended(lambda data: data + zeros[:-1]).lost_ms is None
     assert ended(lambda data: data + bytes(4096)).lost_ms is not None
     assert ended(lambda data: data[:-1] + b"x").lost_ms is not None
 
