--- a/marlseam/cli/fleet.py
+++ b/marlseam/cli/fleet.py
@@ -1,32 +1,49 @@
-"""`marlseam fleet`: who of a fleet is there, and a search for what breaks its bounds."""
+"""`marlseam fleet`: who of a fleet is there and acts on what, versions, the audit.
+
+Searches for what breaks bounds.
+"""
 
 import http.client
 import json
 import sys
-from collections.abc import Iterable
+import time
+from pathlib import Path
 
 import click
 
+from marlseam.cli.audit import audit
+from marlseam.cli.tables import table
+from marlseam.store.folder import code_of
+from marlseam.store.ledger import first_life
+
 AGE_S = (60.0, 3600.0)
 
 
 @click.group()
 def group() -> None:
-    """See who of a fleet is there; search for what breaks its bounds."""
+    """See who of a fleet is there and acts on what; publish versions; search for what breaks its bounds."""
 
 
-def ask(address: str) -> dict:
-    """Return what a node says at its operators' door."""
+group.add_command(audit)
+
+
+def call(address: str, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
+    """Return what a node answers at its operators' door."""
     host, _, port = address.rpartition(":")
     try:
-        call = http.client.HTTPConnection(host.strip("[]"), int(port), timeout=3.0)
-        call.request("GET", "/control/fleet")
-        answer = call.getresponse()
-        body = answer.read()
+        door = http.client.HTTPConnection(host.strip("[]"), int(port), timeout=3.0)
+        door.request(method, path, body)
+        answer = door.getresponse()
+        return answer.status, answer.read()
     except (OSError, ValueError, http.client.HTTPException) as error:
         raise click.ClickException(f"{address}: {error}") from None
-    if answer.status != 200:
-        raise click.ClickException(f"{address}: {answer.status}, a node with a door and a fleet was expected")
+
+
+def ask(address: str) -> dict:
+    """Return what a node says of its fleet."""
+    status, body = call(address, "GET", "/control/fleet")
+    if status != 200:
+        raise click.ClickException(f"{address}: {status}, a node with a door and a fleet was expected")
     return json.loads(body)
 
 
@@ -40,14 +57,6 @@
     return f"{seconds / 60.0:.0f} min" if seconds < AGE_S[1] else f"{seconds / 3600.0:.1f} h"
 
 
-def table(rows: Iterable[list[str]]) -> str:
-    """Return rows in columns."""
-    rows = list(rows)
-    widths = [max(len(row[i]) for row in rows) for i in range(len(rows[0]))]
-    lines = ("  ".join(cell.ljust(w) for cell, w in zip(row, widths, strict=True)).rstrip() for row in rows)
-    return "\n".join(lines)
-
-
 @group.command()
 @click.option("--at", "addresses", multiple=True, required=True, help="A node's operators' door; may repeat.")
 @click.option("--json", "raw", is_flag=True, help="Print what the nodes say, a line each.")
@@ -71,15 +80,117 @@
             click.echo(f"{row['fleet']} as {row['by']} holds it; doubts itself {row['health']}, "
                        f"{left_out} letters left out")  # fmt: skip
             click.echo(table(rows))
+            if "acting" in row:
+                click.echo(acting_told(row["by"], row["acting"]))
     if any(m["standing"] != "here" for row in told for m in row["members"]):
         sys.exit(1)
 
 
+def acting_told(by: str, acting: dict) -> str:
+    """Return what a node acts on, and what others last told it, for people."""
+    if "version" not in acting:
+        return f"versions: code={acting['code']}"
+    proof = (
+        f"in force {aged(acting['proof_age_ms'])} ago" if acting["proof_age_ms"] is not None else "not proved"
+    )
+    what = f"\n{by} acts on version {acting['acting']} of {acting['version']} for {aged(acting['since_ms'])}"
+    what += f", {proof}"
+    if acting["local"]:
+        what += ", with a file of its own"
+    if not acting["serving"] or acting["code"]:
+        what += f"; {'in' if acting['serving'] else 'out of'} service code={acting['code']}"
+        what += "".join(f" ({acting[key]})" for key in ("unfit", "hand", "disk") if acting[key])
+    lines = [what + f"; voters {', '.join(acting['voters'])}"]
+    rows = [["member", "version", "acts on", "service", "code", "votes", "told"]]
+    for name, peer in acting["peers"].items():
+        held = [name, str(peer["version"]), str(peer["acting"]), "in" if peer["serving"] else "out"]
+        rows.append([*held, peer["code"], "yes" if peer["votes"] else "no", aged(peer["told_ms"])])
+    return "\n".join([*lines, table(rows)])
+
+
+@group.command()
+@click.argument("folder", type=click.Path(path_type=Path, file_okay=False))
+@click.argument("node")
+def begin(folder: Path, node: str) -> None:
+    """Say that NODE has promised nothing yet: its ledger's FOLDER is empty as it has not lived.
+
+    Without this an empty folder counts as one whose content is lost, and its node does not vote at first.
+    """
+    try:
+        first_life(folder, node)
+    except FileExistsError:
+        raise click.ClickException(f"{folder}: there is a ledger already") from None
+    except OSError as error:
+        raise click.ClickException(f"{folder}: {code_of(error)}: {error.strerror}") from None
+    click.echo(f"{folder} is ready for the first life of {node}")
+
+
+@group.command()
+@click.argument("file", type=click.Path(path_type=Path, dir_okay=False, exists=True))
+@click.option("--at", "address", required=True, help="A node's operators' door.")
+@click.option("--why", required=True, help="What it is for, in up to 160 characters.")
+@click.option("--voters", help="Who votes on the next one, by commas; else as before.")
+@click.option(
+    "--wait", "wait_s", default=60.0, show_default=True, help="Seconds to wait for what comes of it."
+)
+def publish(file: Path, address: str, why: str, voters: str | None, wait_s: float) -> None:
+    """Have the settings in FILE, a node's configuration or its settings alone.
+
+    Agreed on as the next version.
+    """
+    try:
+        given = json.loads(file.read_text(encoding="utf-8"))
+        settings = given.get("settings", given)
+    except (OSError, ValueError, AttributeError) as error:
+        raise click.ClickException(f"{file}: a JSON object was expected ({error})") from None
+    body = {"settings": settings, "why": why, "voters": voters.split(",") if voters else None}
+    status, text = call(address, "POST", "/control/fleet/publish", json.dumps(body).encode())
+    if status != 202:
+        raise click.ClickException(text.decode(errors="replace").strip() or f"{address}: {status}")
+    end = time.monotonic() + wait_s
+    while time.monotonic() < end:
+        result = ask(address)["acting"]["publication"]
+        if result != "open":
+            click.echo(result)
+            sys.exit(0 if result.startswith("version") else 1)
+        time.sleep(0.1)
+    raise click.ClickException(f"nothing came of it in {wait_s:g} s; `fleet status` goes on telling")
+
+
+def by_hand(node: str, address: str, path: str, why: str) -> None:
+    """Have a node shut out or brought back."""
+    told = ask(address)
+    if told["by"] != node:
+        raise click.ClickException(f"{address} is the door of {told['by']}, {node}'s was expected")
+    status, text = call(address, "POST", path, why.encode())
+    if status != 202:
+        raise click.ClickException(text.decode(errors="replace").strip() or f"{address}: {status}")
+    click.echo(text.decode().strip())
+
+
+@group.command()
+@click.argument("node")
+@click.option("--at", "address", required=True, help="That node's operators' door.")
+@click.option("--why", required=True, help="Why, in up to 160 characters.")
+def out(node: str, address: str, why: str) -> None:
+    """Shut NODE out of service, across restarts, until `fleet in`."""
+    by_hand(node, address, "/control/fleet/out", why)
+
+
+@group.command("in")
+@click.argument("node")
+@click.option("--at", "address", required=True, help="That node's operators' door.")
+def back(node: str, address: str) -> None:
+    """Bring NODE back that `fleet out` shut out."""
+    by_hand(node, address, "/control/fleet/in", "")
+
+
 @group.command()
 @click.option("--seeds", default=100, show_default=True, type=click.IntRange(1), help="Schedules to play.")
 @click.option("--first", default=0, show_default=True, help="The first seed.")
 @click.option("--nodes", default=7, show_default=True, type=click.IntRange(3, 1000), help="Members.")
-def hunt(seeds: int, first: int, nodes: int) -> None:
+@click.option("--versions", is_flag=True, help="Of versions, in place of membership.")
+def hunt(seeds: int, first: int, nodes: int, versions: bool) -> None:
     """Search schedules of faults, in virtual time, for one that breaks a bound; ends with 1 if one does.
 
     Prints the schedule that came nearest to each bound, and a shortest one of each that breaks.
@@ -87,13 +198,15 @@
     from concurrent.futures import ProcessPoolExecutor
 
     from marlseam.fleet import hunt as world
+    from marlseam.fleet import trial
 
     nearest: dict[str, tuple[float, int]] = {}
     broken = []
+    kind = trial if versions else world
     with ProcessPoolExecutor() as pool:
         for seed, found in zip(
             range(first, first + seeds),
-            pool.map(world.hunted, [nodes] * seeds, range(first, first + seeds), chunksize=4),
+            pool.map(kind.hunted, [nodes] * seeds, range(first, first + seeds), chunksize=4),
             strict=True,
         ):
             for bound, share in found.nearest.items():
@@ -102,11 +215,11 @@
                 broken.append((seed, found))
     for bound, (share, seed) in sorted(nearest.items()):
         click.echo(f"{bound}: nearest {share:.3f} of its bound, seed {seed}")
-        for strike in world.schedule(nodes, seed):
+        for strike in kind.schedule(nodes, seed):
             click.echo(f"  {world.told(strike)}")
     for seed, found in broken:
         click.echo(f"BROKEN by seed {seed}: {found.broken[0]}")
-        for strike in world.shrunk(nodes, seed, world.schedule(nodes, seed)):
+        for strike in world.shrunk(nodes, seed, kind.schedule(nodes, seed), play=kind.play):
             click.echo(f"  {world.told(strike)}")
     click.echo(f"{seeds} schedules of {nodes} members, {len(broken)} break a bound")
     sys.exit(1 if broken else 0)
--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -21,6 +21,8 @@
 REPORT_NAMES = {"outstanding": "held", "inflight": "held", "backlog": "queued", "queue": "queued"}
 FILE, SOCKET, FOLDER = "EDGE_CONFIG", "EDGE_SOCKET_FD", "TMPDIR"
 MEMBERS_MOST, NAME_MOST = 1000, 64  # members of a fleet, and characters of a member's name
+LEASE_PERIODS, LEASE_LEAST = 15.0, 6.0  # a fleet's lease if not said, and at least, in its periods
+SERVE_LEASES = 100.0  # for how long nodes serve on without a proof if not said, in leases
 OWN = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY", "admin": "EDGE_ADMIN"}
 OWN_FILE = "MARLSEAM_SETTINGS"
 WEIGHTS = {"none": False, "nominal": False, "rough": False, "live": True}
@@ -90,6 +92,12 @@
     name: str
     members: dict[str, tuple[str, int]]
     period_ms: float  # in which each looks at one other
+    folder: str | None = None  # of the ledger; none: members alone, without versions
+    voters: tuple[str, ...] = ()  # on version 1
+    lease_ms: float = 0.0  # for how long a proof is good that the version acted on is in force
+    strict: bool = False  # without one it leaves service; else it serves on, and its acts are marked
+    serve_ms: float = 0.0  # for so long
+    local: bool = False  # whether a file of the node's own is let in at SIGHUP
 
 
 @dataclass(frozen=True)
@@ -108,6 +116,7 @@
     known: dict[str, Any]
     deployment: Deployment
     shape: dict[str, Any]  # the keys of the file
+    settings: dict[str, Any]  # the deployment's, as they are in force
     admin: tuple[str, int] | None = None  # the operators' door, if there is one
     socket_fd: int | None = None  # the clients' listening socket, where the platform hands it on
     folder: str | None = None  # that processes of one node share, with the socket
@@ -386,7 +395,18 @@
     known = {
         "store": ("folder", "sync", "journal_mb", "wait_ms", "keys"),
         "watch": ("reports", "weights", "fetch_price", "worth_by", "every_s"),
-        "fleet": ("name", "members", "period_ms", "trusted"),
+        "fleet": (
+            "name",
+            "members",
+            "period_ms",
+            "trusted",
+            "folder",
+            "voters",
+            "lease_ms",
+            "past_lease",
+            "serve_ms",
+            "local",
+        ),
     }
     for name, table in values.items():
         if name not in known:
@@ -427,8 +447,39 @@
         if (host, int(port)) in found.values():
             raise ConfigError(key, value, "an address of its own")
         found[name] = host, int(port)
-    return FleetSettings(
-        name=fleet.text("name"), members=found, period_ms=fleet.number("period_ms", 1000.0, least=20.0)
+    period_ms = fleet.number("period_ms", 1000.0, least=20.0)
+    settings = FleetSettings(name=fleet.text("name"), members=found, period_ms=period_ms)
+    return versions_from(fleet, settings)
+
+
+def versions_from(fleet: Table, settings: FleetSettings) -> FleetSettings:
+    """Read how a fleet has versions: with a folder for each node's ledger and voters, or not at all."""
+    given = [
+        key
+        for key in ("folder", "voters", "lease_ms", "past_lease", "serve_ms", "local")
+        if key in fleet.values
+    ]
+    if not given:
+        return settings
+    for key in ("folder", "voters"):
+        if key not in given:
+            raise ConfigError(fleet.path(key), REQUIRED, f"it together with {given[0]}")
+    voters = fleet.get("voters", [])
+    if not isinstance(voters, list) or not all(isinstance(name, str) for name in voters):
+        raise ConfigError(fleet.path("voters"), voters, "a list of members' names")
+    whole = len(set(voters)) == len(voters) and set(voters) <= set(settings.members)
+    if not whole or (len(voters) not in (3, 5, 7) and set(voters) != set(settings.members)):
+        raise ConfigError(fleet.path("voters"), voters, "3, 5 or 7 different members, or all")
+    period_ms = settings.period_ms
+    lease_ms = fleet.number("lease_ms", LEASE_PERIODS * period_ms, least=LEASE_LEAST * period_ms)
+    return replace(
+        settings,
+        folder=fleet.text("folder"),
+        voters=tuple(voters),
+        lease_ms=lease_ms,
+        strict=fleet.word("past_lease", {"serve": False, "strict": True}, "serve"),
+        serve_ms=fleet.number("serve_ms", SERVE_LEASES * lease_ms, least=lease_ms),
+        local=fleet.word("local", {"refuse": False, "allow": True}, "refuse"),
     )
 
 
@@ -468,9 +519,12 @@
     env: Mapping[str, str] = os.environ,
     before: Config | None = None,
     own: str | None = None,
+    settings: Mapping[str, Any] | None = None,
 ) -> Config:
     """Read a node's configuration from its file; at the start the environment's own variables go before it.
 
+    A fleet's `settings` stand in place of the file's, but for the node's zone.
+
     In service the file has the last word: what it newly says holds, and the rest stays as it was before. The
     environment cannot follow a change, and would keep a node at an address that is no more.
     """
@@ -490,10 +544,15 @@
         raise ConfigError("seed", seed, "a hexadecimal number") from None
     own = own or env.get(OWN_FILE) or (before.settings_path if before else None)
     store, watch, fleet = own_settings(own)
-    settings = top.table("settings")
-    if before is not None:
+    in_file_settings = top.table("settings").values
+    if settings is not None:
+        zone = {key: in_file_settings[key] for key in ("zone",) if key in in_file_settings}
+        values = values | {"settings": {**settings, **zone}}
+        top = Table(values, "")
+    elif before is not None:
         keep(values, before.shape)
-    if not settings.tables("requestClasses"):
+    table = top.table("settings")
+    if not table.tables("requestClasses"):
         raise ConfigError("settings.requestClasses", [], "one project type at least")
     in_file = {"name": top.text("name", "node")} | {
         key: top.get(key, None) for key in ("listen", "discovery", "admin")
@@ -517,8 +576,9 @@
         memory_mb=limits.number("memory_mb", 192.0, least=1.0),
         sockets=int(limits.number("sockets", 1024.0, least=1.0)),
         known=dict(top.table("known", {}).values),
-        deployment=deployment_from(settings.values, before=before.deployment if before else None, whole=True),
+        deployment=deployment_from(table.values, before=before.deployment if before else None, whole=True),
         shape=shape_of(values),
+        settings=dict(table.values),
         admin=address(in_force, "admin", env) if in_force["admin"] else None,
         socket_fd=before.socket_fd if before is not None else descriptor(env.get(SOCKET)),
         folder=before.folder if before is not None else env.get(FOLDER),
--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -439,7 +439,7 @@
                 return
             # The first one stands for all: its group has them, and its time is that of the pod's memory.
             work = replace(work, prior=tuple((self.place(trace), trace.sent_ms) for trace in traces[:1]))
-        elif not work.kept:
+        elif not work.kept and work.goes:
             work = replace(work, kept=True)  # it needs no record
         wu = self.node.take(work)
         if not wu.done:
--- a/marlseam/fleet/agree.py
+++ b/marlseam/fleet/agree.py
@@ -1,6 +1,7 @@
 """How the voters of a version agree on the content of the next: one single-decree Paxos a number; pure.
 
-Lamport 2001. A ballot is (round, proposer's place), so no two proposers share one. What an acceptor promises
+Lamport 2001. A ballot is (round, proposer's place); a place belongs to one life of one process, so no two
+proposers share one, and one that restarts begins none anew with another content. What an acceptor promises
 or accepts is durable before it is said: `Acceptor.heard` returns the state to be kept beside what to say, and
 the adapter says it only once that is on the disk. The voters of number n are those that the version n - 1
 names: whoever asks for n must know n - 1, and an acceptor votes for n only while it holds n - 1 itself.
@@ -9,8 +10,8 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-Ballot = tuple[int, int]
-NONE: Ballot = (0, 0)
+Ballot = tuple[int, str]
+NONE: Ballot = (0, "")
 
 
 class Promised(NamedTuple):
@@ -100,14 +101,12 @@
 class Proposer:
     """Has one number agreed on; `value` is what it would like, what comes out may be another's."""
 
-    place: int
+    place: str
     number: int
     value: str
     voters: frozenset[str]
-    round: int = 0  # the last that its disk holds: one that restarts begins a later one
-    open: bool = (
-        False  # whether this process has begun that round; answers to an earlier one's are not its own
-    )
+    round: int = 0  # the last that this process has begun for the number
+    open: bool = False  # whether answers to that round count
     promises: dict[str, Promise] = field(default_factory=dict)
     taken: set[str] = field(default_factory=set)
     asked: str | None = None  # what it has asked to accept in this round
@@ -123,7 +122,7 @@
         return majority(self.voters)
 
     def begin(self, past: int = 0) -> Prepare:
-        """Begin a round, later than any heard of; `round` has to be durable before this is said."""
+        """Begin a round, later than any heard of and than any that this process has begun."""
         self.round = max(self.round, past) + 1
         self.open, self.promises, self.taken, self.asked = True, {}, set(), None
         return Prepare(self.number, self.ballot)
--- /dev/null
+++ b/marlseam/fleet/audit.py
@@ -0,0 +1,184 @@
+"""Which node acted on which version: what ledgers say together, and what is wrong in them; pure.
+
+Times are Unix ms by the clock of each node's machine; between machines they are as far apart as `error_ms`
+says.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from math import inf
+
+from marlseam.fleet.ledger import ACTS, Acting, Ended, Entry, Held, Life, Mark
+
+TOLD = ("life", "interval", "program", "number", "id", "meaning", "listed", "proved", "serving", "code")
+
+
+@dataclass
+class Span:
+    """One interval of a life: what acts stood on, from when to when, and how many there were."""
+
+    acting: Acting
+    until_ms: float | None = None  # None: to the life's end
+    acts: tuple[int, ...] = (0, 0, 0, 0)
+    marks: list[tuple[float, tuple[int, ...]]] = field(default_factory=list)
+
+
+@dataclass
+class Lived:
+    """One process of a node: its intervals, when it was last heard of, and whether it ended by itself."""
+
+    life: Life
+    spans: dict[int, Span] = field(default_factory=dict)
+    last_ms: float = 0.0
+    ended: bool = False
+    whole: bool = True  # whether its first interval is in what is kept
+    unknown: tuple[float, float] | None = None  # from when to when acts may be missing
+
+
+@dataclass
+class Audit:
+    """What ledgers say together."""
+
+    lives: dict[str, list[Lived]] = field(default_factory=dict)  # by node, in order
+    held: dict[int, dict[str, float]] = field(default_factory=dict)  # by number and id: first held, anywhere
+    wrong: list[str] = field(default_factory=list)
+
+
+def read(
+    ledgers: Mapping[str, list[list[Entry]]], running: Iterable[str] = (), error_ms: float = 100.0
+) -> Audit:
+    """Return the audit of nodes' ledgers, each a list of chains of entries.
+
+    Of `running` ones the end is open.
+    """
+    audit = Audit()
+    for node, chains in sorted(ledgers.items()):
+        audit.lives[node] = lives_of(audit, node, chains)
+        close(audit, node, node in running)
+    judge(audit, error_ms)
+    return audit
+
+
+def lives_of(audit: Audit, node: str, chains: list[list[Entry]]) -> list[Lived]:
+    """Return a node's processes, in the order of their begin."""
+    found: dict[int, Lived] = {}
+    for entries in chains:
+        lived, first = None, True
+        for entry in entries:
+            if type(entry) is Life:
+                known = entry.life in found
+                lived = found.setdefault(entry.life, Lived(entry, last_ms=entry.wall_ms))
+                # A file that is the oldest kept begins in the middle of a life.
+                lived.whole = lived.whole if known else not first
+            elif type(entry) is Held and entry.wall_ms:
+                ids = audit.held.setdefault(entry.number, {})
+                ids[entry.id] = min(ids.get(entry.id, inf), entry.wall_ms)
+            elif lived is not None:
+                note(audit, node, found, entry)
+            first = first and type(entry) is not Ended and lived is None
+    return sorted(found.values(), key=lambda lived: lived.life.wall_ms)
+
+
+def note(audit: Audit, node: str, found: dict[int, Lived], entry: Entry) -> None:
+    """Take in what a process wrote of its acts."""
+    lived = found.get(getattr(entry, "life", -1))
+    if lived is None:
+        return
+    lived.last_ms = max(lived.last_ms, entry.wall_ms)
+    if type(entry) is Acting:
+        held = lived.spans.setdefault(entry.interval, Span(entry))
+        if held.acting != entry:
+            audit.wrong.append(f"{node}: two intervals {entry.interval} of life {entry.life}")
+    elif type(entry) is Mark:
+        for number, *acts in entry.rows:
+            span = lived.spans.get(number)
+            if span is None:
+                audit.wrong.append(
+                    f"{node}: acts in interval {number} of life {entry.life}, which is missing"
+                )
+                continue
+            if any(a < b for a, b in zip(acts, span.acts, strict=True)):
+                audit.wrong.append(
+                    f"{node}: fewer acts in interval {number} of life {entry.life} than before"
+                )
+            span.acts = tuple(acts)
+            span.marks.append((entry.wall_ms, span.acts))
+    elif type(entry) is Ended:
+        lived.ended = True
+
+
+def close(audit: Audit, node: str, running: bool) -> None:
+    """End intervals where the next begins, and tell what is missing or unknown."""
+    lives = audit.lives[node]
+    for i, lived in enumerate(lives):
+        numbers = sorted(lived.spans)
+        for a, b in zip(numbers, numbers[1:], strict=False):
+            lived.spans[a].until_ms = lived.spans[b].acting.wall_ms
+        first = numbers[0] if numbers and not lived.whole else 1
+        missing = sorted(set(range(first, max(numbers, default=0) + 1)) - set(numbers))
+        if missing:
+            audit.wrong.append(f"{node}: intervals {missing} of life {lived.life.life} are missing")
+        if not lived.ended and not (running and i == len(lives) - 1):
+            following = lives[i + 1].life.wall_ms if i + 1 < len(lives) else inf
+            lived.unknown = lived.last_ms, following
+
+
+def judge(audit: Audit, error_ms: float) -> None:
+    """Note what must not be: two contents, acts past the bound, two processes under one name."""
+    for number, ids in sorted(audit.held.items()):
+        if len(ids) > 1:
+            audit.wrong.append(f"version {number} has {len(ids)} contents: {', '.join(sorted(ids))}")
+    since = {number: min(ids.values()) for number, ids in audit.held.items()}
+    for node, lives in audit.lives.items():
+        for a, b in zip(lives, lives[1:], strict=False):
+            if a.last_ms > b.life.wall_ms + error_ms:
+                audit.wrong.append(f"{node}: life {b.life.life} began before {a.life.life} was over")
+        for lived in lives:
+            for span in lived.spans.values():
+                after = min((at for number, at in since.items() if number > span.acting.number), default=inf)
+                count = acts_after(span, after + lived.life.lease_ms + error_ms)
+                if count and span.acting.proved:
+                    audit.wrong.append(
+                        f"{node}: {count} acts on version {span.acting.number}, as proved, in interval "
+                        f"{span.acting.interval} of life {lived.life.life}, past {lived.life.lease_ms:.0f} ms"
+                    )
+
+
+def acts_after(span: Span, at_ms: float) -> int:
+    """Return how many allocations provably went out after a time."""
+    count, before, before_ms = 0, 0, span.acting.wall_ms
+    for marked_ms, acts in span.marks:
+        if before_ms >= at_ms:
+            count += acts[1] - before
+        before, before_ms = acts[1], marked_ms
+    return count
+
+
+def at(audit: Audit, node: str, when_ms: float) -> Span | None:
+    """Return the interval of a node that some time lies in."""
+    for lived in audit.lives.get(node, ()):
+        for span in lived.spans.values():
+            until = span.until_ms if span.until_ms is not None else lived.last_ms if lived.ended else inf
+            if span.acting.wall_ms <= when_ms < until:
+                return span
+    return None
+
+
+def rows(audit: Audit, since_ms: float = 0.0, node: str | None = None) -> list[dict]:
+    """Return each interval as a row, by node and time."""
+    found = []
+    for name, lives in audit.lives.items():
+        for lived in lives if node in (None, name) else ():
+            spans = [lived.spans[number] for number in sorted(lived.spans)]
+            for span in spans:
+                acting, last = span.acting, span is spans[-1]
+                until = span.until_ms if not last else lived.last_ms
+                if until is not None and until < since_ms:
+                    continue
+                told = {name: getattr(acting, name) for name in TOLD}
+                found.append(
+                    {"node": name, **told, "from_ms": acting.wall_ms, "to_ms": until}
+                    | dict(zip(ACTS, span.acts, strict=True))
+                    | {"unknown_after": lived.unknown is not None and last}
+                )
+    return sorted(found, key=lambda row: (row["node"], row["from_ms"], row["interval"]))
--- a/marlseam/fleet/explore.py
+++ b/marlseam/fleet/explore.py
@@ -1,8 +1,12 @@
-"""Every interleaving of agreement in a small size: three voters, two operators; crash, loss, repeats, delay.
+"""Every interleaving of agreement and its proof, small: three voters, two operators, one node that asks.
+
+With crashes, a voter's memory lost or set back, loss, repeats, any delay.
 
 What was said once may come at any time, any number of times or never, so the network is the set of all that
 was ever said. A state is what disks and processes hold, and that set; each is looked at once, up to a depth.
-A step is one process's: hear one message, begin a round, take some majority's promises, crash, restart.
+A step is one process's: hear one message, begin a round, take some majority's promises, crash, restart, ask
+the voters whether anything is accepted, answer that. Broken is a state in which two contents are chosen, or
+in which the one that asks holds as proved that nothing was when it asked, and something was.
 """
 
 from collections.abc import Callable, Iterator
@@ -11,6 +15,7 @@
 from zlib import crc32
 
 from marlseam.fleet.agree import (
+    NONE,
     Accept,
     Accepted,
     Acceptor,
@@ -31,12 +36,18 @@
 
     disk: Promised = Promised()
     process: Promised = Promised()
+    whole: bool = True  # whether its memory is, as far as it knows
+
+
+class Clear(NamedTuple):
+    """A voter has accepted nothing, it says to the node that asked."""
+
+    voter: str
 
 
 class Operator(NamedTuple):
-    """One that publishes: its disk's round, its process's, what it likes, if it has begun, what it asked."""
+    """One that publishes: its process's round, what it likes, if it has begun, what it asked, its life."""
 
-    disk: int = 0
     round: int = 0
     value: str = ""
     open: bool = False
@@ -49,8 +60,9 @@
 
     voters: tuple[Voter, ...]
     operators: tuple[Operator, ...]
-    said: frozenset[Message]
+    said: frozenset[Message | Clear]
     crashes: int = 0
+    asked: int = 0  # 1: a node has asked whether anything is accepted; 2: when something was chosen
 
 
 class Rules:
@@ -59,6 +71,29 @@
     voters = ("a", "b", "c")
     rounds, crashes = 2, 1
 
+    def knows_loss(self) -> bool:
+        """Return whether a voter whose folder was lost or set back knows it."""
+        return True
+
+    def may_vote(self, voter: Voter) -> bool:
+        """Return whether a voter takes part."""
+        return voter.whole
+
+    def clear(self, voter: Voter) -> bool:
+        """Return whether a voter says that it has accepted nothing."""
+        return self.may_vote(voter) and voter.process.accepted == NONE
+
+    def proves(self, by: set[str]) -> bool:
+        """Return whether those that have accepted nothing prove that nothing was chosen."""
+        return any(len(by & e) >= self.enough(e) for e in (self.electorate(1), self.electorate(2)))
+
+    def claims(self, state: State) -> bool:
+        """Return whether a proof, where there is one, says what is not so.
+
+        It holds as of when it was asked.
+        """
+        return state.asked == 2
+
     def electorate(self, place: int) -> frozenset[str]:
         """Return the voters as an operator knows them."""
         return frozenset(self.voters)
@@ -80,15 +115,17 @@
         """Return an operator's machine in its present round."""
         electorate = self.electorate(place)
         held = operator.round, operator.open
-        return Proposer(place, NUMBER, operator.value, electorate, *held, asked=operator.asked)
+        return Proposer(
+            self.place(place, operator), NUMBER, operator.value, electorate, *held, asked=operator.asked
+        )
 
     def on_disk(self, voter: Voter, new: Promised) -> Promised:
         """Return what a voter's disk holds before it speaks."""
         return new
 
-    def round_on_disk(self, operator: Operator, round: int) -> int:
-        """Return what an operator's disk holds of its rounds before it speaks."""
-        return round
+    def place(self, place: int, operator: Operator) -> str:
+        """Return an operator's place in ballots: another in each life."""
+        return f"{place}.{operator.lives}"
 
     def content(self, place: int, operator: Operator) -> str:
         """Return what an operator asks for: another thing in each round and life."""
@@ -102,14 +139,19 @@
 
 def steps(state: State, rules: Rules) -> Iterator[tuple[str, State]]:
     """Yield each next step with its name."""
+    if not state.asked:
+        yield "a node asks", state._replace(asked=2 if contents(state, rules) else 1)
     for i, voter in enumerate(state.voters):
-        for message in state.said:
+        name = rules.voters[i]
+        if state.asked and Clear(name) not in state.said and rules.clear(voter):
+            yield f"{name} is clear", state._replace(said=state.said | {Clear(name)})
+        for message in state.said if rules.may_vote(voter) else ():
             if type(message) in (Prepare, Accept):
                 machine = rules.acceptor(rules.voters[i], voter.process)
                 new, answer = machine.heard(message)
                 if new is None and answer in state.said:
                     continue
-                after = voter if new is None else Voter(rules.on_disk(voter, new), new)
+                after = voter if new is None else Voter(rules.on_disk(voter, new), new, voter.whole)
                 yield (
                     f"{rules.voters[i]} hears {message}",
                     state._replace(
@@ -117,25 +159,30 @@
                     ),
                 )
         if state.crashes < rules.crashes and voter.process != voter.disk:
-            after = Voter(voter.disk, voter.disk)
+            after = Voter(voter.disk, voter.disk, voter.whole)
             voters = (*state.voters[:i], after, *state.voters[i + 1 :])
             yield f"{rules.voters[i]} restarts", state._replace(voters=voters, crashes=state.crashes + 1)
+        if state.crashes < rules.crashes and voter.disk != Promised():
+            after = Voter(whole=not rules.knows_loss())
+            voters = (*state.voters[:i], after, *state.voters[i + 1 :])
+            yield f"{name} loses its folder", state._replace(voters=voters, crashes=state.crashes + 1)
     for i, operator in enumerate(state.operators):
         place = i + 1
 
         def put(new: Operator, *messages: Message, i: int = i, crash: int = 0) -> State:
             operators = (*state.operators[:i], new, *state.operators[i + 1 :])
-            return State(state.voters, operators, state.said | set(messages), state.crashes + crash)
+            said, crashes = state.said | set(messages), state.crashes + crash
+            return State(state.voters, operators, said, crashes, state.asked)
 
         if operator.round < rules.rounds:
             asks = operator._replace(value=rules.content(place, operator), open=True, asked=None)
             machine = rules.proposer(place, asks)
             message = machine.begin()
-            disk = rules.round_on_disk(operator, machine.round)
-            begun = asks._replace(disk=disk, round=machine.round)
+            begun = asks._replace(round=machine.round)
             yield f"{place} begins {machine.round}", put(begun, message)
         if operator.open and operator.asked is None:
-            heard = [m for m in state.said if type(m) is Promise and m.ballot == (operator.round, place)]
+            machine_of = rules.proposer(place, operator)
+            heard = [m for m in state.said if type(m) is Promise and m.ballot == machine_of.ballot]
             for some in combinations(sorted(heard), rules.enough(rules.electorate(place))):
                 machine, message = rules.proposer(place, operator), None
                 for promise in some:
@@ -146,7 +193,7 @@
         if state.crashes < rules.crashes and operator.round:
             yield (
                 f"{place} restarts",
-                put(Operator(operator.disk, operator.disk, lives=operator.lives + 1), crash=1),
+                put(Operator(lives=operator.lives + 1), crash=1),
             )
 
 
@@ -159,8 +206,16 @@
     return {value for (_, value), by in took.items() if rules.carries(by)}
 
 
+def broken(state: State, rules: Rules) -> bool:
+    """Return whether two contents are chosen, or what is taken as proved is not so."""
+    if len(contents(state, rules)) > 1:
+        return True
+    clear = {message.voter for message in state.said if type(message) is Clear}
+    return rules.proves(clear) and rules.claims(state)
+
+
 class Explored(NamedTuple):
-    """How many states there were, to what depth all of them, and a way to two contents, if there is one."""
+    """How many states there were, to what depth all of them, and a way to a broken one, if there is one."""
 
     states: int
     depth: int
@@ -185,7 +240,7 @@
                 if new in came:
                     continue
                 came[new] = state, name
-                if len(contents(new, rules)) > 1:
+                if broken(new, rules):
                     return Explored(len(came), level, way(came, new))
                 following.append(new)
             if len(came) > states_most:
@@ -219,7 +274,7 @@
 
 
 def wander(walks: int, length: int, rules: Rules, first: State | None = None, seed: int = 1) -> list[str]:
-    """Go ways of chance; return one that leads to two contents, or none: `explore` does not come as far."""
+    """Go ways of chance; return one that leads to a broken state, or none: `explore` does not come as far."""
     for walk in range(walks):
         state, gone = first or beginning(rules), list[str]()
         for at in range(length):
@@ -228,6 +283,6 @@
                 break
             name, state = following[crc32(b"%d:%d:%d" % (seed, walk, at)) % len(following)]
             gone.append(name)
-            if len(contents(state, rules)) > 1:
+            if broken(state, rules):
                 return gone
     return []
--- a/marlseam/fleet/hunt.py
+++ b/marlseam/fleet/hunt.py
@@ -352,12 +352,15 @@
     return Found(broken, found.nearest, found.twins)
 
 
-def shrunk(nodes: int, seed: int, strikes: list[Strike], machine: type[Members] = Members) -> list[Strike]:
-    """Return a shortest part of a schedule that still breaks a bound."""
-    at = 0
+def shrunk(
+    nodes: int, seed: int, strikes: list[Strike], machine: type | None = None,
+    play: Callable[..., Found] = play,
+) -> list[Strike]:  # fmt: skip
+    """Return a shortest part of a schedule that still breaks a bound, as `play` has it."""
+    at, words = 0, () if machine is None else (machine,)
     while at < len(strikes):
         fewer = strikes[:at] + strikes[at + 1 :]
-        if play(nodes, seed, fewer, machine).broken:
+        if play(nodes, seed, fewer, *words).broken:
             strikes = fewer
         else:
             at += 1
--- /dev/null
+++ b/marlseam/fleet/trial.py
@@ -0,0 +1,312 @@
+"""Versions of a fleet in virtual time, under faults of a seeded schedule, held against their bounds.
+
+The world is `hunt`'s; here its members agree on versions, spread and prove them, with disks that take time,
+fail, and are lost or set back. What is wrong is told by a checker that sees all disks, and when a majority
+of the voters had accepted a content on theirs.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any, NamedTuple
+from zlib import crc32
+
+from marlseam.fleet import says
+from marlseam.fleet.agree import majority
+from marlseam.fleet.content import FORMAT, Content, read, write
+from marlseam.fleet.hunt import DRIFT, PERIOD_MS, Seat, Strike, World
+from marlseam.fleet.ledger import Barred, Begun, Entry, Held, Promises, added_up
+from marlseam.fleet.versions import Apply, Keep, Terms, To, Versions
+from marlseam.fleet.words import Odd
+
+FLEET = "trial"
+LEASE_PERIODS = 15.0
+DISK_MS = 20.0  # at most, for a writing
+LOOK_MS = 100.0  # between looks at whether each node may act
+HEAL_PERIODS = 20.0
+FAULTS = ("kill", "restart", "stop", "cut", "deaf", "mute", "pair", "hold", "full", "old", "lost", "halves")
+
+
+def heal_ms(period_ms: float) -> float:
+    """Return within what time, after the last fault, all that can act on the newest version.
+
+    A publication left half done is finished within two rounds of at most 8 periods each; who lags hears of it
+    in the next period, and a content comes at one piece's window a period at the slowest.
+    """
+    return HEAL_PERIODS * period_ms
+
+
+@dataclass
+class Disk:
+    """What a name's folder holds, and whether it takes more."""
+
+    entries: list[Entry] = field(default_factory=lambda: [Begun(0.0)])
+    full_until: float = 0.0
+    busy_until: float = 0.0
+
+
+class Found(NamedTuple):
+    """What a run showed: breaches, how near it came to each bound, how many numbers were chosen."""
+
+    broken: list[str]
+    nearest: dict[str, float]
+    chosen: int
+
+
+class Trial(World):
+    """Members of a fleet with versions."""
+
+    def __init__(
+        self, nodes: int, seed: int, strikes: list[Strike], voters: int = 3, strict: bool = True,
+        loss: float = 0.0, doubles: float = 0.0, drift: float = DRIFT, machine: type[Versions] = Versions,
+        lease_periods: float = LEASE_PERIODS,
+    ) -> None:  # fmt: skip
+        self.disks: dict[str, Disk] = {}
+        self.voters = frozenset(f"n{i}" for i in range(min(voters, nodes)))
+        lease = lease_periods * PERIOD_MS
+        self.terms = Terms(self.voters, PERIOD_MS, lease, strict, 100.0 * lease)
+        self.kind = machine
+        self.by_number: dict[int, tuple[str, float]] = {}  # what was chosen, and when
+        self.electorates = {1: self.voters}  # who votes on a number
+        self.took: dict[tuple[int, tuple[int, str], str], set[str]] = {}
+        self.acting_at: dict[tuple[str, int], float] = {}
+        self.worst = 0.0  # the longest that any acted on a version after a newer was chosen
+        self.unproved = self.looks = 0
+        self.wrong: list[str] = []
+        self.forgot: set[str] = set()  # names whose memory was lost or set back
+        super().__init__(nodes, seed, strikes, loss, doubles, drift)
+        self.at(LOOK_MS, self.look)
+
+    # The world's steps, for these machines.
+
+    def start(self, name: str) -> Seat:
+        """Start a process with what its disk holds."""
+        self.lives += 1
+        rate = 1.0 + self.drift * (2.0 * self.chance() - 1.0)
+        disk = self.disks.setdefault(name, Disk())
+        seed = crc32(b"%d:%s:%d" % (self.seed, name.encode(), self.lives))
+        machine = self.kind(
+            name, self.names, self.terms, f"{name}/{self.lives}", seed, 0.0, added_up(disk.entries)
+        )
+        machine.next_ms = PERIOD_MS * self.chance()
+        seat = Seat(name, machine, rate, self.now)
+        self.at(self.now + PERIOD_MS * self.chance(), self.tick, seat)
+        return seat
+
+    def act(self, seat: Seat, effects: list[Any]) -> None:
+        """Carry out what a process asks for."""
+        for effect in effects:
+            if not seat.live:
+                return
+            if type(effect) is To:
+                kind = says.kind_of(effect.say)
+                strike = self.struck(seat, True, kind)
+                if strike is not None:
+                    self.strike(strike, seat)
+                if seat.live:
+                    note = says.Note(says.VERSION, FLEET, seat.name, effect.say)
+                    held = strike.for_ms if strike is not None and strike.fault == "hold" else 0.0
+                    self.send(seat, effect.name, says.write(note), held)
+            elif type(effect) is Keep:
+                disk = self.disks[seat.name]
+                # In order, as the node's scribe writes.
+                disk.busy_until = max(disk.busy_until, self.now + DISK_MS * self.chance())
+                self.at(disk.busy_until, self.keep, seat, effect)
+            elif type(effect) is Apply:
+                self.acting_at.setdefault((seat.name, effect.number), self.now)
+
+    def hear(self, seat: Seat, data: bytes) -> None:
+        """Hand a note to a process."""
+        try:
+            note = says.read(data, FLEET, self.names)
+        except Odd:
+            return
+        strike = self.struck(seat, False, says.kind_of(note.say))
+        if strike is not None:
+            self.strike(strike, seat)
+        if seat.live and seat.stopped_until <= self.now:
+            self.act(seat, seat.machine.heard(self.local(seat), note.sender, note.say))
+
+    def keep(self, seat: Seat, keep: Keep) -> None:
+        """Have something on a disk: of a process that was killed meanwhile it may be there or not."""
+        disk = self.disks[seat.name]
+        if self.seats.get(seat.name) is not seat:
+            return  # its folder is another life's by now
+        if disk.full_until > self.now:
+            seat.machine.disk = "full"
+            if seat.live:
+                seat.machine.unkept(keep.token)
+            return
+        if seat.live or self.chance() < 0.5:
+            disk.entries = [*disk.entries, *keep.entries]
+            self.written(seat.name, keep.entries)
+        if seat.stopped_until > self.now:
+            self.at(seat.stopped_until, self.go_on, seat, keep.token)
+        else:
+            self.go_on(seat, keep.token)
+
+    def go_on(self, seat: Seat, token: int) -> None:
+        """Tell a process that something is durable."""
+        if seat.live:
+            seat.machine.disk = ""
+            self.act(seat, seat.machine.kept(self.local(seat), token))
+            self.plan(seat)
+
+    def strike(self, strike: Strike, seat: Seat) -> None:
+        """Let a fault strike."""
+        until, name = self.now + strike.for_ms, seat.name
+        if strike.fault == "full":
+            self.touched.append((self.now, until))
+            self.disks[name].full_until = until
+            self.at(until, self.serves, name)
+        elif strike.fault in ("old", "lost"):
+            self.touched.append((self.now, self.now + 1.0))
+            seat.live = False
+            self.forgot.add(name)
+            entries = self.disks[name].entries
+            # Found out at the start (store/ledger.py): the memory of votes is known not to be whole.
+            kept = entries[: len(entries) // 2] if strike.fault == "old" else []
+            self.disks[name].entries = [*kept, Barred(-1)]
+            self.at(self.now + 1.0, self.again, name, seat)
+        elif strike.fault == "halves":
+            self.touched.append((self.now, until))
+            order = sorted(self.names, key=lambda n: crc32(b"%d:%s" % (self.seed, n.encode())))
+            for a in order[: len(order) // 2]:
+                for b in order[len(order) // 2 :]:
+                    self.cuts += [(a, b, until), (b, a, until)]
+        else:
+            super().strike(strike, seat)
+
+    def serves(self, name: str) -> None:
+        """A disk takes more again."""
+        if self.disks[name].full_until <= self.now:
+            self.seats[name].machine.disk = ""
+
+    # What the checker sees.
+
+    def written(self, name: str, entries: tuple[Entry, ...]) -> None:
+        """See what a disk holds now.
+
+        Whether a majority has accepted a content, and that nobody holds another.
+        """
+        for entry in entries:
+            if type(entry) is Promises and entry.value:
+                ballot = entry.accepted_round, entry.accepted_place
+                took = self.took.setdefault((entry.number, ballot, entry.value), set())
+                took.add(name)
+                electorate = self.electorates.get(entry.number, frozenset())
+                if electorate and len(took & electorate) >= majority(electorate):
+                    self.choose(entry.number, entry.value)
+            elif type(entry) is Held:
+                self.choose(entry.number, entry.id)
+
+    def choose(self, number: int, id: str) -> None:
+        """Note that a number has a content."""
+        held = self.by_number.setdefault(number, (id, self.now))
+        if held[0] != id:
+            self.wrong.append(f"version {number} has two contents at {self.now:.0f}")
+        for seat in self.seats.values():
+            data = seat.machine.contents.get(id)
+            if data is not None:
+                voters = read(data, self.names).voters
+                self.electorates.setdefault(number + 1, frozenset(voters))
+
+    def look(self) -> None:
+        """See for how long each acts on a version after a newer one was chosen."""
+        newest = max(self.by_number, default=0)
+        for seat in self.seats.values():
+            if not seat.live or seat.stopped_until > self.now:
+                continue
+            stood = seat.machine.stand(self.local(seat))
+            self.looks += 1
+            self.unproved += stood.acts and not stood.proved
+            after = seat.machine.acting + 1
+            if stood.acts and stood.proved and after <= newest and after in self.by_number:
+                age = self.now - self.by_number[after][1]
+                self.worst = max(self.worst, age)
+                if age > self.terms.lease_ms:
+                    self.wrong.append(
+                        f"{seat.name} acts on {after - 1} {age:.0f} ms after {after} was chosen"
+                    )
+        self.at(self.now + LOOK_MS, self.look)
+
+    def publish(self, name: str, mark: int) -> None:
+        """Have a node publish."""
+        seat = self.seats[name]
+        if not seat.live or seat.stopped_until > self.now:
+            return
+        machine = seat.machine
+        # Now and then a voter's place goes to another member.
+        others = sorted(self.names - machine.voters)
+        voters = sorted(machine.voters)
+        if mark % 20 == 10 and others:
+            voters[0] = others[mark % len(others)]
+        content = Content(FORMAT, machine.number + 1, machine.id, voters, f"{name} {mark}", name, {"x": mark})
+        self.act(seat, machine.publish(self.local(seat), content, write(content)))
+        self.plan(seat)
+
+    def alike(self) -> list[str]:
+        """Return who does not act on the newest version, proved."""
+        newest = max(self.by_number, default=0)
+        found = []
+        for seat in self.seats.values():
+            stood = seat.machine.stand(self.local(seat))
+            if seat.machine.acting != newest or not (stood.acts and stood.proved):
+                found.append(f"{seat.name} is at {seat.machine.acting} of {newest}, {stood}")
+        return found
+
+
+def schedule(nodes: int, seed: int, most: int = 4) -> list[Strike]:
+    """Return a schedule of chance."""
+    draws = 0
+
+    def chance(count: int) -> int:
+        nonlocal draws
+        draws += 1
+        return crc32(b"trial:%d:%d" % (seed, draws)) % count
+
+    found = []
+    for _ in range(1 + chance(most)):
+        node, other = chance(nodes), chance(nodes - 1)
+        other += other >= node
+        kind = says.Kind(11 + chance(9)) if chance(3) else says.Kind(13 + chance(4))
+        count = 10 + chance(60) if kind < says.Kind.PREPARE else 1 + chance(3)
+        fault = FAULTS[chance(len(FAULTS))]
+        for_ms = PERIOD_MS * (1.0 + chance(45))
+        found.append(Strike(f"n{node}", bool(chance(2)), kind, count, fault, f"n{other}", for_ms))
+    return found
+
+
+def play(
+    nodes: int, seed: int, strikes: list[Strike], machine: type[Versions] = Versions, strict: bool = True
+) -> Found:
+    """Play a schedule with publications by two at a time, wait until its last fault is over, and judge."""
+    world = Trial(nodes, seed, strikes, strict=strict, doubles=0.02, machine=machine)
+    world.run(3.0 * PERIOD_MS)
+    for i in range(6):
+        world.run((4.0 + 8.0 * i) * PERIOD_MS)
+        for j in range(2):
+            world.publish(f"n{crc32(b'%d:%d:%d' % (seed, i, j)) % nodes}", 10 * i + j)
+    world.run(60.0 * PERIOD_MS)
+    over = max([b for _, b in world.touched], default=0.0)
+    held = max([s.for_ms for s in strikes if s.fault == "hold"], default=0.0)
+    world.strikes.clear()
+    end = max(world.now, over, world.now + held)
+    world.run(end)
+    heal = heal_ms(PERIOD_MS) * (1.0 + 2.0 * DRIFT)
+    step, wrong = end, world.alike()
+    while wrong and step < end + heal:
+        step += PERIOD_MS / 2.0
+        world.run(step)
+        wrong = world.alike()
+    broken, nearest = world.wrong[:3], {"stale": world.worst / world.terms.lease_ms}
+    if all(len(world.forgot & voters) < majority(voters) for voters in world.electorates.values()):
+        # Where most voters have lost their memory nobody may vote again: a fleet of another name begins.
+        broken += [f"{heal:.0f} ms after all healed {what}" for what in wrong[:3]]
+        nearest["alike after a heal"] = (step - end) / heal
+    if not strikes and len(world.by_number) < 6:
+        broken.append(f"{len(world.by_number)} of 6 publications were chosen with no fault there")
+    return Found(broken, nearest, len(world.by_number))
+
+
+def hunted(nodes: int, seed: int) -> Found:
+    """Play the schedule of a seed."""
+    return play(nodes, seed, schedule(nodes, seed))
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -157,6 +157,7 @@
     key: str | None = None  # the thing that it needs
     repeat: bool = False  # it may be a client's retry
     kept: bool = True  # that it may run can be put on record; where it needs that, else nothing goes out
+    goes: bool = True  # anything of it may be sent: the node may act
     prior: tuple[
         tuple[int, float], ...
     ] = ()  # executors and times of what may have run under this key before
--- /dev/null
+++ b/marlseam/net/acting.py
@@ -0,0 +1,422 @@
+"""Which version this node acts on: joins the pure machine and the ledger to the node, on a narrow port.
+
+Each act (a taking, an allocation, an answer, a refusal) is counted under the interval that it lies in. Before
+anything is taken or sent it is looked whether the node may: after a stop of the process, too, as the look
+is at the clock.
+"""
+
+import json
+import os
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from marlseam import __version__
+from marlseam.config import FleetSettings
+from marlseam.fleet import says
+from marlseam.fleet.content import FORMAT, Content, Unfit, meaning, read, voters_fit, write
+from marlseam.fleet.ledger import ACTS, Ended, Entry, Held, Kept, Life, Mark, encode
+from marlseam.fleet.ledger import Acting as Interval
+from marlseam.fleet.versions import Apply, Effect, Keep, Stand, Terms, To, Versions
+from marlseam.fleet.versions import Log as Said
+from marlseam.net.log import Log
+from marlseam.net.loop import Coroutine, Loop
+from marlseam.store.folder import Disk, code_of, unix_ms
+from marlseam.store.helper import APPEND
+from marlseam.store.ledger import Ledger
+from marlseam.store.scribe import Scribe
+
+MARK_MS = 500.0  # between marks of acts, and looks at what changes by itself
+ACTS_MOST = 200  # acts after which a mark does not wait
+FILE_MB, WAIT_MS = 1.0, 2000.0  # at which a file of the ledger is begun anew; patience with the disk
+INTERVALS_MOST = 64  # whose acts may still grow
+TAKEN, SENT, ANSWERED, REFUSED = range(4)
+
+
+@dataclass
+class Port:
+    """What the node offers: a content's fault here, acting on settings, service on or off, what holds."""
+
+    wrong: Callable[[Mapping[str, Any]], str]
+    apply: Callable[[Mapping[str, Any]], None]
+    serve: Callable[[bool], None]
+    listed: Callable[[], int]
+    settings: Callable[[], Mapping[str, Any]]
+
+
+class Pages(Scribe):
+    """The ledger's scribe."""
+
+    helper, what = "marlseam.store.ledger", "the ledger"
+
+    def __init__(
+        self, loop: Loop, log: Log, settings: FleetSettings, name: str, take_in: Callable[[Kept], None]
+    ) -> None:
+        super().__init__(loop, log, Path(settings.folder), name, "durable", FILE_MB, WAIT_MS)
+        self.take_in = take_in
+
+    def load(self) -> None:
+        """Read the ledger; raises OSError."""
+        ledger = Ledger(Disk(self.path), self.node)
+        kept = ledger.load()
+        self.known = True
+        for finding in ledger.findings:
+            self.log.line(f"ledger file {finding.name or self.path} code={finding.code}: {finding.text}")
+            self.told_lost = self.told_lost or finding.code == "lost"
+        self.take_in(kept)
+
+    def read(self) -> Coroutine:
+        """Read the ledger once its lock could be had: it is small."""
+        self.load()
+        return
+        yield
+
+
+class Acting:
+    """One node's versions and ledger."""
+
+    FIRST = says.FIRST
+
+    def __init__(
+        self, loop: Loop, log: Log, settings: FleetSettings, name: str, life: int, seed: int, port: Port,
+        send: Callable[[str, bytes], None],
+    ) -> None:  # fmt: skip
+        self.loop, self.log, self.settings, self.name = loop, log, settings, name
+        self.life, self.seed, self.port, self.send = life, seed, port, send
+        self.machine: Versions | None = None
+        self.stood, self.until_ms = Stand(False, False, "locked"), 0.0
+        self.interval: Interval | None = None
+        self.stamp = ""
+        self.counts: dict[int, list[int]] = {}
+        self.dirty: dict[int, None] = {}
+        self.acts = 0  # since the last mark
+        self.unsaid: deque[tuple[int, Entry]] = deque()  # entries that are not durable, and their numbers
+        self.flying: deque[tuple[int, tuple[int, ...]]] = deque()  # marks likewise, and of which intervals
+        self.noted: object = None  # the settings in force, and the digest of their meaning
+        self.meant = ""
+        self.pages = Pages(loop, log, settings, name, self.take_in)
+        self.timer = loop.at(loop.now(), lambda: None)
+        self.ready = False  # whether the node is built, so that service and settings can change
+
+    # The start and the end.
+
+    def load(self) -> Content | None:
+        """Read the ledger if it can be had at once.
+
+        Return the content that was held last, if it fits here.
+        """
+        try:
+            self.pages.take_lock()
+            self.pages.load()
+        except OSError as error:
+            self.pages.fail(code_of(error), error.strerror or str(error))
+            return None
+        machine = self.machine
+        if not machine.acting:
+            return None
+        return read(machine.contents[machine.id], machine.members)
+
+    def take_in(self, kept: Kept) -> None:
+        """Begin with what the ledger holds."""
+        fleet = self.settings
+        terms = Terms(frozenset(fleet.voters), fleet.period_ms, fleet.lease_ms, fleet.strict, fleet.serve_ms)
+        place = f"{self.name}/{self.life}/{os.urandom(8).hex()}"
+        now = self.loop.now()
+        self.machine = Versions(
+            self.name, frozenset(fleet.members), terms, place, self.seed, now, kept, self.wrong
+        )
+        if self.machine.unfit:
+            self.log.line(f"fleet code=unfit: version {self.machine.number}: {self.machine.unfit}")
+        if kept.bar is None:
+            self.log.line("fleet code=lost: votes on nothing until it is known what it may have promised")
+        life = Life(self.life, __version__, self.pages.era.boot, self.wall(), now, fleet.lease_ms)
+        self.unsaid.append((0, life))
+        if self.ready and self.machine.acting:
+            content = read(self.machine.contents[self.machine.id], self.machine.members)
+            self.port.apply(content.settings)
+
+    def begin(self) -> None:
+        """Begin to write, to ask and to tell; the node is built."""
+        self.ready = True
+        self.pages.begin()
+        self.look()
+        self.port.serve(self.stood.acts)
+        self.tick()
+
+    def close(self) -> None:
+        """Have the last acts written, as the node ends."""
+        self.mark()
+        if self.interval is not None:
+            self.write(Ended(self.life, self.wall(), self.loop.now()))
+        self.pages.close()
+
+    # The machine.
+
+    def wrong(self, content: Content) -> str:
+        """Return what is wrong with a content here, or nothing."""
+        return self.port.wrong(content.settings)
+
+    def hear(self, data: bytes, names: frozenset[str]) -> None:
+        """Take in a note; raises Odd."""
+        note = says.read(data, self.settings.name, names)
+        if self.machine is not None and note.sender != self.name:
+            self.act(self.machine.heard(self.loop.now(), note.sender, note.say))
+            self.until_ms = 0.0
+
+    def tick(self) -> None:
+        """Do what is due."""
+        self.loop.drop(self.timer)
+        now = self.loop.now()
+        if self.machine is not None:
+            self.act(self.machine.tick(now))
+            self.until_ms = 0.0
+        self.look()
+        self.rewrite()
+        self.mark()
+        due = min(now + MARK_MS, self.machine.next_ms) if self.machine is not None else now + MARK_MS
+        self.timer = self.loop.at(due, self.tick)
+
+    def act(self, effects: Iterable[Effect]) -> None:
+        """Carry out what the machine asks for."""
+        for effect in effects:
+            if type(effect) is To:
+                self.send(
+                    effect.name,
+                    says.write(says.Note(says.VERSION, self.settings.name, self.name, effect.say)),
+                )
+            elif type(effect) is Keep:
+                self.loop.spawn(self.keep(effect))
+            elif type(effect) is Apply:
+                self.port.apply(effect.content.settings)
+                self.log.line(f"acts on version {effect.number}, {effect.id[:12]}: {effect.content.why}")
+                self.until_ms = 0.0
+            elif type(effect) is Said:
+                self.log.line(effect.text)
+
+    def keep(self, keep: Keep) -> Coroutine:
+        """Have entries durable, and tell the machine."""
+        number = 0
+        for entry in keep.entries:
+            if type(entry) is Held:
+                entry = Held(entry.number, entry.id, self.wall())  # noqa: PLW2901 - the machine knows no such time
+            number = self.write(entry)
+        if (yield from self.pages.durable(number)):
+            self.act(self.machine.kept(self.loop.now(), keep.token))
+            self.look()
+        else:
+            self.machine.unkept(keep.token)
+
+    # What acts stand on.
+
+    def wall(self) -> float:
+        """Return Unix ms, by a clock that does not jump."""
+        return unix_ms(self.pages.era)
+
+    def look(self) -> Stand:
+        """Return whether this node may act, and see to it that the interval in hand tells on what."""
+        now, machine = self.loop.now(), self.machine
+        if machine is None:
+            return self.stood
+        if now >= self.until_ms:
+            machine.disk = "" if self.pages.serves() else self.pages.code or "slow"
+            before, self.stood = self.stood, machine.stand(now)
+            self.until_ms = min(machine.until(now), now + MARK_MS)
+            if before.acts != self.stood.acts and self.ready:
+                self.log.line(
+                    "in service" if self.stood.acts else f"fleet code={self.stood.code}: out of service"
+                )
+                self.port.serve(self.stood.acts)
+        held, stood, listed = self.interval, self.stood, self.port.listed()
+        settings = self.port.settings()
+        if self.noted is not settings:
+            self.noted, self.meant = settings, meaning(settings)
+        if (
+            held is None
+            or (held.number, held.meaning, held.listed) != (machine.acting, self.meant, listed)
+            or (held.proved, held.serving, held.code) != (stood.proved, stood.acts, stood.code)
+        ):  # fmt: skip
+            self.begin_interval(now, listed)
+        return stood
+
+    def begin_interval(self, now: float, listed: int) -> None:
+        """Begin an interval."""
+        machine, stood = self.machine, self.stood
+        number = self.interval.interval + 1 if self.interval is not None else 1
+        id = machine.id if machine.acting == machine.number else ""
+        self.interval = Interval(
+            self.life, number, __version__, machine.acting, id, self.meant, listed, stood.proved, stood.acts,
+            stood.code, self.wall(), now,
+        )  # fmt: skip
+        self.counts[number] = [0, 0, 0, 0]
+        self.counts.pop(number - INTERVALS_MOST, None)
+        self.stamp = f"{self.name}/{self.life}/{number}/{machine.acting}/{int(stood.proved)}"
+        self.unsaid.append((0, self.interval))
+        self.rewrite()
+
+    def published(self) -> bool:
+        """Return whether this node acts on a version of the fleet's."""
+        return self.machine is not None and self.machine.acting > 0
+
+    def refused(self, settings: Mapping[str, Any]) -> None:
+        """Say it where a file of the node's own means something else than the fleet's version."""
+        if meaning(settings) != self.meant:
+            self.log.line("fleet code=local-refused: the file's settings are not the version's, these stay")
+
+    def order(self) -> "Order":
+        """Return what an allocation is to ask and tell."""
+        return Order(self)
+
+    def may_take(self) -> bool:
+        """Return whether work may be taken now."""
+        return self.look().acts
+
+    def count(self, what: int, interval: int = 0) -> None:
+        """Count an act."""
+        if self.interval is None:
+            return
+        number = interval or self.interval.interval
+        counts = self.counts.get(number)
+        if counts is None:
+            return
+        counts[what] += 1
+        self.dirty[number] = None
+        self.acts += 1
+        if self.acts >= ACTS_MOST:
+            self.mark()
+
+    # The ledger.
+
+    def write(self, entry: Entry) -> int:
+        """Have an entry written; return its number, 0 for never."""
+        return self.pages.message(APPEND, encode(entry)) if self.pages.serves() else 0
+
+    def rewrite(self) -> None:
+        """Write what is not: what the disk refused is written once it serves again, in order."""
+        done = self.pages.done
+        while self.unsaid and 0 < self.unsaid[0][0] <= done and self.pages.works:
+            self.unsaid.popleft()
+        if not self.pages.works:
+            self.unsaid = deque((0, entry) for _, entry in self.unsaid)
+        elif self.pages.serves():
+            self.unsaid = deque((number or self.write(entry), entry) for number, entry in self.unsaid)
+
+    def mark(self) -> None:
+        """Write down the acts so far, and again those whose writing failed."""
+        done = self.pages.done
+        while self.flying and self.flying[0][0] <= done and self.pages.works:
+            self.flying.popleft()
+        if not self.pages.works:
+            for _, intervals in self.flying:
+                self.dirty |= dict.fromkeys(intervals)
+            self.flying.clear()
+        rows = [(n, *self.counts[n]) for n in self.dirty if n in self.counts]
+        if not rows:
+            return
+        number = self.write(Mark(self.life, rows, self.wall(), self.loop.now()))
+        if number:
+            self.flying.append((number, tuple(self.dirty)))
+            self.dirty, self.acts = {}, 0
+
+    # Operators.
+
+    def publish(self, body: bytes) -> tuple[int, str]:
+        """Have settings agreed on as the next version.
+
+        The answer says what is wrong, or that it is under way.
+        """
+        machine = self.machine
+        if machine is None:
+            return 503, "another process has the ledger\n"
+        try:
+            given = json.loads(body)
+            settings, why = given["settings"], given["why"]
+            voters = given.get("voters") or sorted(machine.voters)
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
+            return 400, f"settings and why were expected ({error!r})\n"
+        if not (isinstance(settings, dict) and isinstance(why, str) and 0 < len(why) <= says.TEXT_MOST):
+            return 400, f"settings, and why in up to {says.TEXT_MOST} characters, were expected\n"
+        if not (isinstance(voters, list) and all(isinstance(name, str) for name in voters)):
+            return 400, "voters: a list of members' names was expected\n"
+        wrong = voters_fit(voters, machine.members) or self.port.wrong(settings)
+        if wrong:
+            return 400, f"{wrong}\n"
+        if machine.number and self.same(settings, voters):
+            return 409, f"version {machine.number} says the same\n"
+        number = machine.number + 1
+        content = Content(FORMAT, number, machine.id, sorted(voters), why, self.name, settings)
+        try:
+            data = write(content)
+        except Unfit as error:
+            return 400, f"{error}\n"
+        self.act(machine.publish(self.loop.now(), content, data))
+        return (409 if machine.result.startswith("busy") else 202), f"version {number}: {machine.result}\n"
+
+    def same(self, settings: Mapping[str, Any], voters: list[str]) -> bool:
+        """Return whether the version held says this already."""
+        machine = self.machine
+        try:
+            held = read(machine.contents[machine.id], machine.members)
+        except Unfit:
+            return False
+        return meaning(held.settings) == meaning(settings) and set(held.voters) == set(voters)
+
+    def by_hand(self, why: str | None) -> tuple[int, str]:
+        """Shut this node out by an operator's word, or bring it back; it holds across restarts."""
+        if self.machine is None:
+            return 503, "another process has the ledger\n"
+        if why is not None and not 0 < len(why) <= says.TEXT_MOST:
+            return 400, f"why in up to {says.TEXT_MOST} characters was expected\n"
+        if not self.pages.serves():
+            return 503, f"the ledger cannot be written: {self.pages.code}\n"
+        self.act([self.machine.by_hand(why, self.wall())])
+        return 202, f"{self.name} is to be {'out' if why is not None else 'in'}\n"
+
+    def status(self) -> dict[str, Any]:
+        """Return what this node acts on, and what others last said that they do; ages in ms."""
+        now, machine, held = self.loop.now(), self.machine, self.interval
+        if machine is None or held is None:
+            return {"code": self.stood.code}
+        stood, age = self.look(), now - machine.proof_ms
+        acts = map(sum, zip(*self.counts.values(), strict=True))
+        open_id = machine.publication.id if machine.publication is not None else ""
+        return {
+            "version": machine.number, "id": machine.id, "acting": machine.acting, "meaning": held.meaning,
+            "listed": held.listed, "interval": held.interval, "since_ms": round(now - held.mono_ms),
+            "serving": stood.acts, "proved": stood.proved, "code": stood.code,
+            "proof_age_ms": round(age) if age < now + 1e12 else None, "lease_ms": round(machine.lease_ms()),
+            "voters": sorted(machine.voters), "votes": machine.votes(machine.number + 1),
+            "unfit": machine.unfit, "hand": machine.hand, "disk": machine.disk,
+            "local": bool(machine.acting) and held.meaning != self.shared_meaning(),
+            "ledger": str(self.pages.path), "publication": machine.result, "agreeing": open_id,
+            "acts": dict(zip(ACTS, acts, strict=True)),
+            "peers": {name: {"version": p.number, "acting": p.acting, "serving": p.serving, "code": p.code,
+                             "votes": p.votes, "told_ms": round(now - p.at_ms)}
+                      for name, p in sorted(machine.peers.items())},
+        }  # fmt: skip
+
+    def shared_meaning(self) -> str:
+        """Return the digest of the meaning of the version held."""
+        try:
+            return meaning(read(self.machine.contents[self.machine.id], self.machine.members).settings)
+        except Unfit:
+            return ""
+
+
+class Order:
+    """One allocation, as the fleet knows it."""
+
+    def __init__(self, acting: Acting) -> None:
+        self.acting, self.interval = acting, 0
+
+    def goes(self) -> str:
+        """Return on what it stands at this moment, or nothing where it must not go out."""
+        if not self.acting.look().acts:
+            return ""
+        self.interval = self.acting.interval.interval
+        return self.acting.stamp
+
+    def went(self) -> None:
+        """Count it."""
+        self.acting.count(SENT, self.interval)
--- a/marlseam/net/admin.py
+++ b/marlseam/net/admin.py
@@ -12,15 +12,20 @@
 from marlseam.net.protocol import Malformed
 
 CALL_MS = 2500.0  # how long a call may take to come, and as long its answer to go
-BODY_MOST = 1024  # bytes of a call's body, which nobody reads
-Calls = Mapping[str, tuple[str, Callable[[], tuple[int, str]]]]  # by path: the method, and what answers
+BODY_MOST = 1024  # bytes of a call's body where nothing more is said
+Calls = Mapping[
+    str, tuple[str, Callable[[bytes], tuple[int, str]]]
+]  # by path: the method, what answers a body
 
 
 class Admin:
     """Answers operators' calls, so many at a time; `calls` gives each its status and text."""
 
-    def __init__(self, loop: Loop, log: Log, address: tuple[str, int], places: int, calls: Calls) -> None:
-        self.loop, self.log, self.places, self.calls = loop, log, places, calls
+    def __init__(
+        self, loop: Loop, log: Log, address: tuple[str, int], places: int, calls: Calls,
+        body_most: int = BODY_MOST,
+    ) -> None:  # fmt: skip
+        self.loop, self.log, self.places, self.calls, self.body_most = loop, log, places, calls, body_most
         self.open: dict[Connection, Task | None] = {}  # the one that has waited longest first
         self.listener = http.Listener(loop, http.bound(address), self.make_room, self.taken, first=True)
 
@@ -66,10 +71,10 @@
     def answer(self, connection: Connection, until: float) -> Steps:
         """Read a call, do what it says, and write the answer."""
         try:
-            call = yield from http.read(connection, until, self.allows, BODY_MOST)
+            call = yield from http.read(connection, until, self.allows, self.body_most)
         except Malformed as error:
             raise http.bad(error) from None
-        status, text = self.calls[protocol.path_of(call.target)][1]()
+        status, text = self.calls[protocol.path_of(call.target)][1](call.body)
         headers = [("Content-Type", "text/plain"), ("Connection", "close")]
         yield from http.answer(connection, status, headers, text.encode(), self.loop.now() + CALL_MS)
 
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 from math import inf
+from typing import Protocol
 
 import h11
 
@@ -43,6 +44,17 @@
     until_ms: float
     expires_ms: float
     gate: Callable[[], Steps] | None = None  # must be over, and say yes, before anything goes out
+    stands: "Stands | None" = None  # where the node is of a fleet
+
+
+class Stands(Protocol):
+    """On what an allocation stands, as a fleet knows it."""
+
+    def goes(self) -> str:
+        """Return what tells that, or nothing where it must not go out."""
+
+    def went(self) -> None:
+        """Count it: it has gone out."""
 
 
 @dataclass
@@ -219,19 +231,31 @@
                 self.out.pop((ref, alloc), None)
                 self.post(Settled(ref, alloc, outcome, outcome is Outcome.COMPLETED, report, result))
 
+        def unkept() -> None:
+            nonlocal told
+            told = True
+            self.out.pop((ref, alloc), None)
+            self.post(Unkept(ref, alloc))
+
         reason = Reason.FAULT
         try:
             if order.gate is not None and not (yield from order.gate()):
-                told = True
-                self.out.pop((ref, alloc), None)
-                self.post(Unkept(ref, alloc))
+                unkept()
                 return
             connection = yield from self.acquire(peer, self.limit(), until)
             kept = connection.messages > 0
-            headers = protocol.job_headers(job, peer.name, order.expires_ms - self.loop.now())
+            acting = order.stands.goes() if order.stands is not None else ""
+            if order.stands is not None and not acting:
+                self.release(peer, connection)
+                connection = None
+                unkept()
+                return
+            headers = protocol.job_headers(job, peer.name, order.expires_ms - self.loop.now(), acting)
             request = h11.Request(method="POST", target=job.target, headers=headers)
             yield from connection.message(request, job.body, until)
             written = True
+            if order.stands is not None:
+                order.stands.went()
             self.counters.attempts += 1
             answer = yield from connection.answer(self.patience(job, until, self.take_ms))
             kept, head = False, Head(answer.headers)
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -3,9 +3,10 @@
 import resource
 import signal
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import replace
+from typing import Any
 
 from marlseam import config as configuration
 from marlseam import core
@@ -26,6 +27,7 @@
 OPERATORS = 16  # connections of operators, beside all others
 PLACES_LEAST = 16  # connections, however tight the limits: fewer could not serve
 CLIENT_SHARE = 0.5  # of the other descriptors, for clients
+CONTENT_MOST = 512 << 10  # bytes of a fleet's settings as an operator sends them
 LISTEN_MS = 600.0  # how long new connections may still come after SIGTERM
 PART_MS = 300.0  # how long clients may go on using the connections that they have, once out of service
 DRAIN_MOST_MS = 3000.0  # how long work goes on after SIGTERM, or for the longest hard limit if that is less
@@ -83,6 +85,11 @@
         self.config = config
         self.loop = Loop(lambda text: self.log.line(text.strip().replace("\n", " | ")))
         self.log = Log(config.name, self.loop.now)
+        self.peers = self.acting = None
+        self.outs: set[str] = set()  # by whom it is out of service
+        if config.fleet is not None:
+            self.join()
+            config = self.config
         clients, places = room(config)
         self.watch = None
         if config.watch is not None:
@@ -109,25 +116,27 @@
         self.admin = None
         if config.admin is not None:
             # Imported here: a node without such a door needs nothing of it.
-            from marlseam.net.admin import Admin
+            from marlseam.net.admin import BODY_MOST, Admin
 
             calls = {
-                "/control/ready": ("GET", lambda: (200 if self.ready() else 503, "")),
-                "/control/counters": ("GET", lambda: (200, self.figures())),
-                "/control/out-of-service": ("POST", self.leave_service),
-                "/control/in-service": ("POST", self.enter_service),
+                "/control/ready": ("GET", lambda _: (200 if self.ready() else 503, "")),
+                "/control/counters": ("GET", lambda _: (200, self.figures())),
+                "/control/out-of-service": ("POST", lambda _: self.leave_service("operator")),
+                "/control/in-service": ("POST", lambda _: self.enter_service("operator")),
             }
-            if config.fleet is not None:
-                calls["/control/fleet"] = ("GET", lambda: (200, self.peers.status()))
+            most = BODY_MOST
+            if self.peers is not None:
+                calls["/control/fleet"] = ("GET", lambda _: (200, self.peers.status()))
+            if self.acting is not None:
+                calls["/control/fleet/publish"] = ("POST", self.acting.publish)
+                calls["/control/fleet/out"] = (
+                    "POST",
+                    lambda why: self.acting.by_hand(why.decode(errors="replace")),
+                )
+                calls["/control/fleet/in"] = ("POST", lambda _: self.acting.by_hand(None))
+                most = CONTENT_MOST
             with usable("admin", "{}:{}".format(*config.admin), "a free address"):
-                self.admin = Admin(self.loop, self.log, config.admin, OPERATORS, calls)
-        self.peers = None
-        if config.fleet is not None:
-            # Imported here: a node that is of no fleet needs nothing of it.
-            from marlseam.net.peers import Peers
-
-            with usable("fleet.members", config.fleet.members[config.name], "a free address of this machine"):
-                self.peers = Peers(self.loop, self.log, config.fleet, config.name, config.seed)
+                self.admin = Admin(self.loop, self.log, config.admin, OPERATORS, calls, most)
         self.post(core.Begin(alone(config.deployment.settings), config.seed))
         self.memory = self.handover = None
         if config.store is not None:
@@ -147,6 +156,48 @@
         else:
             with usable(*door):
                 self.server.listen()
+        if self.acting is not None:
+            self.acting.begin()
+
+    def join(self) -> None:
+        """Become one of a fleet, and act from the start on the version that its ledger holds."""
+        # Imported here: a node that is of no fleet needs nothing of it.
+        from marlseam.net.peers import Peers
+
+        fleet, port = self.config.fleet, None
+        if fleet.folder is not None:
+            from marlseam.net.acting import Port
+
+            port = Port(
+                self.wrong, self.act_on, self.serve, lambda: max(0, self.discovery.version),
+                lambda: self.config.settings,
+            )  # fmt: skip
+        with usable("fleet.members", fleet.members[self.config.name], "a free address of this machine"):
+            self.peers = Peers(self.loop, self.log, fleet, self.config.name, self.config.seed, port)
+        self.acting = self.peers.acting
+        content = self.acting.load() if self.acting is not None else None
+        if content is not None:
+            own = self.config.settings_path
+            self.config = configuration.load(self.config.path, own=own, settings=content.settings)
+
+    def wrong(self, settings: Mapping[str, Any]) -> str:
+        """Return what is wrong with a fleet's settings here, or nothing."""
+        try:
+            configuration.load(self.config.path, before=self.config, settings=settings)
+        except ConfigError as error:
+            return str(error)
+        return ""
+
+    def act_on(self, settings: Mapping[str, Any]) -> None:
+        """Act on a fleet's settings, between two events; open work keeps its project type."""
+        self.adopt(configuration.load(self.config.path, before=self.config, settings=settings))
+
+    def serve(self, on: bool) -> None:
+        """Be in service, as far as the fleet has to say, or out of it."""
+        if on:
+            self.enter_service("fleet")
+        else:
+            self.leave_service("fleet")
 
     def take_over(self, version: int, hosts: list[dict]) -> None:
         """Begin to serve, from what another process of this node told."""
@@ -219,9 +270,12 @@
         self.refs += 1
         ref, job = str(self.refs), pending.job
         self.pending[ref] = pending
+        goes = self.acting is None or self.acting.may_take()
+        if self.acting is not None:
+            self.acting.count(0)
         work = WorkUnit(
             ref, job.type, pending.expires_ms, job.slots, receipt=job.receipt, key=job.key, repeat=job.repeat,
-            kept=self.memory is None or self.memory.keeper.serves(),
+            kept=goes and (self.memory is None or self.memory.keeper.serves()), goes=goes,
         )  # fmt: skip
         self.post(core.Arrival(work))
         return ref
@@ -237,7 +291,10 @@
         """Send an allocation."""
         pending, until = self.pending[effect.ref], self.loop.now() + effect.limit_ms
         gate = self.memory.gate(effect.ref) if self.memory is not None else None
-        order = Order(effect.ref, effect.alloc, effect.executor, pending.job, until, pending.expires_ms, gate)
+        stands = self.acting.order() if self.acting is not None else None
+        order = Order(
+            effect.ref, effect.alloc, effect.executor, pending.job, until, pending.expires_ms, gate, stands
+        )
         self.executors.send(order)
 
     def remember(self, effect: core.Remember | core.Forget) -> None:
@@ -252,6 +309,8 @@
         pending = self.pending.pop(ref, None)
         if pending is not None:
             self.counters.ended(pending.job.type_name, status)
+            if self.acting is not None:
+                self.acting.count(2 if status == 200 else 3)
             pending.give(status, headers, body)
 
     def timer(self, effect: core.Timer) -> None:
@@ -264,34 +323,47 @@
         """Read the configuration anew: a good one is applied whole, of a bad one nothing."""
         try:
             config = configuration.load(self.config.path, before=self.config)
+            if self.acting is not None and self.acting.published() and not self.config.fleet.local:
+                # What the fleet agreed on stays; the rest of the file is the node's own.
+                mine, settings = config.settings, self.config.settings
+                config = configuration.load(self.config.path, before=self.config, settings=settings)
+                self.acting.refused(mine)
         except ConfigError as error:
             self.counters.reload_errors += 1
             self.log.line(f"the configuration stays as it was: {error}")
             return
+        self.adopt(config)
+        self.counters.reloads += 1
+        self.log.line(f"new configuration, discovery at {config.discovery[0]}:{config.discovery[1]}")
+
+    def adopt(self, config: Config) -> None:
+        """Go on under a new configuration."""
         for key in FIXED:
             if getattr(config, key) != getattr(self.config, key):
                 self.log.line(f"{key}: cannot change in a running node, left as it was")
         config = replace(config, **{key: getattr(self.config, key) for key in FIXED})
         self.config = config
-        self.counters.reloads += 1
         self.counters.know(config.deployment.types)
         self.share()
         self.discovery.configure(config)
-        self.log.line(f"new configuration, discovery at {config.discovery[0]}:{config.discovery[1]}")
 
     # In service, out of service, and the end.
 
-    def leave_service(self) -> tuple[int, str]:
+    def leave_service(self, by: str) -> tuple[int, str]:
         """Send clients away; what is taken is finished, and all else goes on."""
+        self.outs.add(by)
         if self.server.draining is None:
             self.log.line(f"out of service with {len(self.pending)} work units open")
         self.server.drain(0.0, PART_MS)
         return 200, ""
 
-    def enter_service(self) -> tuple[int, str]:
-        """Serve again as before, unless the process ends."""
+    def enter_service(self, by: str) -> tuple[int, str]:
+        """Serve again as before, unless the process ends or another has it out."""
         if self.ending:
             return 409, "the process ends\n"
+        self.outs.discard(by)
+        if self.outs:
+            return 200, f"still out of service by {', '.join(sorted(self.outs))}\n"
         if self.server.draining is not None:
             self.log.line("in service")
             self.server.resume()
--- a/marlseam/net/peers.py
+++ b/marlseam/net/peers.py
@@ -1,4 +1,9 @@
-"""A node's place among the members of its fleet: a datagram socket, the pure machine, what staff see."""
+"""A node's place among the members of its fleet: a datagram socket, the pure machine, what staff see.
+
+Versions and the ledger, where the settings have them, are `acting`'s.
+"""
+
+from __future__ import annotations
 
 import errno
 import json
@@ -6,6 +11,7 @@
 import time
 from collections import Counter
 from math import inf
+from typing import TYPE_CHECKING
 
 from marlseam import __version__
 from marlseam.config import FleetSettings
@@ -14,6 +20,9 @@
 from marlseam.net.log import Log
 from marlseam.net.loop import READ, Coroutine, Loop
 
+if TYPE_CHECKING:
+    from marlseam.net.acting import Acting, Port
+
 READS = 32  # letters read in one turn
 
 
@@ -24,23 +33,30 @@
     no member until it is free.
     """
 
-    def __init__(self, loop: Loop, log: Log, settings: FleetSettings, name: str, seed: int) -> None:
+    def __init__(
+        self, loop: Loop, log: Log, settings: FleetSettings, name: str, seed: int, port: Port | None = None
+    ) -> None:
         self.loop, self.log, self.settings, self.name, self.seed = loop, log, settings, name, seed
         self.names = frozenset(settings.members)
         self.dropped: Counter[str] = Counter()  # what was no letter of ours, by code
         self.sent = self.came = self.sent_bytes = self.came_bytes = 0
+        # A life's number need only differ from an earlier one's: incarnations order them.
+        self.life = int(time.time() * 1000.0)
+        self.acting: Acting | None = None
+        if port is not None:
+            # Imported here: a node of a fleet without versions needs nothing of it.
+            from marlseam.net.acting import Acting
+
+            self.acting = Acting(loop, log, settings, name, self.life, seed, port, self.send)
         self.machine = self.machine_now()
         self.sock: socket.socket | None = None
         self.closed, self.timer = False, loop.at(loop.now(), lambda: None)
         self.join()
 
     def machine_now(self) -> Members:
-        """Return a machine that begins now.
-
-        A life's number need only differ from an earlier one's: incarnations order them.
-        """
-        life, period = int(time.time() * 1000.0), self.settings.period_ms
-        return Members(self.settings.name, self.name, self.names, life, self.seed, period, self.loop.now())
+        """Return a machine that begins now."""
+        now, period = self.loop.now(), self.settings.period_ms
+        return Members(self.settings.name, self.name, self.names, self.life, self.seed, period, now)
 
     def join(self) -> None:
         """Take the address and begin, or try again after a period."""
@@ -77,13 +93,18 @@
                     break  # nothing more, or a port on this machine where nobody listens
                 self.came, self.came_bytes = self.came + 1, self.came_bytes + len(data)
                 try:
-                    letter = read(data, self.settings.name, self.names)
+                    self.hear(data)
                 except Odd as odd:
                     self.drop(odd.code)
-                    continue
-                self.act(self.machine.heard(self.loop.now(), letter))
             self.plan()
 
+    def hear(self, data: bytes) -> None:
+        """Take in a letter, or a note on versions; raises Odd."""
+        if self.acting is not None and data[:1] == self.acting.FIRST:
+            self.acting.hear(data, self.names)
+        else:
+            self.act(self.machine.heard(self.loop.now(), read(data, self.settings.name, self.names)))
+
     def drop(self, code: str) -> None:
         """Count what is no letter of ours; the first of a kind is told."""
         self.dropped[code] += 1
@@ -118,6 +139,8 @@
 
     def send(self, to: str, data: bytes) -> None:
         """Send a datagram; one that the system does not take is lost like any other."""
+        if self.sock is None:
+            return
         try:
             self.sock.sendto(data, self.settings.members[to])
         except OSError:
@@ -155,11 +178,15 @@
                         "bytes_came": self.came_bytes, "left_out": dict(self.dropped)},
             "members": sorted(rows, key=lambda row: row["name"]),
         }  # fmt: skip
+        if self.acting is not None:
+            told["acting"] = self.acting.status()
         return json.dumps(told) + "\n"
 
     def close(self) -> None:
         """Say goodbye, and go."""
         self.closed = True
+        if self.acting is not None:
+            self.acting.close()
         if self.sock is not None:
             self.act(self.machine.leave(self.loop.now()))
             self.loop.close(self.sock)
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -14,6 +14,7 @@
 
 READY_PATH, LOAD_PATH, LIST_PATH = "/-/ready", "/-/load", "/api/targets"
 ID, TYPE, TIME_LEFT, RECEIPT = "X-Correlation-Id", "X-Service-Class", "X-Time-Left", "Idempotency-Key"
+ACTING = "X-Marlseam-Acting"  # where a fleet is on: on what an allocation stands
 FACTS, LOAD, NEVER_RAN, REPEAT = "X-Facts", "X-Backend-Load", "X-Unprocessed", "X-Repeat"
 KEY = "user"  # the parameter that names the thing that a work unit needs
 BODY_MOST = 65536  # bytes of a request's body, and of an executor's answer
@@ -197,8 +198,8 @@
 # Executors.
 
 
-def job_headers(job: Job, host: str, left_ms: float) -> list[tuple[str, str]]:
-    """Return the headers under which a work unit goes to an executor."""
+def job_headers(job: Job, host: str, left_ms: float, acting: str = "") -> list[tuple[str, str]]:
+    """Return the headers under which a work unit goes to an executor; `acting` tells on what that stands."""
     headers = [
         ("Host", host),
         (ID, job.id),
@@ -208,6 +209,8 @@
     ]
     if job.receipt is not None:
         headers.append((RECEIPT, job.receipt))
+    if acting:
+        headers.append((ACTING, acting))
     return headers
 
 
--- a/marlseam/standin/disk.py
+++ b/marlseam/standin/disk.py
@@ -101,7 +101,7 @@
         Keeper.helper = "marlseam.standin.disk"
         marlseam()
         return
-    helper.main(Faulty)
+    helper.main(disk=Faulty)
 
 
 if __name__ == "__main__":
--- a/marlseam/store/folder.py
+++ b/marlseam/store/folder.py
@@ -34,7 +34,7 @@
     errno.ENOSPC: "full", errno.EDQUOT: "full", errno.EROFS: "read-only", errno.EACCES: "read-only",
     errno.EPERM: "read-only", errno.ENOENT: "vanished", errno.EIO: "broken", errno.ESTALE: "vanished",
     errno.ENOTDIR: "vanished", errno.EAGAIN: "locked", errno.ENOSYS: "unsupported",
-    errno.EINVAL: "unsupported",
+    errno.EINVAL: "unsupported", errno.EFBIG: "full",
 }  # fmt: skip
 
 
@@ -68,6 +68,11 @@
         """Close a file."""
         os.close(fd)
 
+    def identity(self, name: str) -> tuple[int, float]:
+        """Return a file's number in its file system, and when it was last changed in any way (Unix ms)."""
+        found = os.stat(self.path / name)
+        return found.st_ino, found.st_ctime_ns / 1e6
+
     def rename(self, old: str, new: str) -> None:
         """Rename a file."""
         os.rename(self.path / old, self.path / new)
@@ -130,6 +135,16 @@
     return CODES.get(error.errno, "broken")
 
 
+def write_all(disk: Disk, fd: int, data: bytes) -> None:
+    """Append all of some bytes."""
+    view = memoryview(data)
+    while view:
+        count = disk.write(fd, bytes(view))
+        if not count:
+            raise OSError(errno.ENOSPC, "nothing was written")
+        view = view[count:]
+
+
 @dataclass(frozen=True)
 class Finding:
     """Something wrong with a file: its code and a text for staff."""
@@ -152,6 +167,7 @@
         self.size = 0  # of the journal in hand, in bytes
         self.findings: list[Finding] = []
         self.unusable: set[str] = set()
+        self.of = ""  # whose files were read
 
     def files(self, kind: str) -> list[int]:
         """Return the numbers of the files of a kind, in order."""
@@ -229,6 +245,7 @@
     def take(self, state: State, found: form.Contents, eras: list[Era]) -> Generator[None, None, None]:
         """Apply a file's entries, on that file's scale of time."""
         here = Era(found.head.boot, found.head.zero_ms)
+        self.of = found.head.node
         if eras and eras[-1].boot == here.boot:
             yield from state.shift_to(eras[-1].zero_ms, here.zero_ms)
         eras.append(here)
@@ -251,15 +268,6 @@
             self.disk.rename(name, f"bad-{name}")
         self.unusable = set()
 
-    def write_all(self, fd: int, data: bytes) -> None:
-        """Append all of some bytes."""
-        view = memoryview(data)
-        while view:
-            count = self.disk.write(fd, bytes(view))
-            if not count:
-                raise OSError(errno.ENOSPC, "nothing was written")
-            view = view[count:]
-
     def snapshot(self, frames: list[bytes], now_ms: float) -> None:
         """Write a snapshot, begin the journal after it, and drop what both make needless."""
         self.close()
@@ -267,7 +275,7 @@
         name = f"snapshot-{number:010d}"
         fd = self.disk.open(name + ".new")
         try:
-            self.write_all(fd, form.snapshot(self.head("snapshot", number, now_ms), frames))
+            write_all(self.disk, fd, form.snapshot(self.head("snapshot", number, now_ms), frames))
             self.disk.sync(fd)
         finally:
             self.disk.close(fd)
@@ -278,12 +286,19 @@
         self.set_aside()
         self.drop_old()
 
+    def renew(self) -> list[str]:
+        """Write a snapshot of what is there, and return what of it is lost."""
+        now = unix_ms(self.era)
+        state = self.load(now)
+        self.snapshot(form.frames(state.entries()), now)
+        return [finding.text for finding in self.findings if finding.code == "lost"]
+
     def begin(self, now_ms: float) -> None:
         """Begin the journal of the present number."""
         fd = self.disk.open(f"journal-{self.number:010d}")
         try:
             data = form.begin(self.head("journal", self.number, now_ms))
-            self.write_all(fd, data)
+            write_all(self.disk, fd, data)
             self.disk.sync(fd)
             self.disk.sync_folder()
         except OSError:
@@ -291,11 +306,12 @@
             raise
         self.fd, self.size = fd, len(data)
 
-    def append(self, data: bytes, sync: bool) -> None:
+    def append(self, parts: list[bytes], sync: bool) -> None:
         """Append frames to the journal and, if wished, have them on the disk."""
         if self.fd is None:
             raise OSError(errno.ENOENT, "no journal is open")
-        self.write_all(self.fd, data)
+        data = b"".join(parts)
+        write_all(self.disk, self.fd, data)
         self.size += len(data)
         if sync:
             self.disk.sync(self.fd)
--- a/marlseam/store/format.py
+++ b/marlseam/store/format.py
@@ -97,10 +97,14 @@
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Entry)
 
 
+def framed(payload: bytes) -> bytes:
+    """Return a payload as a frame."""
+    return FRAME.pack(len(payload), zlib.crc32(payload, len(payload))) + payload
+
+
 def frame(entry: Entry) -> bytes:
     """Return an entry as bytes of a file."""
-    payload = ENCODER.encode(entry)
-    return FRAME.pack(len(payload), zlib.crc32(payload, len(payload))) + payload
+    return framed(ENCODER.encode(entry))
 
 
 def frames(entries: list[Entry]) -> list[bytes]:
@@ -170,34 +174,54 @@
     return not (data.startswith(MAGIC) and cut_short(data[len(MAGIC) :]))
 
 
-def read(data: bytes, kind: str, node: str | None) -> Generator[None, None, Contents]:
-    """Return what a file holds, frame by frame.
+def payloads(data: bytes) -> Generator[tuple[int, bytes], None, None]:
+    """Yield where each whole frame behind the magic ends, and what it holds, up to the first that is not
+    whole.
 
-    Raises Unusable for another kind, version or node's file, or one without a head.
+    Raises Unusable where there is no magic.
     """
     if not data.startswith(MAGIC):
         raise Unusable("foreign", "no file of marlseam's")
-    entries: list[Entry] = []
     at = len(MAGIC)
     while at + FRAME.size <= len(data):
         length, check = FRAME.unpack_from(data, at)
         payload = data[at + FRAME.size : at + FRAME.size + length] if length <= PAYLOAD_MOST else b""
         if length > PAYLOAD_MOST or len(payload) < length or zlib.crc32(payload, length) != check:
-            break
+            return
+        at += FRAME.size + len(payload)
+        yield at, payload
+
+
+def headed(first: object, kind: str, node: str | None) -> Head:
+    """Return a file's head; raises Unusable for another kind, version or node's file.
+
+    Or one without a head.
+    """
+    if not isinstance(first, Head):
+        raise Unusable("torn", "its head cannot be read")
+    if first.version not in READ:
+        raise Unusable("version", f"format {first.version}, this program reads {READ}")
+    if first.kind != kind or (node is not None and first.node != node):
+        raise Unusable("foreign", f"a {first.kind} of node {first.node}")
+    return first
+
+
+def read(data: bytes, kind: str, node: str | None) -> Generator[None, None, Contents]:
+    """Return what a file holds, frame by frame.
+
+    Raises Unusable for another kind, version or node's file, or one without a head.
+    """
+    entries: list[Entry] = []
+    end = len(MAGIC)
+    for at, payload in payloads(data):
         try:
             entries.append(DECODER.decode(payload))
         except msgspec.MsgspecError:
             break
-        at += FRAME.size + len(payload)
+        end = at
         yield
-    if not entries or not isinstance(entries[0], Head):
-        raise Unusable("torn", "its head cannot be read")
-    head = entries[0]
-    if head.version not in READ:
-        raise Unusable("version", f"format {head.version}, this program reads {READ}")
-    if head.kind != kind or (node is not None and head.node != node):
-        raise Unusable("foreign", f"a {head.kind} of node {head.node}")
-    return Contents(head, entries[1:], len(data) - at, cut_short(data[at:]))
+    head = headed(entries[0] if entries else None, kind, node)
+    return Contents(head, entries[1:], len(data) - end, cut_short(data[end:]))
 
 
 def read_snapshot(data: bytes, node: str | None) -> Generator[None, None, Contents]:
--- a/marlseam/store/helper.py
+++ b/marlseam/store/helper.py
@@ -17,10 +17,11 @@
 import socket
 import struct
 import sys
+from collections.abc import Callable
 from pathlib import Path
+from typing import Protocol
 
-from marlseam.store import format as form
-from marlseam.store.folder import Disk, Era, Folder, code_of, unix_ms
+from marlseam.store.folder import Disk, Era, Folder, code_of
 
 HEAD = struct.Struct(">BI")
 APPEND, COMPACT, END = ord("A"), ord("C"), ord("E")
@@ -68,10 +69,25 @@
         super().sync_folder()
 
 
+class Written(Protocol):
+    """What is written to: a state folder, or a ledger."""
+
+    size: int  # of the file in hand, in bytes
+
+    def append(self, parts: list[bytes], sync: bool) -> None:
+        """Append what came, and if wished have it on the disk."""
+
+    def renew(self) -> list[str]:
+        """Begin anew with what is there; return what of it is lost."""
+
+    def close(self) -> None:
+        """Close what is open."""
+
+
 class Helper:
     """Carries out messages and says what came of them."""
 
-    def __init__(self, folder: Folder, channel: socket.socket, sync: bool) -> None:
+    def __init__(self, folder: Written, channel: socket.socket, sync: bool) -> None:
         self.folder, self.channel, self.sync = folder, channel, sync
         self.rest, self.count = b"", 0
         self.failed = True  # until what is there is compacted there is no journal
@@ -115,27 +131,24 @@
         if self.failed:
             return
         try:
-            self.folder.append(b"".join(parts), self.sync)
+            self.folder.append(parts, self.sync)
         except OSError as error:
             self.fail(error)
         else:
             self.say({"done": self.count, "size": self.folder.size})
 
     def compact(self) -> None:
-        """Write a snapshot of what the folder holds.
+        """Begin anew with what the folder holds.
 
         After a failure this is the way back: all that has let something out is there.
         """
         self.count += 1
-        now = unix_ms(self.folder.era)
         try:
-            state = self.folder.load(now)
-            self.folder.snapshot(form.frames(state.entries()), now)
+            lost = self.folder.renew()
         except OSError as error:
             self.fail(error)
         else:
             self.failed = False
-            lost = [finding.text for finding in self.folder.findings if finding.code == "lost"]
             self.say({"done": self.count, "size": self.folder.size, "lost": lost})
 
     def fail(self, error: OSError) -> None:
@@ -151,14 +164,17 @@
             self.channel.sendall(json.dumps(row).encode() + b"\n")
 
 
-def main(disk: type[Held] = Held) -> None:
-    """Run the helper on inherited descriptors; the lock is held for as long as it runs."""
+def main(make: Callable[[Held, str, Era, bool], Written] = Folder, disk: type[Held] = Held) -> None:
+    """Run the helper of what `make` returns on inherited descriptors.
+
+    It holds the lock for as long as it runs.
+    """
     path, node, sync, channel, _, boot, zero = sys.argv[1:8]
     # The node's own end tells this process to end, so that what is under way is written.
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, signal.SIG_IGN)
     ours, durable = socket.socket(fileno=int(channel)), sync == "durable"
-    folder = Folder(disk(Path(path), ours), node, Era(boot, float(zero)), machine=durable)
+    folder = make(disk(Path(path), ours), node, Era(boot, float(zero)), durable)
     Helper(folder, ours, durable).run()
 
 
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -116,7 +116,7 @@
 def test_a_call_that_comes_in_a_long_turn_is_answered_within_it(node, client):
     # Guards operators against a node that is busy with clients: here each client's step takes a while.
     order, seen, real = [], [], node.take
-    node.admin.calls = {"/control/ready": ("GET", lambda: (order.append(len(seen)), (200, ""))[1])}
+    node.admin.calls = {"/control/ready": ("GET", lambda _: (order.append(len(seen)), (200, ""))[1])}
 
     def slow(pending):
         if not seen:
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -58,7 +58,9 @@
     def proposer(self, place, operator):
         held = operator.round, operator.open
         electorate = self.electorate(place)
-        return self.kind(place, NUMBER, operator.value, electorate, *held, asked=operator.asked)
+        return self.kind(
+            self.place(place, operator), NUMBER, operator.value, electorate, *held, asked=operator.asked
+        )
 
 
 class HalfIsEnough(Proposers):
@@ -89,7 +91,8 @@
 
 def earliest(self, message):
     if type(message) is Promise and message.accepted > NONE:
-        message = message._replace(accepted=(9 - message.accepted[0], 9 - message.accepted[1]))
+        other = {"1.0": "2.0", "2.0": "1.0"}[message.accepted[1]]
+        message = message._replace(accepted=(9 - message.accepted[0], other))
     return Proposer.heard(self, message)
 
 
@@ -102,8 +105,43 @@
 class SameRoundAgain(Rules):
     """Planted: an operator that restarts begins its rounds anew."""
 
-    def round_on_disk(self, operator, round):
-        return 0
+    def place(self, place, operator):
+        return f"{place}.0"
+
+
+class LossUnknown(Rules):
+    """Planted: a voter whose folder was set back goes on as if it were whole."""
+
+    def knows_loss(self):
+        return False
+
+
+class VotesAfterLoss(Rules):
+    """Planted: a voter that knows of its loss votes all the same."""
+
+    def may_vote(self, voter):
+        return True
+
+
+class FromTheAnswer(Rules):
+    """Planted: a proof holds as of when the answers came."""
+
+    def claims(self, state):
+        return bool(contents(state, self))
+
+
+class ClearByDisk(Rules):
+    """Planted: a voter that has promised and not accepted in this life says it is clear."""
+
+    def clear(self, voter):
+        return voter.whole
+
+
+class ProvedByOne(Rules):
+    """Planted: one voter's word is a proof."""
+
+    def proves(self, by):
+        return bool(by)
 
 
 class TakesAnything(Rules):
@@ -121,8 +159,8 @@
 
 
 ONE = ["1 begins 1", "a hears Prepare", "b hears Prepare", "1 asks", "a hears Accept"]
-TWO = ["2 begins 1", *(f"{v} hears Prepare(number=2, ballot=(1, 2)" for v in "bc"), "2 asks"]
-FAR = [*ONE, *TWO, *(f"{v} hears Accept(number=2, ballot=(1, 2)" for v in "bc"), "1 begins 2"]
+TWO = ["2 begins 1", *(f"{v} hears Prepare(number=2, ballot=(1, '2.0')" for v in "bc"), "2 asks"]
+FAR = [*ONE, *TWO, *(f"{v} hears Accept(number=2, ballot=(1, '2.0')" for v in "bc"), "1 begins 2"]
 
 
 @pytest.mark.parametrize(
@@ -131,41 +169,43 @@
         (ForgetsPromise, ONE[:4]), (ForgetsAccepted, ONE), (SpeaksFirst, ONE[:4]), (HalfIsEnough, []),
         (WrongVoters, [*ONE, "b hears Accept", "2 begins 1"]), (OwnGoesFirst, ONE),
         (EarliestGoesFirst, FAR), (SameRoundAgain, ONE), (TakesAnything, ONE[:4]),
+        (LossUnknown, ONE), (VotesAfterLoss, ONE), (FromTheAnswer, ONE[:5]),
+        (ClearByDisk, ONE), (ProvedByOne, ONE),
     ],
     ids=lambda value: getattr(value, "__name__", ""),
 )  # fmt: skip
 def test_a_planted_defect_is_found(rules, path):
-    assert wander(1500, 16, rules(), after(path, rules()))
+    assert wander(6000, 16, rules(), after(path, rules()))
     assert wander(60, 16, Rules(), after(path, Rules())) == []
 
 
 def test_what_is_said_again_or_late_changes_nothing():
     voter = Acceptor("a", {})
-    new, answer = voter.heard(Prepare(2, (2, 1)))
+    new, answer = voter.heard(Prepare(2, (2, "1")))
     voter.keep(2, new)
-    assert voter.heard(Prepare(2, (2, 1))) == (None, answer)
-    assert voter.heard(Accept(2, (1, 2), "y")) == (None, Refused(2, (1, 2), (2, 1)))
-    new, _ = voter.heard(Accept(2, (2, 1), "x"))
+    assert voter.heard(Prepare(2, (2, "1"))) == (None, answer)
+    assert voter.heard(Accept(2, (1, "2"), "y")) == (None, Refused(2, (1, "2"), (2, "1")))
+    new, _ = voter.heard(Accept(2, (2, "1"), "x"))
     voter.keep(2, new)
-    assert voter.heard(Prepare(3, (1, 2)))[0] == Promised((1, 2))  # each number for itself
+    assert voter.heard(Prepare(3, (1, "2")))[0] == Promised((1, "2"))  # each number for itself
 
 
 def test_an_operator_hears_only_voters_of_its_version_in_its_own_round():
-    operator = Proposer(1, 2, "x", frozenset("abc"))
-    assert operator.heard(Promise(2, (0, 1), "a", NONE, "")) is None  # nothing has begun
+    operator = Proposer("1", 2, "x", frozenset("abc"))
+    assert operator.heard(Promise(2, (0, "1"), "a", NONE, "")) is None  # nothing has begun
     operator.begin()
-    for number, place, voter in ((2, 1, "z"), (3, 1, "a"), (2, 2, "a")):
+    for number, place, voter in ((2, "1", "z"), (3, "1", "a"), (2, "2", "a")):
         assert operator.heard(Promise(number, (1, place), voter, NONE, "")) is None and not operator.promises
-    assert operator.heard(Refused(2, (1, 1), (4, 2))) == Prepare(2, (5, 1))
-    operator.heard(Promise(2, (5, 1), "a", (3, 2), "y"))
-    assert operator.heard(Promise(2, (5, 1), "b", (1, 1), "x")) == Accept(2, (5, 1), "y")
+    assert operator.heard(Refused(2, (1, "1"), (4, "2"))) == Prepare(2, (5, "1"))
+    operator.heard(Promise(2, (5, "1"), "a", (3, "2"), "y"))
+    assert operator.heard(Promise(2, (5, "1"), "b", (1, "1"), "x")) == Accept(2, (5, "1"), "y")
     for voter in "ab":
-        operator.heard(Accepted(2, (5, 1), voter, "y"))
-    assert operator.chosen == "y" and operator.heard(Accepted(2, (5, 1), "c", "y")) is None
+        operator.heard(Accepted(2, (5, "1"), voter, "y"))
+    assert operator.chosen == "y" and operator.heard(Accepted(2, (5, "1"), "c", "y")) is None
 
 
 def test_two_contents_are_seen_where_a_majority_took_each():
     state = after(FAR, Rules())
     assert contents(state, Rules()) == {"y1.0"}
-    both = state.said | {Accepted(2, (2, 1), voter, "x2.0") for voter in "ab"}
+    both = state.said | {Accepted(2, (2, "1"), voter, "x2.0") for voter in "ab"}
     assert contents(state._replace(said=both), Rules()) == {"y1.0", "x2.0"}
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -155,7 +155,7 @@
             else:
                 model.apply(step)
                 states.append(model.entries())
-                folder.append(form.frame(step), True)
+                folder.append([form.frame(step)], True)
                 states[:] = states[-1:]
     except Crashed:
         pass
@@ -394,7 +394,7 @@
 def test_a_locked_folder_is_read_as_soon_as_it_is_free_and_only_then_written(
     keeper, loop, until, waits, capsys, monkeypatch
 ):
-    monkeypatch.setattr("marlseam.store.keeper.LOCK_S", 0.02)
+    monkeypatch.setattr("marlseam.store.scribe.LOCK_S", 0.02)
     first, second = keeper(), keeper()
     first.load()
     first.begin()
@@ -436,7 +436,7 @@
 def test_a_disk_that_fails_is_told_once_keeps_nothing_and_is_tried_again(
     keeper, loop, until, waits, capsys, monkeypatch
 ):
-    monkeypatch.setattr("marlseam.store.keeper.BACK_MS", 10.0)
+    monkeypatch.setattr("marlseam.store.scribe.BACK_MS", 10.0)
     part = keeper()
     part.load()
     part.begin()
@@ -458,8 +458,8 @@
     def refused(*words, **named):
         raise OSError(number, "refused")
 
-    monkeypatch.setattr("marlseam.store.keeper.subprocess.Popen", refused)
-    monkeypatch.setattr("marlseam.store.keeper.BACK_MS", 10.0)
+    monkeypatch.setattr("marlseam.store.scribe.subprocess.Popen", refused)
+    monkeypatch.setattr("marlseam.store.scribe.BACK_MS", 10.0)
     part = keeper()
     part.load()
     part.begin()
@@ -486,7 +486,7 @@
 def test_a_helper_that_ends_is_followed_by_another_and_what_waited_is_not_kept(
     keeper, until, waits, monkeypatch
 ):
-    monkeypatch.setattr("marlseam.store.keeper.BACK_MS", 10.0)
+    monkeypatch.setattr("marlseam.store.scribe.BACK_MS", 10.0)
     part = keeper()
     part.load()
     part.begin()
@@ -529,7 +529,7 @@
     folder.snapshot(frames(), NOW)
     disk.error = number
     with pytest.raises(OSError) as error:
-        folder.append(b"x", True)
+        folder.append([b"x"], True)
     assert code_of(error.value) == code
 
 
@@ -598,7 +598,7 @@
 def test_a_node_whose_folder_another_has_sends_no_keyed_work_until_it_has_read_it(
     live, tmp_path, started, monkeypatch
 ):
-    monkeypatch.setattr("marlseam.store.keeper.LOCK_S", 0.02)
+    monkeypatch.setattr("marlseam.store.scribe.LOCK_S", 0.02)
     path, far = tmp_path / "state", time.time() * 1000.0 + 20000.0
     first_life(path, "node")
     other = live() if started else None  # two processes started on one folder at once
