--- a/marlseam/cli/audit.py
+++ b/marlseam/cli/audit.py
@@ -1,8 +1,6 @@
 """`marlseam fleet audit`: who acted on which version, by nodes' ledgers."""
 
-import fcntl
 import json
-import os
 import sys
 import time
 from collections.abc import Iterable
@@ -13,8 +11,8 @@
 
 from marlseam.cli.tables import table
 from marlseam.fleet import audit as auditing
+from marlseam.store import audit as ledgers
 from marlseam.store.folder import Disk, Folder, code_of
-from marlseam.store.ledger import Ledger
 
 FOLDER = click.Path(path_type=Path, file_okay=False, exists=True)
 PAGE = """<!doctype html><meta charset=utf-8><title>Audit of the fleet</title>
@@ -24,44 +22,6 @@
 """
 
 
-def writing(folder: Path) -> bool:
-    """Return whether a process has a ledger's lock."""
-    try:
-        fd = os.open(folder / "lock", os.O_RDWR)
-    except OSError:
-        return False
-    try:
-        fcntl.flock(fd, fcntl.LOCK_EX | fcntl.LOCK_NB)
-    except OSError:
-        return True
-    finally:
-        os.close(fd)
-    return False
-
-
-def read_ledgers(folders: Iterable[Path], error_ms: float) -> auditing.Audit:
-    """Return the audit of ledgers' folders, with what is wrong with their files."""
-    ledgers: dict[str, list] = {}
-    running, wrong = [], []
-    for folder in folders:
-        ledger = Ledger(Disk(folder), None)
-        live = writing(folder)
-        try:
-            files = ledger.files()
-        except OSError as error:
-            raise click.ClickException(f"{folder}: {code_of(error)}: {error.strerror}") from None
-        wrong += [f"{folder}: {f.name} code={f.code}: {f.text}" for f in ledger.findings]
-        if not files:
-            wrong.append(f"{folder}: no ledger is there")
-            continue
-        if live:
-            running.append(files[-1].node)
-        ledgers.setdefault(files[-1].node, []).append([entry for file in files for entry in file.entries])
-    found = auditing.read(ledgers, running, error_ms)
-    found.wrong = wrong + found.wrong
-    return found
-
-
 def clock(ms: float | None) -> str:
     """Return a Unix time for people."""
     if ms is None or ms > 1e15:
@@ -123,7 +83,10 @@
     """
     if not folders:
         raise click.ClickException("folders of ledgers were expected")
-    found = read_ledgers(folders, error_ms)
+    try:
+        found = ledgers.read(folders, error_ms)
+    except OSError as error:
+        raise click.ClickException(f"{error.filename}: {code_of(error)}: {error.strerror}") from None
     since_ms = 1000.0 * (time.time() - since_s) if since_s is not None else 0.0
     rows = auditing.rows(found, since_ms, node)
     if raw:
--- a/marlseam/experiment/fleet.py
+++ b/marlseam/experiment/fleet.py
@@ -6,19 +6,24 @@
 and time.
 """
 
+import contextlib
 import heapq
 import http.client
 import json
 import os
 import re
+import resource
 import select
+import shutil
 import signal
 import socket
 import threading
 import time
+from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from math import inf
 from pathlib import Path
+from typing import Literal
 from zlib import crc32
 
 from marlseam import records
@@ -27,15 +32,19 @@
 from marlseam.experiment.plays import Played, Say, play
 from marlseam.experiment.processes import Failed
 from marlseam.experiment.sockets import Sockets
-from marlseam.fleet import hunt
+from marlseam.fleet import hunt, says
 from marlseam.fleet.hunt import FAULTS, detect_ms, heal_ms
 from marlseam.fleet.members import HEALTH_MOST, Members
 from marlseam.fleet.words import Kind, Odd, read
 from marlseam.load.process import arrivals_of
-from marlseam.world.model import Count, NotNegative, Positive, Share, Strict, nodes
+from marlseam.store.ledger import first_life
+from marlseam.world.model import Count, Day, NotNegative, Positive, Share, Strict, nodes, settings
 
 SAID = re.compile(r"member (\S+) (here|suspect|gone|left) life=(\d+)")
+ACTED = re.compile(r"acts on version (\d+)|(in service)$|fleet code=(\S+): out of service")
+RIG_FAULTS = (*FAULTS[:-1], "publish", "full", "copy", "old", "lost", "split")
 LOOK_S, ASK_S = 0.02, 0.25
+PUBLISH_S = 30.0  # for which it is asked what came of a publication
 SLACK_MS = 250.0  # until a line of a node's log is seen, and a datagram has passed through
 
 
@@ -57,6 +66,10 @@
     doubles: Share = 0.0
     faults: list[Fault] = []  # none: those of a schedule of chance, by the seed
     until_s: Positive = 30.0  # of the day; later steps are no faults any more
+    voters: list[str] = []  # none: members alone, without versions
+    lease_ms: Positive = 2000.0
+    past_lease: Literal["serve", "strict"] = "strict"
+    older: list[str] = []  # nodes that run as an older program does
 
 
 def reserved() -> str:
@@ -86,10 +99,16 @@
         for fault in table.faults or self.by_chance():
             self.strikes[self.key(fault)] = fault
         self.counts: dict[tuple[str, bool, int], int] = {}
+        self.counts_steps = False  # not before the run's zero
         self.cuts: list[tuple[str, str, float]] = []
         self.spells: list[tuple[str, str, float, float]] = []  # who, which fault, since, until
         self.late: list[tuple[float, int, tuple[str, str], bytes]] = []
         self.told: list[tuple[float, str, str, str, int]] = []  # when, by whom, of whom, what, life
+        self.acted: list[
+            tuple[float, str, str]
+        ] = []  # when, who: the version acted on, "in", or why it is out
+        self.published: list[tuple[float, str, str]] = []  # when asked for, by whom, what came of it
+        self.replace: dict[str, str] = {}  # folders to be set back, or lost, before their node starts again
         logs = {name: out / "logs" / f"{name}.log" for name in names}
         # From here on: the folder may hold what nodes of an earlier run have logged.
         self.read_to = {name: log.stat().st_size if log.exists() else 0 for name, log in logs.items()}
@@ -119,11 +138,30 @@
     def key(self, fault: Fault) -> tuple[str, bool, int, int]:
         """Return the step of a fault."""
         way, kind, count = fault.step.split()
-        if way not in ("sends", "receives") or fault.fault not in FAULTS or fault.fault == "twin":
+        kinds = {k.name.lower(): int(k) for k in (*Kind, *says.Kind)}
+        if way not in ("sends", "receives") or fault.fault not in RIG_FAULTS or kind not in kinds:
             raise file.FileError(f"fleet.faults: {fault} has no known step or fault")
         if fault.node not in self.names or (fault.fault == "pair" and fault.other not in self.names):
             raise file.FileError(f"fleet.faults: {fault} names no node")
-        return fault.node, way == "sends", int(Kind[kind.upper()]), int(count)
+        return fault.node, way == "sends", kinds[kind], int(count)
+
+    def ledger(self, name: str) -> Path:
+        """Return where a node's ledger is."""
+        return self.out / "ledgers" / name
+
+    def prepare(self, name: str, _: dict[str, str]) -> None:
+        """Make a node's ledger, before its first start."""
+        if self.table.voters:
+            shutil.rmtree(self.ledger(name), ignore_errors=True)
+            first_life(self.ledger(name), name)
+
+    def between_lives(self, name: str) -> None:
+        """Set a node's folder back, or lose it, before it starts again."""
+        how = self.replace.pop(name, "")
+        if how:
+            shutil.rmtree(self.ledger(name))
+        if how == "old":
+            shutil.copytree(f"{self.ledger(name)}.copy", self.ledger(name))
 
     def settings(self, name: str) -> tuple[dict, str]:
         """Return a node's further configuration: its operators' door, and the fleet as it meets it."""
@@ -131,7 +169,11 @@
         for other in self.names:
             if other != name:
                 rows.append('{} = "{}:{}"'.format(other, *self.between[name, other].getsockname()))
-        own = f'[fleet]\nname = "rig"\nperiod_ms = {self.table.period_ms:g}\n[fleet.members]\n'
+        own = f'[fleet]\nname = "rig"\nperiod_ms = {self.table.period_ms:g}\n'
+        if self.table.voters:
+            own += f'folder = "{self.ledger(name)}"\nvoters = {json.dumps(self.table.voters)}\n'
+            own += f'lease_ms = {self.table.lease_ms:g}\npast_lease = "{self.table.past_lease}"\n'
+        own += "[fleet.members]\n"
         return {"admin": self.doors[name]}, own + "\n".join(rows) + "\n"
 
     def chance(self) -> float:
@@ -197,8 +239,14 @@
 
     def struck(self, name: str, sends: bool, data: bytes) -> Fault | None:
         """Count a step, and return what strikes at it."""
+        if not self.counts_steps:
+            return None
+        names = frozenset(self.names)
         try:
-            kind = int(read(data, "rig", frozenset(self.names)).kind)
+            if data[:1] == says.FIRST:
+                kind = int(says.kind_of(says.read(data, "rig", names).say))
+            else:
+                kind = int(read(data, "rig", names).kind)
         except Odd:
             return None
         key = name, sends, kind
@@ -210,18 +258,36 @@
         now, name = self.driver.now(), fault.node
         until = now + fault.for_ms
         pid = self.driver.nodes[name].process.pid
+        if fault.fault == "publish":
+            threading.Thread(target=self.publish, args=(name,), daemon=True).start()
+            return
+        if fault.fault == "copy":
+            shutil.copytree(self.ledger(name), f"{self.ledger(name)}.copy", dirs_exist_ok=True)
+            return
         self.spells.append((name, fault.fault, now, until))
-        if fault.fault in ("kill", "restart"):
+        if fault.fault in ("old", "lost"):
+            self.replace[name] = fault.fault
+        if fault.fault in ("kill", "restart", "old", "lost"):
             self.driver.fell(name, fault.for_ms if fault.fault == "kill" else 0.0)
             os.kill(pid, signal.SIGKILL)
         elif fault.fault == "stop":
-            self.driver.streams.of("driver").add(
-                records.Node(t=now, by="driver", node=name, state="stopped", until=until)
-            )
+            row = records.Node(t=now, by="driver", node=name, state="stopped", until=until)
+            self.driver.note(row)
             os.kill(pid, signal.SIGSTOP)
             threading.Timer(fault.for_ms / 1000.0, os.kill, (pid, signal.SIGCONT)).start()
+        elif fault.fault == "full":
+            self.allow(name, 0)
+            threading.Timer(fault.for_ms / 1000.0, self.allow, (name, resource.RLIM_INFINITY)).start()
         elif fault.fault == "pair":
             self.cuts.append((name, fault.other, until))
+        elif fault.fault == "split":
+            # `other`: groups of names, each cut from all others (a|b), or the first not heard by the next
+            # (a>b).
+            one_way = ">" in fault.other
+            groups = [group.split() for group in re.split("[|>]", fault.other)]
+            for i, a in enumerate(groups):
+                for b in groups[i + 1 :] if one_way else (*groups[:i], *groups[i + 1 :]):
+                    self.cuts += [(x, y, until) for x in a for y in b]
         elif fault.fault == "hold":
             self.count += 1
             heapq.heappush(self.late, (until, self.count, pair, data))
@@ -234,7 +300,10 @@
     def look(self, now: float) -> None:
         """Read what nodes have logged of one another."""
         for name in self.names:
-            with (self.out / "logs" / f"{name}.log").open("rb") as log:
+            path = self.out / "logs" / f"{name}.log"
+            if not path.exists():
+                continue
+            with path.open("rb") as log:
                 log.seek(self.read_to[name])
                 text = log.read()
             text = text[: text.rfind(b"\n") + 1]
@@ -242,6 +311,44 @@
             for line in text.decode(errors="replace").splitlines():
                 if found := SAID.search(line):
                     self.told.append((now, name, found[1], found[2], int(found[3])))
+                elif found := ACTED.search(line):
+                    self.acted.append((now, name, found[1] or found[3] or "in"))
+
+    def allow(self, name: str, size: int) -> None:
+        """Let the process that writes a node's ledger make files up to a size: its disk is full, or not."""
+        pid = self.driver.nodes[name].process.pid
+        for child in Path(f"/proc/{pid}/task/{pid}/children").read_text().split():
+            with contextlib.suppress(OSError):
+                resource.prlimit(int(child), resource.RLIMIT_FSIZE, (size, resource.RLIM_INFINITY))
+
+    def publish(self, name: str) -> None:
+        """Have a node publish a change, and note what comes of it."""
+        now, count = self.driver.now(), len(self.published)
+        self.published.append((now, name, "asked"))
+        zone = dict(nodes(self.driver.day))[name]
+        changed = settings(self.driver.day, zone)
+        changed["requestClasses"][0]["aimUs"] += 1000.0 * (count + 1)
+        body = {"settings": changed, "why": f"change {count + 1}"}
+        text = self.post(name, "/control/fleet/publish", json.dumps(body).encode())
+        end = time.monotonic() + PUBLISH_S
+        while time.monotonic() < end and not self.over.is_set():
+            told = self.ask(name)
+            result = told["acting"].get("publication", "") if told else ""
+            if result and result != "open":
+                text = result
+                break
+            time.sleep(ASK_S)
+        self.published[count] = now, name, text
+
+    def post(self, name: str, path: str, body: bytes) -> str:
+        """Return what a node answers to a call."""
+        host, _, port = self.doors[name].rpartition(":")
+        try:
+            call = http.client.HTTPConnection(host, int(port), timeout=2.0)
+            call.request("POST", path, body)
+            return call.getresponse().read().decode()
+        except (OSError, http.client.HTTPException) as error:
+            return f"no answer: {error}"
 
     def ask(self, name: str) -> dict | None:
         """Return what a node says of its fleet, or None where it does not say."""
@@ -265,38 +372,47 @@
         return wrong
 
 
-@play("fleet_members")
-def fleet_members(experiment: Experiment, out: Path, say: Say) -> Played:
-    """Have real nodes find out who of them is there, while faults strike, under load that the judge sees."""
-    table: Fleet = experiment.tables["fleet_members"]
-    day, seed = experiment.day, experiment.head.seed
-    names = [name for name, _ in nodes(day)]
-    rig = Rig(names, table, seed, out)
-    driver = rig.driver = Sockets(day, seed, out, more=rig.settings)
+def run(
+    day: Day, seed: int, table: Fleet, out: Path, say: Say, wrong: Callable[[Rig], list[str]]
+) -> tuple[Rig, list[float]]:
+    """Play a day under the rig's faults; return it, and how long after the last one nothing was wrong."""
+    rig = Rig([name for name, _ in nodes(day)], table, seed, out)
+    driver = rig.driver = Sockets(
+        day, seed, out, more=rig.settings, prepare=rig.prepare, between=rig.between_lives,
+        module=lambda name: "marlseam.standin.older" if name in table.older else "marlseam",
+    )  # fmt: skip
     healed: list[float] = []
-    begun = [False]
+    driver.zero = time.monotonic()  # until the run's own: nodes hear each other before they are ready
+    rig.thread.start()
 
     def progress(now: float) -> None:
-        if not begun[0]:
-            begun[0] = True
-            rig.thread.start()
+        rig.counts_steps = True
         if rig.error is not None:
             raise Failed(f"the rig ended: {rig.error!r}")
         say(f"{max(0.0, now) / 1000.0:.0f} s of {day.seconds:g}, {len(rig.spells)} faults")
         over = max([until for *_, until in rig.spells], default=0.0)
         if now > 1000.0 * table.until_s and not table.faults:
             rig.strikes.clear()
-        if not rig.strikes and now > over and not healed and not rig.agree():
+        if not rig.strikes and now > over and not healed and not wrong(rig):
             healed.append(driver.now() - over)
 
     try:
         driver.run(arrivals_of(day, seed), progress)
     finally:
         rig.over.set()
-        if rig.thread.is_alive():
-            rig.thread.join()
+        rig.thread.join()
         for sock in (*rig.between.values(), *rig.held):
             sock.close()
+    return rig, healed
+
+
+@play("fleet_members")
+def fleet_members(experiment: Experiment, out: Path, say: Say) -> Played:
+    """Have real nodes find out who of them is there, while faults strike, under load that the judge sees."""
+    table: Fleet = experiment.tables["fleet_members"]
+    day, seed = experiment.day, experiment.head.seed
+    rig, healed = run(day, seed, table, out, say, Rig.agree)
+    names = rig.names
     played = plays.judged(*records.read_folder(out / "records"), driver="sockets")
     figures, rows = verdict(rig, len(names), table, healed)
     return Played(
--- a/marlseam/experiment/measures.py
+++ b/marlseam/experiment/measures.py
@@ -15,7 +15,7 @@
 from msgspec import Meta
 
 from marlseam import records
-from marlseam.experiment import compare, file, fleet, plays, recovering
+from marlseam.experiment import compare, file, fleet, plays, recovering, versions
 from marlseam.experiment.file import Experiment
 from marlseam.experiment.plays import Played, Say, play
 from marlseam.experiment.policies import POLICIES
@@ -428,3 +428,4 @@
         file.register(name, table)
     recovering.register()
     fleet.register()
+    versions.register()
--- a/marlseam/experiment/sockets.py
+++ b/marlseam/experiment/sockets.py
@@ -8,6 +8,7 @@
 import select
 import signal
 import socket
+import threading
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -46,15 +47,15 @@
         own: str = "",
         prepare: Callable[[str, dict[str, str]], None] | None = None,
         between: Callable[[str], None] | None = None,
-        module: str = "marlseam",
+        module: Callable[[str], str] = lambda name: "marlseam",
         env: dict[str, str] | None = None,
         more: Callable[[str], tuple[dict, str]] | None = None,
     ) -> None:
         """Make one.
 
         `proxied` says whether the network stands between, by default where zones are cut or apart; `prepare`
-        is called before a node's first start, `between` before each further one; `module` and `env` are what
-        nodes run as; `more` gives a node's further configuration, and its own settings.
+        is called before a node's first start, `between` before each further one; `module` tells what each
+        node runs as, `env` with what; `more` gives a node's further configuration, and its own settings.
         """
         self.day, self.seed, self.out = day, seed, out
         self.generators, self.connections, self.parts = generators, connections, parts
@@ -64,6 +65,7 @@
         self.profile, self.own, self.prepare, self.between = profile, own, prepare, between
         self.module, self.env, self.more = module, env, more
         self.back: list[tuple[float, str]] = []  # nodes that are to start again, and when
+        self.began: dict[str, float] = {}
         self.ready_s: list[float] = []  # from each node's start until clients may come
         self.started: list[Process] = []
         self.nodes: dict[str, Process] = {}
@@ -77,6 +79,7 @@
         self.streams = Streams(out / "records", "driver", fleet.rules(day, SLACK_MS))
         self.cpu_s: dict[str, float] = {}
         self.held: list[socket.socket] = []
+        self.noting = threading.Lock()
 
     def start(self, what: str, *words: str) -> Process:
         """Start a stand-in."""
@@ -107,7 +110,7 @@
             settings_path.write_text(own.format(folder=self.out / "state" / name))
             words += ["--settings", str(settings_path)]
         self.began_s = time.monotonic()
-        process = Process(words, log, self.env, self.profile, self.module)
+        process = Process(words, log, self.env, self.profile, self.module(name))
         self.started.append(process)
         end = time.monotonic() + 30.0
         while True:
@@ -150,9 +153,9 @@
 
     def run(self, arrivals: list[plan.Arrival] | None = None, progress: Progress | None = None) -> list[dict]:
         """Play the day; return what each generator counted. The records lie in the folder `records`."""
-        driver = self.streams.of("driver")
+        self.streams.of("driver")
         try:
-            return self.play(arrivals, driver, progress)
+            return self.play(arrivals, progress)
         finally:
             for process in reversed(self.started):
                 process.end()
@@ -160,13 +163,16 @@
                 held.close()
             self.streams.end(self.now() if hasattr(self, "zero") else 0.0)
 
+    def note(self, record: records.Record) -> None:
+        """Write a record of the driver's, whichever thread calls: a race would show as a hole."""
+        with self.noting:
+            self.streams.of("driver").add(record)
+
     def now(self) -> float:
         """Return ms since the run's zero."""
         return (time.monotonic() - self.zero) * 1000.0
 
-    def play(
-        self, arrivals: list[plan.Arrival] | None, driver: records.Writer, progress: Progress | None
-    ) -> list[dict]:
+    def play(self, arrivals: list[plan.Arrival] | None, progress: Progress | None) -> list[dict]:
         """Start all, tell the zero, do what troubles ask of nodes, and wait for the generators."""
         parts = [self.start("executors", "--part", f"{i + 1}/{self.parts}") for i in range(self.parts)]
         found = {name: a for part in parts for name, a in part.line()["executors"].items()}
@@ -187,8 +193,11 @@
             if self.prepare is not None:
                 self.prepare(name, dials[zone])
             self.nodes[name] = self.node(name, zone, self.reserve())
+            self.began[name] = self.began_s
+        # Only now: nodes of one fleet may need each other to be ready.
+        for name, _ in nodes(self.day):
             self.ready(name)
-            self.ready_s.append(time.monotonic() - self.began_s)
+            self.ready_s.append(time.monotonic() - self.began[name])
         if arrivals is None:
             arrivals = plan.make(self.day, self.seed, troubles.surges(self.schedule))
         path = self.out / "nodes.json"
@@ -212,8 +221,8 @@
             process.begin(self.zero)
         before = {name: process.cpu_s() for name, process in self.nodes.items()}
         for name, zone in nodes(self.day):
-            driver.add(records.Node(t=0.0, by="driver", node=name, state="began", zone=zone))
-        self.follow(driver, players, progress)
+            self.note(records.Node(t=0.0, by="driver", node=name, state="began", zone=zone))
+        self.follow(players, progress)
         counts = [player.line(TAIL_S) for player in players]
         self.cpu_s = {
             name: process.cpu_s() - before.get(name, 0.0)
@@ -222,7 +231,7 @@
         }
         return counts
 
-    def follow(self, driver: records.Writer, players: list[Process], progress: Progress | None) -> None:
+    def follow(self, players: list[Process], progress: Progress | None) -> None:
         """Do what the schedule asks of nodes until the generators are done."""
         steps = []
         for met in self.schedule:
@@ -240,7 +249,7 @@
             while steps and steps[0][0] <= now:
                 _, what, met, name = steps.pop(0)
                 if what == "begin":
-                    driver.add(
+                    self.note(
                         records.Trouble(
                             t=now,
                             by="driver",
@@ -264,15 +273,11 @@
             ]:
                 self.back.remove(row)
                 name = row[1]
-                driver.add(
-                    records.Node(t=self.now(), by="driver", node=name, state="ended", zone=zones[name])
-                )
+                self.note(records.Node(t=self.now(), by="driver", node=name, state="ended", zone=zones[name]))
                 if self.between is not None:
                     self.between(name)
                 self.nodes[name] = self.node(name, zones[name], self.addresses[name])
-                driver.add(
-                    records.Node(t=self.now(), by="driver", node=name, state="began", zone=zones[name])
-                )
+                self.note(records.Node(t=self.now(), by="driver", node=name, state="began", zone=zones[name]))
             for name, process in self.nodes.items():
                 if process.process.poll() is not None and not any(row[1] == name for row in self.back):
                     raise Failed(f"node {name} ended by itself: {process.tail()}")
@@ -285,7 +290,7 @@
         """Note that a node is about to be ended by a fault, to be started again after a time."""
         now = self.now()
         row = records.Node(t=now, by="driver", node=name, state=state, zone=dict(nodes(self.day))[name])
-        self.streams.of("driver").add(row)
+        self.note(row)
         self.back.append((now + away_ms, name))
 
     def spoke(self, player: Process) -> bool:
--- a/marlseam/net/acting.py
+++ b/marlseam/net/acting.py
@@ -31,6 +31,7 @@
 MARK_MS = 500.0  # between marks of acts, and looks at what changes by itself
 ACTS_MOST = 200  # acts after which a mark does not wait
 FILE_MB, WAIT_MS = 1.0, 2000.0  # at which a file of the ledger is begun anew; patience with the disk
+BACK_MOST_MS = 2000.0  # between tries of a disk that failed: the node is out until it serves
 INTERVALS_MOST = 64  # whose acts may still grow
 TAKEN, SENT, ANSWERED, REFUSED = range(4)
 
@@ -50,6 +51,7 @@
     """The ledger's scribe."""
 
     helper, what = "marlseam.store.ledger", "the ledger"
+    back_most_ms = BACK_MOST_MS
 
     def __init__(
         self, loop: Loop, log: Log, settings: FleetSettings, name: str, take_in: Callable[[Kept], None]
@@ -173,7 +175,6 @@
             self.act(self.machine.tick(now))
             self.until_ms = 0.0
         self.look()
-        self.rewrite()
         self.mark()
         due = min(now + MARK_MS, self.machine.next_ms) if self.machine is not None else now + MARK_MS
         self.timer = self.loop.at(due, self.tick)
@@ -224,9 +225,8 @@
             before, self.stood = self.stood, machine.stand(now)
             self.until_ms = min(machine.until(now), now + MARK_MS)
             if before.acts != self.stood.acts and self.ready:
-                self.log.line(
-                    "in service" if self.stood.acts else f"fleet code={self.stood.code}: out of service"
-                )
+                if not self.stood.acts:
+                    self.log.line(f"fleet code={self.stood.code}: out of service")
                 self.port.serve(self.stood.acts)
         held, stood, listed = self.interval, self.stood, self.port.listed()
         settings = self.port.settings()
@@ -303,7 +303,8 @@
             self.unsaid = deque((number or self.write(entry), entry) for number, entry in self.unsaid)
 
     def mark(self) -> None:
-        """Write down the acts so far, and again those whose writing failed."""
+        """Write down the acts so far, and again those whose writing failed; their intervals first."""
+        self.rewrite()
         done = self.pages.done
         while self.flying and self.flying[0][0] <= done and self.pages.works:
             self.flying.popleft()
@@ -312,7 +313,7 @@
                 self.dirty |= dict.fromkeys(intervals)
             self.flying.clear()
         rows = [(n, *self.counts[n]) for n in self.dirty if n in self.counts]
-        if not rows:
+        if not rows or any(not number for number, _ in self.unsaid):
             return
         number = self.write(Mark(self.life, rows, self.wall(), self.loop.now()))
         if number:
--- a/marlseam/records.py
+++ b/marlseam/records.py
@@ -96,6 +96,7 @@
     node: str = ""
     born: float | None = None
     load: float = 0.0  # share of what this cold executor can bear over the rule's window, with this one
+    acting: str = ""  # on what it stands, as its node told it where it is of a fleet
 
 
 class Refused(Record, tag="refused"):
--- a/marlseam/standin/executors.py
+++ b/marlseam/standin/executors.py
@@ -11,7 +11,7 @@
 from marlseam.net.connection import AHEAD_MOST, Connection, Ended, Steps
 from marlseam.net.log import Reason
 from marlseam.net.loop import READ, READY, sleep
-from marlseam.net.protocol import ID, LOAD_PATH, NEVER_RAN, RECEIPT, TYPE, Head
+from marlseam.net.protocol import ACTING, ID, LOAD_PATH, NEVER_RAN, RECEIPT, TYPE, Head
 from marlseam.standin.base import Door, Stand, reply
 from marlseam.world import fleet, troubles
 from marlseam.world.executor import Executor, Happening, Job
@@ -96,15 +96,15 @@
             id=f"{head[ID]}/{self.count}", unit=head[ID], type=type.name, work=order.work, slots=order.slots,
             memory=order.memory, receipt=head.get(RECEIPT), group=type.group, memory_ms=type.memory_ms,
         )  # fmt: skip
-        yield from Call(self, connection, job).run()
+        yield from Call(self, connection, job, head.get(ACTING, "")).run()
 
-    def offer(self, job: Job) -> bool:
+    def offer(self, job: Job, acting: str = "") -> bool:
         """Hand the executor a job, note it, and see whether that pushed it over."""
         self.look()
         now = self.executor.at
         taken = self.executor.offer(now, job)
         load = self.executor.load(0.0) if self.executor.cold(now) else 0.0
-        self.note(records.Took, id=job.unit, born=self.executor.born, load=load)
+        self.note(records.Took, id=job.unit, born=self.executor.born, load=load, acting=acting)
         if not taken:
             self.note(records.Refused, id=job.unit)
         if self.executor.fallen is not None and self.executor.up:
@@ -156,8 +156,8 @@
 class Call:
     """One allocation's answer, line by line as things happen to its job."""
 
-    def __init__(self, host: Host, connection: Connection, job: Job) -> None:
-        self.host, self.connection, self.job = host, connection, job
+    def __init__(self, host: Host, connection: Connection, job: Job, acting: str = "") -> None:
+        self.host, self.connection, self.job, self.acting = host, connection, job, acting
         self.lines: list[dict] = []
         self.over = False
         self.task = host.stand.loop.current
@@ -181,7 +181,7 @@
         host.calls[self.job.id] = self
         finished = False
         try:
-            if not host.offer(self.job):
+            if not host.offer(self.job, self.acting):
                 yield from reply(connection, 503, b"", [(NEVER_RAN, "1")])
                 finished = True
                 return
--- /dev/null
+++ b/marlseam/standin/older.py
@@ -0,0 +1,11 @@
+"""A node as an older program runs: it knows no content of the present format.
+
+python -m marlseam.standin.older serve ...
+"""
+
+from marlseam.__main__ import main
+from marlseam.fleet import content
+
+if __name__ == "__main__":
+    content.FORMAT -= 1
+    main()
--- a/marlseam/store/scribe.py
+++ b/marlseam/store/scribe.py
@@ -45,6 +45,7 @@
 
     helper = "marlseam.store.helper"  # the module that is run; stand-ins for a disk set another
     what = "state"  # as staff are told of it
+    back_most_ms = BACK_MOST_MS
 
     def __init__(
         self, loop: Loop, log: Log, path: Path, node: str, sync: str, file_mb: float, wait_ms: float
@@ -110,7 +111,7 @@
                 yield from self.answers()
                 self.stop()
             yield from sleep(self.loop.now() + self.back_ms)
-            self.back_ms = min(2.0 * self.back_ms, BACK_MOST_MS)
+            self.back_ms = min(2.0 * self.back_ms, self.back_most_ms)
 
     # The helper.
 
@@ -253,7 +254,7 @@
         if "failed" in row:
             self.fail(row["failed"], row["text"])
             self.loop.at(self.loop.now() + self.back_ms, self.compact)
-            self.back_ms = min(2.0 * self.back_ms, BACK_MOST_MS)
+            self.back_ms = min(2.0 * self.back_ms, self.back_most_ms)
             return
         self.release(self.done, True)
         if not self.told:
