Tests of versions, ledgers, audit, stragglers; a number held without its voters is seen

Cause: the versions, ledgers and audit had no tests of their own; the checker took a held number for a chosen one. Change: tests/test_versions.py: schedules that once broke, eleven planted defects of versions each found, ledgers cut at any byte, set back, changed, full; audit's findings; three nodes on one loop; a node of a fleet of one. The checker tells a number held that no majority took.

--- a/marlseam/fleet/trial.py
+++ b/marlseam/fleet/trial.py
@@ -196,6 +196,8 @@
                 if electorate and len(took & electorate) >= majority(electorate):
                     self.choose(entry.number, entry.value)
             elif type(entry) is Held:
+                if entry.number not in self.by_number:
+                    self.wrong.append(f"version {entry.number} is held, no majority of its voters took it")
                 self.choose(entry.number, entry.id)
 
     def choose(self, number: int, id: str) -> None:
--- /dev/null
+++ b/tests/test_versions.py
@@ -0,0 +1,718 @@
+"""Versions of a fleet: agreed on, spread, proved; ledgers and their audit; what nodes do that lag."""
+
+import json
+import os
+import resource
+import socket
+from math import inf
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from conftest import OPTIONS
+from hypothesis import given
+from hypothesis import strategies as st
+
+from marlseam.cli import fleet as command
+from marlseam.config import ConfigError, FleetSettings, load
+from marlseam.fleet import audit, says, trial
+from marlseam.fleet.content import FORMAT, Content, Unfit, digest, meaning, read, write
+from marlseam.fleet.hunt import Strike
+from marlseam.fleet.ledger import Acting as Interval
+from marlseam.fleet.ledger import Barred, Begun, Ended, Handed, Held, Kept, Life, Mark, Promises, encode
+from marlseam.fleet.says import Kind, Note, Piece, Tell, Vote, Want
+from marlseam.fleet.versions import Apply, Keep, Terms, To, Versions
+from marlseam.fleet.words import Odd
+from marlseam.net.acting import Port
+from marlseam.net.log import Log
+from marlseam.net.node import Node
+from marlseam.net.peers import Peers
+from marlseam.store import audit as ledgers
+from marlseam.store import format as form
+from marlseam.store.folder import Disk
+from marlseam.store.ledger import Ledger, first_life
+
+NAMES = frozenset("abcdefg")
+LEASE = 15000.0
+
+
+def content(number=1, before="", voters="abc", **more):
+    values = {"format": FORMAT, "why": "w", "by": "a", "settings": {"x": number}} | more
+    return Content(number=number, before=before, voters=list(voters), **values)
+
+
+def versions(name="a", kept=None, strict=True, voters="abc", **more):
+    terms = Terms(frozenset(voters), 1000.0, LEASE, strict, 10.0 * LEASE)
+    return Versions(name, NAMES, terms, f"{name}/1", 7, 0.0, kept or Kept(begun=True), **more)
+
+
+def told(seq, **more):
+    values = {"number": 0, "id": "", "acting": 0, "serving": True, "code": "", "accepted": 0, "top": 0,
+              "votes": True, "age_ms": -1.0} | more  # fmt: skip
+    return Tell(seq, **values)
+
+
+def held(machine, some, now=0.0):
+    """Have a machine hold a content."""
+    data = write(some)
+    machine.contents[digest(data)] = data
+    keep = machine.learn(now, some.number, digest(data))[-1]
+    return machine.kept(now, keep.token)
+
+
+# The search in virtual time, and defects that it finds.
+
+
+@pytest.mark.parametrize("seed", [1, 81, 184, 1287, 2130])
+def test_no_schedule_breaks_a_bound(seed):
+    # 1287 and 2130 once gave a number two contents, and left all without a proof.
+    assert trial.hunted(7, seed).broken == []
+
+
+def test_without_faults_all_publications_are_chosen_and_acted_on():
+    found = trial.play(7, 0, [])
+    assert found.broken == [] and found.chosen == 6
+
+
+def test_with_loss_all_still_come_to_act_on_the_newest():
+    world = trial.Trial(30, 5, [], loss=0.2)
+    world.run(5000.0)
+    world.publish("n7", 1)
+    world.run(20000.0)
+    assert world.alike() == [] and world.wrong == [] and len(world.by_number) == 1
+
+
+class SpeaksFirst(Versions):
+    """Planted: a voter speaks before its disk has it."""
+
+    def asked_to_vote(self, now, sender, vote):
+        effects = super().asked_to_vote(now, sender, vote)
+        if effects and type(effects[-1]) is Keep:
+            effects += self.pending[effects[-1].token](now)
+        return effects
+
+
+class FromTheAnswer(Versions):
+    """Planted: a proof counts from when it came, not from when it was asked for."""
+
+    def told(self, now, sender, say):
+        if say.seq in self.sent:
+            self.sent[say.seq] = self.asked[say.seq].at_ms = now
+        return super().told(now, sender, say)
+
+
+class NoAge(Versions):
+    """Planted: another's proof is taken for one of this moment."""
+
+    def told(self, now, sender, say):
+        return super().told(now, sender, msgspec.structs.replace(say, age_ms=min(say.age_ms, 0.0)))
+
+
+class VotesForgetful(Versions):
+    """Planted: a voter that lost its memory votes all the same."""
+
+    def votes(self, number):
+        return self.name in self.voters
+
+
+class OneProves(Versions):
+    """Planted: one voter's word is a proof."""
+
+    def weigh(self, round):
+        if round.clear:
+            self.proof_ms = max(self.proof_ms, round.at_ms)
+
+
+class AcceptedIsClear(Versions):
+    """Planted: a voter that has accepted something counts as clear."""
+
+    def told(self, now, sender, say):
+        return super().told(now, sender, msgspec.structs.replace(say, accepted=0))
+
+
+class FirstVoters(Versions):
+    """Planted: the voters of the settings go on, whatever versions name."""
+
+    def take(self, number, id):
+        effects = super().take(number, id)
+        self.voters = self.terms.voters
+        return effects
+
+
+class BallotAgain(Versions):
+    """Planted: a refused round goes on under a later ballot that it has not begun."""
+
+    def answered(self, now, sender, vote):
+        effects = super().answered(now, sender, vote)
+        if vote.kind == "refused" and self.publication is not None:
+            proposer = self.publication.proposer
+            proposer.round = max(proposer.round, self.publication.past)
+        return effects
+
+    def repeat(self, publication):
+        publication.proposer.open, was = True, publication.proposer.open
+        effects = super().repeat(publication)
+        publication.proposer.open = was
+        return effects
+
+
+class NoLease(Versions):
+    """Planted: what was in force once is for ever."""
+
+    def proved(self, now):
+        return self.acting == self.number
+
+
+class NeverFinishes(Versions):
+    """Planted: what another left half done stays so."""
+
+    def push_on(self, now):
+        return super().push_on(now) if self.publication is not None else []
+
+
+class AsksOnce(Versions):
+    """Planted: a content that did not come is not asked for again."""
+
+    def tick(self, now):
+        return [e for e in super().tick(now) if type(getattr(e, "say", None)) is not Want]
+
+
+LATE = [Strike(f"n{i}", True, Kind.TELL, n, "hold", "", 14000.0) for i in range(7) for n in range(8, 30)]
+LATE.append(Strike("n5", True, Kind.ASK, 24, "cut", "", 40000.0))
+
+
+@pytest.mark.parametrize(
+    ("machine", "seed"),
+    [
+        (SpeaksFirst, 1), (NoAge, 12), (VotesForgetful, 184), (OneProves, 25), (AcceptedIsClear, 81),
+        (FirstVoters, 3), (BallotAgain, 1287), (NoLease, 5), (NeverFinishes, 107), (AsksOnce, 4),
+        (FromTheAnswer, LATE),
+    ],
+)  # fmt: skip
+def test_a_planted_defect_is_found(machine, seed):
+    strikes = trial.schedule(7, seed) if isinstance(seed, int) else seed
+    number = seed if isinstance(seed, int) else 9
+    assert trial.play(7, number, strikes, machine).broken
+    assert trial.play(7, number, strikes).broken == []
+
+
+# One machine.
+
+
+def test_a_content_that_is_not_what_its_id_says_is_not_taken():
+    machine = versions("d")
+    good = write(content())
+    machine.told(0.0, "b", told(0, number=1, id=digest(good)))
+    effects = machine.piece(0.0, "b", Piece(digest(good), len(good), 0, b"x" * len(good)))
+    assert "code=digest" in effects[0].text and machine.number == 0
+    effects = machine.piece(0.0, "b", Piece(digest(good), len(good), 0, good))
+    assert type(effects[0]) is Keep and machine.number == 0  # not before it is durable
+    assert type(machine.kept(1.0, effects[0].token)[0]) is Apply and machine.acting == 1
+
+
+def test_a_voter_refuses_a_content_that_its_own_check_refuses_and_no_number_is_used_up():
+    voter, operator = versions("b", check=lambda c: "aimUs: -1, expected a number"), versions("a")
+    data = write(content())
+    operator.publish(0.0, content(), data)
+    accept = Vote("accept", 1, 1, "a/1", value=digest(data))
+    voter.contents[digest(data)] = data
+    (refusal,) = [e.say for e in voter.asked_to_vote(0.0, "a", accept)]
+    assert refusal.kind == "refused" and "aimUs" in refusal.why
+    for name in "bc":
+        operator.answered(0.0, name, refusal)
+    assert operator.result.startswith("refused by most voters") and operator.number == 0
+    assert voter.acceptor.kept == {}
+
+
+@pytest.mark.parametrize("strict", [True, False])
+def test_without_a_proof_it_leaves_or_serves_on_marked_and_for_a_stated_time(strict):
+    machine = versions("d", strict=strict)
+    machine.tick(0.0)
+    machine.told(5.0, "b", told(1, age_ms=0.0))
+    assert machine.stand(10.0) == (True, True, "")
+    late = machine.stand(LEASE + 1.0)
+    assert late == ((False, False, "unproved") if strict else (True, False, "unproved"))
+    assert not machine.stand(10.0 * LEASE + 1.0).acts
+
+
+def test_those_without_voters_leave_one_after_another():
+    ends = sorted(versions(name).lease_ms() for name in NAMES)
+    assert (
+        ends[0] >= 0.49 * LEASE
+        and ends[-1] < LEASE
+        and min(b - a for a, b in zip(ends, ends[1:], strict=False)) > 0.0
+    )
+
+
+def test_one_that_cannot_use_a_version_leaves_unless_most_cannot():
+    for serving, code in ((3, "unfit"), (0, "unfit")):
+        machine = versions("d", strict=False, check=lambda c: "key: what was expected")
+        machine.tick(0.0)
+        machine.told(0.0, "b", told(1, age_ms=0.0))
+        assert machine.stand(1.0).acts
+        held(machine, content(), 2.0)
+        for i, name in enumerate("abcef"):
+            machine.told(3.0, name, told(0, number=1, id=machine.id, acting=int(i < serving), serving=True))
+        stood = machine.stand(4.0)
+        assert (stood.acts, stood.proved, stood.code) == (serving == 0, False, code) and machine.acting == 0
+
+
+def test_it_comes_back_only_when_it_was_well_for_a_while():
+    machine = versions("d")
+    machine.tick(0.0)
+    machine.told(0.0, "b", told(1, age_ms=0.0))
+    machine.stand(1.0)
+    machine.disk = "full"
+    assert machine.stand(2.0).code == "disk"
+    machine.disk = ""
+    assert not machine.stand(3.0).acts and machine.stand(2100.0).acts
+
+
+def test_an_operators_word_holds_once_durable_and_across_restarts():
+    machine = versions("d")
+    keep = machine.by_hand("sick", 5.0)
+    assert machine.hand is None
+    machine.kept(0.0, keep.token)
+    assert machine.stand(1.0).code == "hand"
+    kept = Kept()
+    for entry in (*keep.entries, Handed(True, "sick", 5.0)):
+        kept.take(entry)
+    assert versions("d", kept).stand(0.0).code == "hand"
+
+
+def test_a_voter_without_its_memory_votes_only_past_what_it_may_have_promised():
+    machine = versions("a", Kept(bar=None))
+    assert not machine.votes(1)
+    machine.tick(0.0)
+    machine.told(1.0, "b", told(1, top=4))
+    assert machine.bar is None
+    keep = machine.told(1.0, "c", told(1, top=3))[-1]
+    assert keep.entries == (Barred(5),)
+    machine.kept(2.0, keep.token)
+    assert machine.bar == 5 and not machine.votes(5) and machine.votes(6)
+
+
+def test_a_repeat_is_answered_only_once_the_first_is_on_the_disk():
+    machine = versions("b")
+    prepare = Vote("prepare", 1, 1, "a/1")
+    (keep,) = machine.asked_to_vote(0.0, "a", prepare)
+    assert machine.asked_to_vote(0.0, "a", prepare) == []
+    assert [type(e) for e in machine.kept(1.0, keep.token)] == [To]
+    assert [type(e) for e in machine.asked_to_vote(1.0, "a", prepare)] == [To]
+
+
+# What comes from the wire.
+
+
+@given(st.binary(max_size=400))
+def test_no_bytes_break_the_reader_of_notes(data):
+    with pytest.raises(Odd):
+        says.read(says.FIRST + data, "f", NAMES)
+
+
+@pytest.mark.parametrize(
+    ("say", "code"),
+    [
+        (Want("x", 0), "bounds"), (Want("0" * 64, -1), "bounds"), (Piece("0" * 64, 5, 4, b"22"), "bounds"),
+        (Piece("0" * 64, 5, 5, b""), "bounds"), (told(-1), "bounds"), (told(1, code="c" * 65), "bounds"),
+        (Vote("vote", 1, 1, ""), "bounds"), (Vote("accept", 1, 1, "", value="short"), "bounds"),
+        (Vote("prepare", 1, 1, "p" * 999), "bounds"), (told(1, age_ms=inf), "bounds"),
+    ],
+)  # fmt: skip
+def test_what_is_out_of_bounds_is_no_note(say, code):
+    with pytest.raises(Odd) as odd:
+        says.read(says.write(Note(says.VERSION, "f", "a", say)), "f", NAMES)
+    assert odd.value.code == code
+
+
+def test_the_digest_of_meaning_is_of_what_counts():
+    one = {"b": 1, "a": [{"x": 2.0}], "zone": "z", "_why": "this"}
+    assert meaning(one) == meaning({"a": [{"x": 2, "//": "that"}], "b": 1.0, "zone": "y"})
+    assert meaning(one) != meaning({"b": 1, "a": [{"x": 3}]})
+
+
+@pytest.mark.parametrize(
+    ("change", "what"),
+    [
+        ({"format": 9}, "format 9"),
+        ({"voters": ["z"]}, "voters"),
+        ({"voters": ["a", "b"]}, "3, 5 or 7"),
+        ({"why": ""}, "why"),
+    ],
+)
+def test_a_content_that_cannot_be_used_says_why(change, what):
+    with pytest.raises(Unfit, match=what):
+        read(write(msgspec.structs.replace(content(), **change)), NAMES)
+
+
+# Ledgers.
+
+LIFE = Life(7, "0.1", "boot", 1000.0, 0.0, LEASE)
+
+
+def interval(number, at_ms, version=0, proved=True, life=7):
+    return Interval(life, number, "0.1", version, "", "m", 3, proved, True, "", at_ms, at_ms)
+
+
+@pytest.fixture
+def folder(tmp_path):
+    """Return a ledger's folder with two files of a node's life."""
+    path = tmp_path / "n"
+    first_life(path, "n")
+    ledger = Ledger(Disk(path), "n")
+    ledger.renew()
+    ledger.append(
+        [
+            encode(e)
+            for e in (LIFE, interval(1, 1000.0), Promises(3, 2, "p", 1, "q", "v"), Handed(True, "w", 1.0))
+        ],
+        True,
+    )
+    ledger.append([encode(Mark(7, [(1, 5, 4, 3, 2)], 1500.0, 500.0))], True)
+    ledger.close()
+    return path
+
+
+def loaded(path):
+    ledger = Ledger(Disk(path), "n")
+    return ledger.load(), ledger
+
+
+def test_what_was_written_adds_up_again_over_files(folder):
+    for _ in range(3):
+        kept, ledger = loaded(folder)
+        assert (
+            kept.bar == 0 and kept.hand == "w" and kept.promises[3].ballot == (2, "p") and not ledger.findings
+        )
+        ledger.renew()
+        ledger.close()
+
+
+def test_a_ledger_cut_at_any_byte_is_read_up_to_there_and_what_was_durable_is_there(folder):
+    path = max(folder.glob("ledger-*"))
+    whole = path.read_bytes()
+    for size in range(len(whole) - 1, 0, -7):
+        with path.open("r+b") as file:
+            file.truncate(size)
+        kept, ledger = loaded(folder)
+        assert not [f for f in ledger.findings if f.code in ("chain", "damaged")] and kept.begun
+        assert kept.bar == 0 or [f.code for f in ledger.findings] == ["lost"]
+
+
+def test_a_changed_byte_breaks_the_chain_and_its_node_does_not_vote(folder):
+    path = max(folder.glob("ledger-*"))
+    data = bytearray(path.read_bytes())
+    data[len(data) // 2] ^= 1
+    path.write_bytes(data)
+    kept, ledger = loaded(folder)
+    assert kept.bar is None and {"damaged", "lost"} <= {f.code for f in ledger.findings}
+
+
+def test_a_record_left_out_is_seen(folder):
+    path = max(folder.glob("ledger-*"))
+    data = path.read_bytes()
+    ends = [end for end, _ in form.payloads(data)]
+    path.write_bytes(data[: ends[-3]] + data[ends[-2] :])
+    assert "chain" in {f.code for f in loaded(folder)[1].findings}
+
+
+def test_a_folder_that_was_set_back_or_is_empty_or_changed_is_known_for_it(folder, tmp_path):
+    path = max(folder.glob("ledger-*"))
+    data, stat = path.read_bytes(), path.stat()
+    copy = path.with_name("copy")
+    copy.write_bytes(data)
+    copy.rename(path)
+    kept, ledger = loaded(folder)
+    assert kept.bar is None and "copy" in ledger.findings[-1].text
+    assert loaded(tmp_path)[0].bar is None  # no first life was begun there
+    assert stat.st_ino != path.stat().st_ino
+
+
+def test_a_file_written_over_in_place_is_known_by_its_time(folder, monkeypatch):
+    real = Disk.identity
+    monkeypatch.setattr(
+        Disk, "identity", lambda disk, name: (real(disk, name)[0], real(disk, name)[1] + 60000.0)
+    )
+    kept, ledger = loaded(folder)
+    assert kept.bar is None and "changed by another" in ledger.findings[-1].text
+
+
+def test_a_full_disk_leaves_no_file_behind_that_hides_the_last_good_one(folder):
+    _, ledger = loaded(folder)
+    soft, hard = resource.getrlimit(resource.RLIMIT_FSIZE)
+    resource.setrlimit(resource.RLIMIT_FSIZE, (0, hard))
+    try:
+        for _ in range(4):
+            with pytest.raises(OSError):
+                ledger.renew()
+    finally:
+        resource.setrlimit(resource.RLIMIT_FSIZE, (soft, hard))
+    kept, ledger = loaded(folder)
+    assert kept.bar == 0 and kept.hand == "w" and ledger.renew() == []
+    ledger.close()
+
+
+def test_ledgers_are_bounded(folder, monkeypatch):
+    monkeypatch.setattr("marlseam.store.ledger.FILES", 3)
+    _, ledger = loaded(folder)
+    for _ in range(6):
+        ledger.renew()
+    ledger.close()
+    assert len(list(folder.glob("ledger-*"))) == 3 and loaded(folder)[0].hand == "w"
+    found = ledgers.read([folder], 10.0)
+    assert found.wrong == []
+
+
+# The audit.
+
+
+def spans(*entries):
+    return audit.read({"n": [[Begun(0.0), LIFE, *entries]]}, error_ms=10.0)
+
+
+def test_each_act_lies_in_one_interval_and_what_is_not_known_is_told():
+    found = spans(
+        interval(1, 1000.0), interval(2, 2000.0), Mark(7, [(1, 3, 2, 1, 0), (2, 1, 1, 0, 0)], 2500.0, 0.0)
+    )
+    rows = audit.rows(found)
+    assert [(r["taken"], r["sent"], r["unknown_after"]) for r in rows] == [(3, 2, False), (1, 1, True)]
+    assert found.lives["n"][0].unknown == (2500.0, inf) and not found.wrong
+    assert spans(interval(1, 1000.0), Ended(7, 3000.0, 0.0)).lives["n"][0].unknown is None
+    assert audit.at(found, "n", 1500.0).acting.interval == 1 and audit.at(found, "n", 500.0) is None
+
+
+@pytest.mark.parametrize(
+    ("entries", "what"),
+    [
+        ([interval(1, 1000.0), interval(3, 2000.0)], "intervals [2]"),
+        ([interval(1, 1000.0), Mark(7, [(2, 1, 1, 1, 1)], 1500.0, 0.0)], "is missing"),
+        ([interval(1, 1000.0), interval(1, 2000.0)], "two intervals 1"),
+        ([interval(1, 1000.0), Mark(7, [(1, 5, 5, 5, 5)], 1.0, 0.0), Mark(7, [(1, 4, 5, 5, 5)], 2.0, 0.0)],
+         "fewer acts"),
+        ([Held(1, "x", 1.0), Held(1, "y", 1.0)], "2 contents"),
+        ([interval(1, 1000.0), Held(1, "x", 2000.0), Mark(7, [(1, 1, 1, 1, 1)], 2000.0 + LEASE + 50.0, 0.0),
+          Mark(7, [(1, 2, 2, 2, 2)], 2000.0 + LEASE + 99.0, 0.0)], "1 acts on version 0, as proved"),
+        ([Mark(7, [], 9000.0, 0.0), Life(8, "0.1", "boot", 5000.0, 0.0, LEASE)], "life 8 began before 7"),
+    ],
+)  # fmt: skip
+def test_what_must_not_be_is_told(entries, what):
+    assert any(what in text for text in spans(*entries).wrong)
+
+
+def test_acts_within_the_bound_or_marked_unproved_are_not_past_it():
+    late = 2000.0 + LEASE
+    marks = [Mark(7, [(1, 1, 1, 1, 1)], late - 500.0, 0.0), Mark(7, [(1, 9, 9, 9, 9)], late + 5.0, 0.0)]
+    assert not spans(interval(1, 1000.0), Held(1, "x", 2000.0), *marks).wrong
+    marks = [Mark(7, [(1, 1, 1, 1, 1)], late + 50.0, 0.0), Mark(7, [(1, 9, 9, 9, 9)], late + 99.0, 0.0)]
+    assert not spans(interval(1, 1000.0, proved=False), Held(1, "x", 2000.0), *marks).wrong
+
+
+def test_the_audit_command_prints_a_table_and_a_page_and_ends_with_1_where_something_is_wrong(
+    folder, tmp_path
+):
+    page = tmp_path / "page.html"
+    good = CliRunner().invoke(command.group, ["audit", str(folder), "--html", str(page)])
+    assert good.exit_code == 0 and "acts after" in good.output and "svg" in page.read_text()
+    row = json.loads(CliRunner().invoke(command.group, ["audit", str(folder), "--json"]).output)
+    assert (row["node"], row["sent"]) == ("n", 4)
+    path = max(folder.glob("ledger-*"))
+    data = path.read_bytes()
+    path.write_bytes(data[:300] + b"x" + data[301:])
+    bad = CliRunner().invoke(command.group, ["audit", str(folder)])
+    assert bad.exit_code == 1 and "WRONG" in bad.output
+    assert CliRunner().invoke(command.group, ["audit"]).exit_code == 1
+
+
+def test_a_first_life_is_begun_once(tmp_path):
+    words = ["begin", str(tmp_path / "l"), "n"]
+    assert CliRunner().invoke(command.group, words).exit_code == 0
+    again = CliRunner().invoke(command.group, words)
+    assert again.exit_code == 1 and "ledger already" in again.output
+
+
+# Nodes on one loop.
+
+
+class Stage:
+    """What a node would do, noted."""
+
+    def __init__(self):
+        self.settings, self.serving, self.fault = dict(OPTIONS), None, ""
+
+    def port(self):
+        return Port(lambda s: self.fault, self.apply, self.serve, lambda: 3, lambda: self.settings)
+
+    def apply(self, settings):
+        self.settings = dict(settings)
+
+    def serve(self, on):
+        self.serving = on
+
+
+@pytest.fixture
+def fleet(loop, tmp_path):
+    """Return three nodes' places in a fleet on loopback, with their stages, on one loop."""
+    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(3)]
+    for sock in socks:
+        sock.bind(("127.0.0.1", 0))
+    members = {n: s.getsockname() for n, s in zip("abc", socks, strict=True)}
+    for sock in socks:
+        sock.close()
+    found = {}
+    for i, name in enumerate("abc"):
+        first_life(tmp_path / name, name)
+        settings = FleetSettings("f", members, 20.0, str(tmp_path / name), tuple("abc"), 300.0, True, 3000.0)
+        stage = Stage()
+        found[name] = Peers(loop, Log(name, loop.now), settings, name, i, stage.port()), stage
+        found[name][0].acting.load()
+        found[name][0].acting.begin()
+    yield found
+    for peers, _ in found.values():
+        peers.close()
+        os.close(peers.acting.pages.lock)
+
+
+def test_three_nodes_agree_on_a_version_act_on_it_and_say_so_in_their_ledgers(fleet, until, tmp_path):
+    until(lambda: all(stage.serving for _, stage in fleet.values()))
+    first = fleet["a"][0].acting
+    assert first.may_take()
+    first.count(0)
+    order = first.order()
+    assert order.goes() == first.stamp != ""
+    order.went()
+    changed = dict(OPTIONS) | {"note": 1}
+    status, text = first.publish(json.dumps({"settings": changed, "why": "try"}).encode())
+    assert status == 202, text
+    until(lambda: all(peers.acting.machine.acting == 1 for peers, _ in fleet.values()))
+    assert all(meaning(stage.settings) == meaning(changed) for _, stage in fleet.values())
+    assert first.publish(json.dumps({"settings": changed, "why": "again"}).encode())[0] == 409
+    said = json.loads(fleet["b"][0].status())["acting"]
+    assert (said["acting"], said["serving"], said["local"]) == (1, True, False)
+    for peers, _ in fleet.values():
+        peers.acting.close()
+    found = ledgers.read([tmp_path / name for name in "abc"], 50.0)
+    assert found.wrong == [] and list(found.held) == [1] and len(found.held[1]) == 1
+    assert sum(row["sent"] for row in audit.rows(found, node="a")) == 1
+
+
+def test_one_whose_proof_is_over_takes_and_sends_nothing(fleet, until):
+    until(lambda: all(stage.serving for _, stage in fleet.values()))
+    acting, stage = fleet["a"][0].acting, fleet["a"][1]
+    for name in "bc":
+        fleet[name][0].acting.machine.next_ms = inf
+        fleet[name][0].send = fleet[name][0].acting.send = lambda to, data: None
+    until(lambda: not acting.may_take())
+    assert acting.order().goes() == "" and stage.serving is False and acting.stood.code == "unproved"
+
+
+@pytest.mark.parametrize(
+    ("body", "what"),
+    [(b"[]", "settings and why"), (b"{", "settings and why"), (b'{"settings": 1, "why": "w"}', "settings"),
+     (b'{"settings": {}, "why": ""}', "why"), (b'{"settings": {}, "why": "w", "voters": 3}', "voters"),
+     (b'{"settings": {}, "why": "w", "voters": ["a", "z", "b"]}', "members")],
+)  # fmt: skip
+def test_what_cannot_be_published_is_refused_at_once(fleet, body, what):
+    status, text = fleet["a"][0].acting.publish(body)
+    assert status == 400 and what in text and fleet["a"][0].acting.machine.publication is None
+    fleet["a"][1].fault = "settings.dcs: 3, expected a list of names"
+    status, text = fleet["a"][0].acting.publish(b'{"settings": {}, "why": "w"}')
+    assert status == 400 and "settings.dcs" in text
+
+
+def test_an_operators_word_shuts_a_node_out_and_back(fleet, until):
+    acting, stage = fleet["a"][0].acting, fleet["a"][1]
+    until(lambda: stage.serving)
+    assert acting.by_hand("sick")[0] == 202 and acting.by_hand("")[0] == 400
+    until(lambda: stage.serving is False)
+    assert acting.status()["code"] == "hand"
+    acting.by_hand(None)
+    until(lambda: stage.serving)
+
+
+@pytest.mark.parametrize(
+    ("more", "key"),
+    [
+        ('voters = ["n"]', "folder"), ('folder = "x"', "voters"), ('folder = "x"\nvoters = ["z"]', "voters"),
+        ('folder = "x"\nvoters = ["n"]\nlease_ms = 5', "lease_ms"),
+        ('folder = "x"\nvoters = ["n"]\npast_lease = "no"', "past_lease"),
+    ],
+)  # fmt: skip
+def test_bad_settings_of_versions_are_named(tmp_path, more, key):
+    path, own = tmp_path / "n.json", tmp_path / "own.toml"
+    values = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "name": "n", "settings": OPTIONS}
+    path.write_text(json.dumps(values))
+    own.write_text(f'[fleet]\nname = "f"\n{more}\n[fleet.members]\nn = "127.0.0.1:9"\n')
+    with pytest.raises(ConfigError, match=f"fleet.{key}"):
+        load(str(path), {}, own=str(own))
+
+
+@pytest.fixture
+def single(tmp_path):
+    """Return a node that is a fleet of one, and its file."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = "{}:{}".format(*sock.getsockname())
+    path, own = tmp_path / "n.json", tmp_path / "own.toml"
+    values = {
+        "listen": "127.0.0.1:0",
+        "admin": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "name": "n",
+        "settings": OPTIONS,
+    }
+    path.write_text(json.dumps(values))
+    first_life(tmp_path / "ledger", "n")
+    own.write_text(
+        f'[fleet]\nname = "f"\nperiod_ms = 20\nfolder = "{tmp_path}/ledger"\nvoters = ["n"]\n'
+        f'[fleet.members]\nn = "{address}"\n'
+    )
+    made = []
+
+    def start():
+        made.append(Node(load(str(path), {}, own=str(own))))
+        return made[-1]
+
+    def stop(node):
+        node.busy = True
+        node.peers.close()
+        node.loop.finish()
+        os.close(node.acting.pages.lock)
+
+    yield start, stop, path
+    stop(made[-1])
+
+
+def turned(node, done):
+    end = node.loop.now() + 5000.0
+    node.loop.at(end, lambda: None)
+    while not done() and node.loop.now() < end:
+        node.loop.turn()
+    assert done()
+
+
+def test_a_node_acts_on_what_was_published_after_a_restart_too_and_a_file_of_its_own_is_refused(
+    single, capsys
+):
+    start, stop, path = single
+    node = start()
+    turned(node, lambda: node.acting.stood.acts)
+    settings = json.loads(json.dumps(OPTIONS))
+    settings["requestClasses"][0]["aimUs"] = 777000.0
+    node.acting.publish(json.dumps({"settings": settings, "why": "slower"}).encode())
+    turned(node, lambda: node.config.deployment.settings.types[0].promised_ms == 777.0)
+    node.reload()  # the file says what it said
+    assert node.config.deployment.settings.types[0].promised_ms == 777.0
+    assert "code=local-refused" in capsys.readouterr().err
+    stop(node)
+    node = start()
+    assert node.config.deployment.settings.types[0].promised_ms == 777.0 and node.acting.machine.acting == 1
+
+
+def test_a_node_that_is_shut_out_stays_out_whatever_another_door_says(single):
+    start, _, _ = single
+    node = start()
+    turned(node, lambda: node.acting.stood.acts)
+    node.acting.by_hand("sick")
+    turned(node, lambda: not node.acting.stood.acts)
+    assert not node.ready() and node.outs == {"fleet"}
+    assert node.enter_service("operator")[1].startswith("still out of service by fleet")
