An upgrade's later process acts at once by the old one's proof, and takes over its ledger

Cause: a later process could neither have the member's address nor the ledger while the old one drained: it would have served nothing, or unseen. Change: it writes beside the ledger, takes over the old process's proof by the handover, then the address and the ledger with its memory of votes; the audit reads both chains as one. The fleet's settings are laid over the file as it was accepted, the file is not read again.

--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -514,17 +514,28 @@
     )
 
 
+def offered(settings: Table) -> None:
+    """Refuse settings without project types."""
+    if not settings.tables("requestClasses"):
+        raise ConfigError("settings.requestClasses", [], "one project type at least")
+
+
+def with_settings(config: Config, settings: Mapping[str, Any]) -> Config:
+    """Return a node's configuration with a fleet's settings in place of its file's, but for its own zone."""
+    whole = {**settings, **{key: config.settings[key] for key in ("zone",) if key in config.settings}}
+    offered(Table(whole, "settings"))
+    deployment = deployment_from(whole, before=config.deployment, whole=True)
+    return replace(config, deployment=deployment, settings=whole)
+
+
 def load(
     path: str | None,
     env: Mapping[str, str] = os.environ,
     before: Config | None = None,
     own: str | None = None,
-    settings: Mapping[str, Any] | None = None,
 ) -> Config:
     """Read a node's configuration from its file; at the start the environment's own variables go before it.
 
-    A fleet's `settings` stand in place of the file's, but for the node's zone.
-
     In service the file has the last word: what it newly says holds, and the rest stays as it was before. The
     environment cannot follow a change, and would keep a node at an address that is no more.
     """
@@ -544,16 +555,10 @@
         raise ConfigError("seed", seed, "a hexadecimal number") from None
     own = own or env.get(OWN_FILE) or (before.settings_path if before else None)
     store, watch, fleet = own_settings(own)
-    in_file_settings = top.table("settings").values
-    if settings is not None:
-        zone = {key: in_file_settings[key] for key in ("zone",) if key in in_file_settings}
-        values = values | {"settings": {**settings, **zone}}
-        top = Table(values, "")
-    elif before is not None:
+    settings = top.table("settings")
+    if before is not None:
         keep(values, before.shape)
-    table = top.table("settings")
-    if not table.tables("requestClasses"):
-        raise ConfigError("settings.requestClasses", [], "one project type at least")
+    offered(settings)
     in_file = {"name": top.text("name", "node")} | {
         key: top.get(key, None) for key in ("listen", "discovery", "admin")
     }
@@ -576,9 +581,9 @@
         memory_mb=limits.number("memory_mb", 192.0, least=1.0),
         sockets=int(limits.number("sockets", 1024.0, least=1.0)),
         known=dict(top.table("known", {}).values),
-        deployment=deployment_from(table.values, before=before.deployment if before else None, whole=True),
+        deployment=deployment_from(settings.values, before=before.deployment if before else None, whole=True),
         shape=shape_of(values),
-        settings=dict(table.values),
+        settings=dict(settings.values),
         admin=address(in_force, "admin", env) if in_force["admin"] else None,
         socket_fd=before.socket_fd if before is not None else descriptor(env.get(SOCKET)),
         folder=before.folder if before is not None else env.get(FOLDER),
--- a/marlseam/experiment/fleet.py
+++ b/marlseam/experiment/fleet.py
@@ -42,7 +42,7 @@
 
 SAID = re.compile(r"member (\S+) (here|suspect|gone|left) life=(\d+)")
 ACTED = re.compile(r"acts on version (\d+)|(in service)$|fleet code=(\S+): out of service")
-RIG_FAULTS = (*FAULTS[:-1], "publish", "full", "copy", "old", "lost", "split")
+RIG_FAULTS = (*FAULTS[:-1], "publish", "full", "copy", "old", "lost", "split", "upgrade")
 LOOK_S, ASK_S = 0.02, 0.25
 PUBLISH_S = 30.0  # for which it is asked what came of a publication
 SLACK_MS = 250.0  # until a line of a node's log is seen, and a datagram has passed through
@@ -261,6 +261,11 @@
         if fault.fault == "publish":
             threading.Thread(target=self.publish, args=(name,), daemon=True).start()
             return
+        if fault.fault == "upgrade":
+            self.doors[name] = self.door()  # the later process's: the earlier one still has its own
+            threading.Thread(target=self.driver.upgrade, args=(name,), daemon=True).start()
+            self.spells.append((name, fault.fault, now, now + fault.for_ms))
+            return
         if fault.fault == "copy":
             shutil.copytree(self.ledger(name), f"{self.ledger(name)}.copy", dirs_exist_ok=True)
             return
@@ -380,6 +385,7 @@
     driver = rig.driver = Sockets(
         day, seed, out, more=rig.settings, prepare=rig.prepare, between=rig.between_lives,
         module=lambda name: "marlseam.standin.older" if name in table.older else "marlseam",
+        shared=any(fault.fault == "upgrade" for fault in table.faults),
     )  # fmt: skip
     healed: list[float] = []
     driver.zero = time.monotonic()  # until the run's own: nodes hear each other before they are ready
--- a/marlseam/experiment/processes.py
+++ b/marlseam/experiment/processes.py
@@ -31,6 +31,7 @@
         env: dict[str, str] | None = None,
         profile: Path | None = None,
         module: str = "marlseam",
+        keep: tuple[int, ...] = (),
     ) -> None:
         self.words, self.log = words, log
         python = [sys.executable, "-m"]
@@ -42,6 +43,7 @@
                 stdout=subprocess.PIPE,
                 stderr=err,
                 env={**os.environ, **(env or {})},
+                pass_fds=keep,
             )
 
     def line(self, within_s: float = READY_S) -> dict:
--- a/marlseam/experiment/sockets.py
+++ b/marlseam/experiment/sockets.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from marlseam import records
+from marlseam.config import FOLDER, SOCKET
 from marlseam.experiment.processes import Failed, Process
 from marlseam.net.protocol import READY_PATH
 from marlseam.records import Streams
@@ -28,6 +29,7 @@
 LOOK_S = 0.05
 TAIL_S = 5.0  # after the longest hard limit
 RESTART_S = 0.05
+OVERLAP_S = 1.0  # for which both processes of an upgrade run
 Progress = Callable[[float], None]
 
 
@@ -50,12 +52,14 @@
         module: Callable[[str], str] = lambda name: "marlseam",
         env: dict[str, str] | None = None,
         more: Callable[[str], tuple[dict, str]] | None = None,
+        shared: bool = False,
     ) -> None:
         """Make one.
 
         `proxied` says whether the network stands between, by default where zones are cut or apart; `prepare`
         is called before a node's first start, `between` before each further one; `module` tells what each
-        node runs as, `env` with what; `more` gives a node's further configuration, and its own settings.
+        node runs as, `env` with what; `more` gives a node's further configuration, and its own settings;
+        `shared` nodes are given their listening socket, so that a later process can take over.
         """
         self.day, self.seed, self.out = day, seed, out
         self.generators, self.connections, self.parts = generators, connections, parts
@@ -63,7 +67,8 @@
         cut = any(met.trouble.what in ("zone_cut", "slow_link") for met in self.schedule)
         self.proxied = (cut or len(day.fleet.zones) > 1) if proxied is None else proxied
         self.profile, self.own, self.prepare, self.between = profile, own, prepare, between
-        self.module, self.env, self.more = module, env, more
+        self.module, self.env, self.more, self.shared = module, env, more, shared
+        self.doors: dict[str, socket.socket] = {}  # listening sockets of nodes that are given theirs
         self.back: list[tuple[float, str]] = []  # nodes that are to start again, and when
         self.began: dict[str, float] = {}
         self.ready_s: list[float] = []  # from each node's start until clients may come
@@ -110,7 +115,13 @@
             settings_path.write_text(own.format(folder=self.out / "state" / name))
             words += ["--settings", str(settings_path)]
         self.began_s = time.monotonic()
-        process = Process(words, log, self.env, self.profile, self.module(name))
+        env, keep = self.env, ()
+        if self.shared:
+            folder = self.out / "shared" / name
+            folder.mkdir(parents=True, exist_ok=True)
+            keep = (self.doors[name].fileno(),)
+            env = (env or {}) | {SOCKET: str(keep[0]), FOLDER: str(folder)}
+        process = Process(words, log, env, self.profile, self.module(name), keep)
         self.started.append(process)
         end = time.monotonic() + 30.0
         while True:
@@ -192,7 +203,12 @@
         for name, zone in nodes(self.day):
             if self.prepare is not None:
                 self.prepare(name, dials[zone])
-            self.nodes[name] = self.node(name, zone, self.reserve())
+            listen = self.reserve()
+            if self.shared:
+                self.doors[name] = socket.create_server(("127.0.0.1", 0), backlog=512)
+                self.held.append(self.doors[name])
+                listen = "{}:{}".format(*self.doors[name].getsockname())
+            self.nodes[name] = self.node(name, zone, listen)
             self.began[name] = self.began_s
         # Only now: nodes of one fleet may need each other to be ready.
         for name, _ in nodes(self.day):
@@ -286,6 +302,14 @@
                 progress(now)
             time.sleep(LOOK_S)
 
+    def upgrade(self, name: str) -> None:
+        """Start a later process of a node, and tell the earlier one to end once that is ready."""
+        earlier, zone = self.nodes[name], dict(nodes(self.day))[name]
+        later = self.node(name, zone, self.addresses[name])
+        time.sleep(OVERLAP_S)  # as the platform does, which knows no more
+        self.nodes[name] = later
+        earlier.signal(signal.SIGTERM)
+
     def fell(self, name: str, away_ms: float, state: str = "killed") -> None:
         """Note that a node is about to be ended by a fault, to be started again after a time."""
         now = self.now()
--- a/marlseam/fleet/ledger.py
+++ b/marlseam/fleet/ledger.py
@@ -41,7 +41,8 @@
 class Life(msgspec.Struct, tag="life", array_like=True, frozen=True):
     """A process begins: its number, program, start of the machine, Unix time and its own clock, in ms.
 
-    And for how long after a newer version was chosen it may act on an older one as proved.
+    And for how long after a newer version was chosen it may act on an older one as proved; `beside` another
+    process of the node, as in an upgrade.
     """
 
     life: int
@@ -50,6 +51,7 @@
     wall_ms: float
     mono_ms: float
     lease_ms: float
+    beside: bool = False
 
 
 class Acting(msgspec.Struct, tag="acting", array_like=True, frozen=True):
--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -187,7 +187,10 @@
         self.acceptor = Acceptor(name, dict(kept.promises))
         self.durable = dict(kept.promises)  # what has been written of them
         self.bar = kept.bar  # votes on no number up to it; None: on none until it is known
-        self.hand = kept.hand
+        self.hand, self.beside = (
+            kept.hand,
+            False,
+        )  # beside a process of this node that has its memory of votes
         self.number, self.id, self.voters = 0, "", terms.voters
         self.acting, self.unfit = 0, ""
         self.former_ms = now  # as of when the version acted on was in force, where the one held is unfit
@@ -214,6 +217,14 @@
         if kept.held is not None:
             self.take(kept.held.number, kept.held.id)
 
+    def recall(self, kept: Kept) -> None:
+        """Take up this node's memory of votes, which another process of it had until now."""
+        self.contents |= kept.contents
+        for number, promised in kept.promises.items():
+            if number > self.number:
+                self.acceptor.kept[number] = self.durable[number] = promised
+        self.bar, self.beside = kept.bar, False
+
     # Small things.
 
     def chance(self) -> float:
@@ -685,7 +696,7 @@
 
         It may have promised for the number after the newest chosen, which most of the others know of.
         """
-        if self.bar is not None or round.number != self.number:
+        if self.bar is not None or self.beside or round.number != self.number:
             return []
         if len(round.tops) < agree.majority(round.voters):
             return []
--- a/marlseam/net/acting.py
+++ b/marlseam/net/acting.py
@@ -5,11 +5,14 @@
 is at the clock.
 """
 
+import contextlib
+import errno
 import json
 import os
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 from typing import Any
 
@@ -25,8 +28,8 @@
 from marlseam.net.loop import Coroutine, Loop
 from marlseam.store.folder import Disk, code_of, unix_ms
 from marlseam.store.helper import APPEND
-from marlseam.store.ledger import Ledger
-from marlseam.store.scribe import Scribe
+from marlseam.store.ledger import BESIDE, Ledger
+from marlseam.store.scribe import LOCK_S, Scribe
 
 MARK_MS = 500.0  # between marks of acts, and looks at what changes by itself
 ACTS_MOST = 200  # acts after which a mark does not wait
@@ -45,6 +48,8 @@
     serve: Callable[[bool], None]
     listed: Callable[[], int]
     settings: Callable[[], Mapping[str, Any]]
+    prove: Callable[[int, str, float], None] = lambda number, id, mono_ms: None  # to others of this node
+    beside: bool = False  # whether another process of this node may be there, as in an upgrade
 
 
 class Pages(Scribe):
@@ -53,18 +58,16 @@
     helper, what = "marlseam.store.ledger", "the ledger"
     back_most_ms = BACK_MOST_MS
 
-    def __init__(
-        self, loop: Loop, log: Log, settings: FleetSettings, name: str, take_in: Callable[[Kept], None]
-    ) -> None:
-        super().__init__(loop, log, Path(settings.folder), name, "durable", FILE_MB, WAIT_MS)
+    def __init__(self, loop: Loop, log: Log, path: Path, name: str, take_in: Callable[[Kept], None]) -> None:
+        super().__init__(loop, log, path, name, "durable", FILE_MB, WAIT_MS)
         self.take_in = take_in
 
-    def load(self) -> None:
-        """Read the ledger; raises OSError."""
+    def load(self, told: bool = True) -> None:
+        """Read the ledger, and tell what is wrong in it; raises OSError."""
         ledger = Ledger(Disk(self.path), self.node)
         kept = ledger.load()
         self.known = True
-        for finding in ledger.findings:
+        for finding in ledger.findings if told else ():
             self.log.line(f"ledger file {finding.name or self.path} code={finding.code}: {finding.text}")
             self.told_lost = self.told_lost or finding.code == "lost"
         self.take_in(kept)
@@ -98,8 +101,11 @@
         self.flying: deque[tuple[int, tuple[int, ...]]] = deque()  # marks likewise, and of which intervals
         self.noted: object = None  # the settings in force, and the digest of their meaning
         self.meant = ""
-        self.pages = Pages(loop, log, settings, name, self.take_in)
+        self.pages = Pages(loop, log, Path(settings.folder), name, self.take_in)
+        self.main: Pages | None = None  # the node's ledger, while another process has it
         self.timer = loop.at(loop.now(), lambda: None)
+        self.began_ms, self.beside = loop.now(), False
+        self.spans: dict[int, Interval] = {}  # the intervals whose acts may still grow
         self.ready = False  # whether the node is built, so that service and settings can change
 
     # The start and the end.
@@ -110,19 +116,67 @@
         Return the content that was held last, if it fits here.
         """
         try:
-            self.pages.take_lock()
+            self.pages.take_lock(0.0 if self.port.beside else LOCK_S)
             self.pages.load()
         except OSError as error:
-            self.pages.fail(code_of(error), error.strerror or str(error))
-            return None
+            if error.errno != errno.EAGAIN or not self.port.beside or not self.go_beside():
+                self.pages.fail(code_of(error), error.strerror or str(error))
+                return None
         machine = self.machine
         if not machine.acting:
             return None
         return read(machine.contents[machine.id], machine.members)
 
+    def go_beside(self) -> bool:
+        """Write beside the ledger while an old process of this node has it; return whether that can be."""
+        self.main = Pages(self.loop, self.log, self.pages.path, self.name, self.move)
+        self.pages = Pages(self.loop, self.log, self.main.path / BESIDE, self.name, self.take_in)
+        try:
+            self.pages.take_lock()
+            self.pages.load(told=False)
+            self.pages.told_lost = True  # it never had a memory of votes
+        except OSError:
+            return False
+        self.log.line("fleet: another process has the ledger, writes beside it until that has ended")
+        return True
+
+    def elsewhere(self, kept: Kept) -> Kept:
+        """Add what this node's other ledger holds: the later version, the later word of an operator's."""
+        here = self.pages.path
+        other = self.main.path if self.main is not None else here / BESIDE
+        if not other.exists():
+            return kept
+        with contextlib.suppress(OSError):
+            found = Ledger(Disk(other), self.name).load()
+            if found.held is not None and (kept.held is None or found.held.number > kept.held.number):
+                kept.held = found.held
+                kept.contents |= found.contents
+            if found.handed_ms > kept.handed_ms:
+                kept.hand, kept.handed_ms = found.hand, found.handed_ms
+        return kept
+
+    def move(self, kept: Kept) -> None:
+        """Go on in the node's ledger, which the old process has left; from here on this one may vote."""
+        machine, old = self.machine, self.pages
+        self.pages, self.main = self.main, None
+        machine.recall(kept)
+        old.leave()
+        self.log.line("fleet: has the ledger now")
+        now = self.loop.now()
+        # All of this life's acts again: each mark is whole, and its life and interval go before it.
+        self.unsaid = deque([(0, self.lived(now)), *((0, span) for span in self.spans.values())])
+        self.dirty, self.flying = dict.fromkeys(self.counts), deque()
+
+    def lived(self, now: float) -> Life:
+        """Return what tells of this life."""
+        began, wall = now - self.began_ms, self.wall()
+        return Life(self.life, __version__, self.pages.era.boot, wall - began, now - began,
+                    self.settings.lease_ms, self.beside)  # fmt: skip
+
     def take_in(self, kept: Kept) -> None:
         """Begin with what the ledger holds."""
-        fleet = self.settings
+        fleet, kept = self.settings, self.elsewhere(kept)
+        self.beside = self.main is not None
         terms = Terms(frozenset(fleet.voters), fleet.period_ms, fleet.lease_ms, fleet.strict, fleet.serve_ms)
         place = f"{self.name}/{self.life}/{os.urandom(8).hex()}"
         now = self.loop.now()
@@ -131,10 +185,10 @@
         )
         if self.machine.unfit:
             self.log.line(f"fleet code=unfit: version {self.machine.number}: {self.machine.unfit}")
-        if kept.bar is None:
+        self.machine.beside = self.beside
+        if kept.bar is None and not self.beside:
             self.log.line("fleet code=lost: votes on nothing until it is known what it may have promised")
-        life = Life(self.life, __version__, self.pages.era.boot, self.wall(), now, fleet.lease_ms)
-        self.unsaid.append((0, life))
+        self.unsaid.append((0, self.lived(now)))
         if self.ready and self.machine.acting:
             content = read(self.machine.contents[self.machine.id], self.machine.members)
             self.port.apply(content.settings)
@@ -143,6 +197,8 @@
         """Begin to write, to ask and to tell; the node is built."""
         self.ready = True
         self.pages.begin()
+        if self.main is not None:
+            self.main.begin()
         self.look()
         self.port.serve(self.stood.acts)
         self.tick()
@@ -154,6 +210,35 @@
             self.write(Ended(self.life, self.wall(), self.loop.now()))
         self.pages.close()
 
+    # Other processes of this node.
+
+    def joined(self) -> None:
+        """Ask at once, as this process has the node's address now."""
+        if self.machine is not None and self.ready:
+            self.machine.next_ms = self.loop.now()
+            self.tick()
+
+    def prove(self) -> None:
+        """Tell other processes of this node when the version held was in force."""
+        machine = self.machine
+        if machine is not None and machine.proof_ms > -inf:
+            since = 1000.0 * self.loop.clock.zero
+            self.port.prove(machine.number, machine.id, machine.proof_ms + since)
+
+    def proved(self, number: int, id: str, mono_ms: float) -> None:
+        """Take over a proof from another process of this node, and what it holds if that is later."""
+        machine, now = self.machine, self.loop.now()
+        if machine is None:
+            return
+        if number > machine.number:
+            machine.contents |= self.elsewhere(Kept()).contents
+            if id in machine.contents:
+                self.act(machine.learn(now, number, id))
+        elif mono_ms - 1000.0 * self.loop.clock.zero <= now:
+            machine.proof_ms = max(machine.proof_ms, mono_ms - 1000.0 * self.loop.clock.zero)
+            self.until_ms = 0.0
+            self.look()
+
     # The machine.
 
     def wrong(self, content: Content) -> str:
@@ -176,6 +261,7 @@
             self.until_ms = 0.0
         self.look()
         self.mark()
+        self.prove()
         due = min(now + MARK_MS, self.machine.next_ms) if self.machine is not None else now + MARK_MS
         self.timer = self.loop.at(due, self.tick)
 
@@ -250,7 +336,9 @@
             stood.code, self.wall(), now,
         )  # fmt: skip
         self.counts[number] = [0, 0, 0, 0]
-        self.counts.pop(number - INTERVALS_MOST, None)
+        self.spans[number] = self.interval
+        for table in (self.counts, self.spans):
+            table.pop(number - INTERVALS_MOST, None)
         self.stamp = f"{self.name}/{self.life}/{number}/{machine.acting}/{int(stood.proved)}"
         self.unsaid.append((0, self.interval))
         self.rewrite()
--- a/marlseam/net/handover.py
+++ b/marlseam/net/handover.py
@@ -16,7 +16,7 @@
 from marlseam.net import protocol
 from marlseam.net.loop import READ, WRITE, Cancelled, Coroutine, Task
 from marlseam.recovery import handover as form
-from marlseam.recovery.handover import Hello, Item, Listed, Never, Odd, Over, Sent, Whole
+from marlseam.recovery.handover import Hello, Item, Listed, Never, Odd, Over, Proof, Sent, Whole
 from marlseam.recovery.receipts import Trace, told
 
 if TYPE_CHECKING:
@@ -140,7 +140,7 @@
     def join(self, peer: Peer) -> None:
         """Begin to talk with another process."""
         self.peers[peer] = None
-        peer.out += form.hello(self.node.config.name, os.getpid())
+        peer.out += form.hello(self.node.config.name, os.getpid(), self.node.acting is not None)
         if not peer.called:
             peer.out += b"".join(self.snapshot())
         peer.task = self.loop.spawn(self.talk(peer), first=True)
@@ -216,6 +216,8 @@
             if item.node != self.node.config.name:
                 raise Odd("foreign", f"it is {item.node:.80}")
             peer.hello = item
+            if item.fleet and self.node.acting is not None:
+                self.node.acting.prove()
         elif peer.hello is None:
             raise Odd("odd", "it says nothing of itself")
         elif type(item) is Listed:
@@ -229,6 +231,9 @@
             self.node.post(core.Undone(item.key, item.executor, sent_ms))
         elif type(item) is Over:
             peer.over = True
+        elif type(item) is Proof:
+            if self.node.acting is not None:
+                self.node.acting.proved(item.number, item.id, item.mono_ms)
         elif type(item) is Whole and not peer.whole:
             peer.whole = True
             self.node.post(core.Retold(peer.source))
@@ -250,7 +255,16 @@
         else:
             sent_ms = self.loop.clock.to_unix(effect.sent_ms)
             text = form.never(Never(effect.key, effect.executor, sent_ms))
-        for peer in list(self.peers):
+        self.pass_on(text, list(self.peers))
+
+    def prove(self, number: int, id: str, mono_ms: float) -> None:
+        """Tell those that want it when a fleet's version was in force."""
+        asked = [peer for peer in self.peers if peer.hello is not None and peer.hello.fleet]
+        self.pass_on(form.proof(Proof(number, id, mono_ms)), asked)
+
+    def pass_on(self, text: bytes, peers: list[Peer]) -> None:
+        """Write a line to some."""
+        for peer in peers:
             peer.out += text
             try:
                 peer.flush()
@@ -261,7 +275,7 @@
                 # Guards the memory against a process that hangs.
                 self.say("behind", f"process {self.name(peer)} does not read")
                 self.end(peer)
-            elif peer.out:
+            elif peer.out and peer.task is not None:
                 peer.task.wake()
 
     def catch_up(self) -> None:
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -101,7 +101,7 @@
         self.core = Core(self.watch)
         self.pending: dict[str, Pending] = {}
         self.refs, self.events, self.busy = 0, deque[Event](), False
-        self.ending = False
+        self.ending = self.waits = False
         self.counters = Counters()
         self.counters.know(config.deployment.types)
         self.executors = Executors(self.loop, self.log, config.deployment, places, self.post, self.counters)
@@ -170,32 +170,38 @@
 
             port = Port(
                 self.wrong, self.act_on, self.serve, lambda: max(0, self.discovery.version),
-                lambda: self.config.settings,
+                lambda: self.config.settings, self.prove, self.config.socket_fd is not None,
             )  # fmt: skip
         with usable("fleet.members", fleet.members[self.config.name], "a free address of this machine"):
             self.peers = Peers(self.loop, self.log, fleet, self.config.name, self.config.seed, port)
         self.acting = self.peers.acting
         content = self.acting.load() if self.acting is not None else None
         if content is not None:
-            own = self.config.settings_path
-            self.config = configuration.load(self.config.path, own=own, settings=content.settings)
+            self.config = configuration.with_settings(self.config, content.settings)
 
     def wrong(self, settings: Mapping[str, Any]) -> str:
         """Return what is wrong with a fleet's settings here, or nothing."""
         try:
-            configuration.load(self.config.path, before=self.config, settings=settings)
+            configuration.with_settings(self.config, settings)
         except ConfigError as error:
             return str(error)
         return ""
 
     def act_on(self, settings: Mapping[str, Any]) -> None:
         """Act on a fleet's settings, between two events; open work keeps its project type."""
-        self.adopt(configuration.load(self.config.path, before=self.config, settings=settings))
+        self.adopt(configuration.with_settings(self.config, settings))
+
+    def prove(self, number: int, id: str, mono_ms: float) -> None:
+        """Tell other processes of this node when the fleet's version was in force."""
+        if self.handover is not None:
+            self.handover.prove(number, id, mono_ms)
 
     def serve(self, on: bool) -> None:
         """Be in service, as far as the fleet has to say, or out of it."""
         if on:
             self.enter_service("fleet")
+            if self.waits and not self.ending:
+                self.listen()
         else:
             self.leave_service("fleet")
 
@@ -204,6 +210,12 @@
         if hosts and version >= self.discovery.version and not self.discovery.told:
             self.discovery.begin({"seq": version, "whole": True, "hosts": hosts})
         if not self.ending:
+            self.listen()
+
+    def listen(self) -> None:
+        """Take work from the socket that is shared, once this process may: another may still do so."""
+        self.waits = self.acting is not None and not self.acting.stood.acts
+        if not self.waits:
             self.server.listen()
 
     def share(self) -> None:
@@ -325,23 +337,21 @@
             config = configuration.load(self.config.path, before=self.config)
             if self.acting is not None and self.acting.published() and not self.config.fleet.local:
                 # What the fleet agreed on stays; the rest of the file is the node's own.
-                mine, settings = config.settings, self.config.settings
-                config = configuration.load(self.config.path, before=self.config, settings=settings)
-                self.acting.refused(mine)
+                self.acting.refused(config.settings)
+                config = configuration.with_settings(config, self.config.settings)
         except ConfigError as error:
             self.counters.reload_errors += 1
             self.log.line(f"the configuration stays as it was: {error}")
             return
-        self.adopt(config)
+        for key in FIXED:
+            if getattr(config, key) != getattr(self.config, key):
+                self.log.line(f"{key}: cannot change in a running node, left as it was")
+        self.adopt(replace(config, **{key: getattr(self.config, key) for key in FIXED}))
         self.counters.reloads += 1
         self.log.line(f"new configuration, discovery at {config.discovery[0]}:{config.discovery[1]}")
 
     def adopt(self, config: Config) -> None:
         """Go on under a new configuration."""
-        for key in FIXED:
-            if getattr(config, key) != getattr(self.config, key):
-                self.log.line(f"{key}: cannot change in a running node, left as it was")
-        config = replace(config, **{key: getattr(self.config, key) for key in FIXED})
         self.config = config
         self.counters.know(config.deployment.types)
         self.share()
@@ -375,6 +385,8 @@
             return
         self.ending = True
         began = self.loop.now()
+        if self.peers is not None and self.config.socket_fd is not None:
+            self.peers.leave()  # the later process is the member from here on
         drain = min(DRAIN_MOST_MS, max(t.limit_ms for t in self.config.deployment.settings.types))
         self.log.line(f"told to end with {len(self.pending)} work units open")
         self.post(core.Closing(drain + ANSWER_MS))
--- a/marlseam/net/peers.py
+++ b/marlseam/net/peers.py
@@ -24,6 +24,7 @@
     from marlseam.net.acting import Acting, Port
 
 READS = 32  # letters read in one turn
+AGAIN_MS = 50.0  # between tries of an address that another process has
 
 
 class Peers:
@@ -76,11 +77,13 @@
                     "fleet code=in-use: another process has this member's address; no member until then"
                 )
             self.dropped["in-use"] += 1
-            self.loop.at(self.loop.now() + self.settings.period_ms, self.join)
+            self.loop.at(self.loop.now() + min(AGAIN_MS, self.settings.period_ms), self.join)
             return
         self.sock, self.machine = sock, self.machine_now()
         self.loop.spawn(self.listen())
         self.tick()
+        if self.acting is not None:
+            self.acting.joined()
 
     def listen(self) -> Coroutine:
         """Take in letters, some in each turn of the loop."""
@@ -184,9 +187,15 @@
 
     def close(self) -> None:
         """Say goodbye, and go."""
-        self.closed = True
         if self.acting is not None:
             self.acting.close()
+        self.leave()
+
+    def leave(self) -> None:
+        """Be no member any more: a later process of this node has the address."""
+        self.closed = True
         if self.sock is not None:
             self.act(self.machine.leave(self.loop.now()))
+            self.loop.drop(self.timer)
             self.loop.close(self.sock)
+            self.sock = None
--- a/marlseam/recovery/handover.py
+++ b/marlseam/recovery/handover.py
@@ -8,8 +8,10 @@
     {"never": [key, executor, sent]}                              one of them that provably never ran
     {"whole": true}                                               all of the above was told; news may follow
     {"over": true}                                                last: this process sends nothing any more
+    {"proof": [number, id, at]}                                   that version of a fleet's was in force then
 
-The first five are a snapshot for the one who called; `sent` and `never` go on both ways from then on.
+A hello with `"fleet": true` asks for proofs; `at` is in ms of the machine's monotonic clock. The first five
+are a snapshot for the one who called; `sent` and `never` go on both ways from then on.
 """
 
 import json
@@ -35,6 +37,15 @@
 
     node: str
     process: int
+    fleet: bool = False  # whether it wants proofs
+
+
+class Proof(NamedTuple):
+    """A fleet's version was in force at a time of the monotonic clock, which a machine's processes share."""
+
+    number: int
+    id: str
+    mono_ms: float
 
 
 class Listed(NamedTuple):
@@ -71,7 +82,7 @@
     """Whoever speaks has told all and sends nothing any more; one that ends without it may have."""
 
 
-Item = Hello | Listed | Sent | Never | Whole | Over
+Item = Hello | Listed | Sent | Never | Whole | Over | Proof
 OVER = b'{"over":true}\n'
 
 
@@ -80,9 +91,14 @@
     return json.dumps(value, separators=(",", ":")).encode() + b"\n"
 
 
-def hello(node: str, process: int) -> bytes:
+def hello(node: str, process: int, fleet: bool = False) -> bytes:
     """Return the first line."""
-    return line({"marlseam": VERSION, "node": node, "process": process})
+    return line({"marlseam": VERSION, "node": node, "process": process} | ({"fleet": True} if fleet else {}))
+
+
+def proof(row: Proof) -> bytes:
+    """Return the line on what was in force when."""
+    return line({"proof": row})
 
 
 def sent(rows: list[Sent]) -> bytes:
@@ -116,7 +132,11 @@
     if "marlseam" in value:
         if value["marlseam"] != VERSION:
             raise Odd("version", f"version {value['marlseam']!r:.20}, here {VERSION}")
-        return [Hello(text(value.get("node")), int(number(value.get("process"))))]
+        process = int(number(value.get("process")))
+        return [Hello(text(value.get("node")), process, value.get("fleet") is True)]
+    if "proof" in value:
+        count, id, at = fields(value["proof"], 3)
+        return [Proof(int(number(count)), text(id, least=0), number(at))]
     if "hosts" in value:
         hosts = rows_of(value["hosts"])
         if not all(isinstance(host, dict) for host in hosts):
--- a/marlseam/store/ledger.py
+++ b/marlseam/store/ledger.py
@@ -25,6 +25,7 @@
 
 NAME = re.compile(r"ledger-(\d{10})$")
 FILES = 16  # kept
+BESIDE = "beside"  # in the folder, where a process writes while another of its node has the ledger
 APART_MS = 10000.0  # at most between a writing's own time and the system's note of it
 
 
--- a/marlseam/store/scribe.py
+++ b/marlseam/store/scribe.py
@@ -7,6 +7,7 @@
 import contextlib
 import errno
 import json
+import os
 import socket
 import subprocess
 import sys
@@ -71,10 +72,11 @@
         self.back_ms, self.code = BACK_MS, ""
         self.writer: Task | None = None
         self.lock: int | None = None
+        self.task: Task | None = None
 
-    def take_lock(self) -> None:
+    def take_lock(self, within_s: float | None = None) -> None:
         """Take the folder's lock before the loop runs, waiting a moment for it; raises OSError."""
-        end = time.monotonic() + LOCK_S
+        end = time.monotonic() + (LOCK_S if within_s is None else within_s)
         while self.lock is None:
             try:
                 self.lock = lock(self.path)
@@ -89,7 +91,16 @@
 
     def begin(self) -> None:
         """Read what is not read yet, start the helper, and have it compact what the last life left."""
-        self.loop.spawn(self.follow())
+        self.task = self.loop.spawn(self.follow())
+
+    def leave(self) -> None:
+        """Write no more here, while the node goes on: what is under way is on the disk or is not."""
+        if self.task is not None:
+            self.task.cancel()
+        self.stop()
+        if self.lock is not None:
+            os.close(self.lock)
+            self.lock = None
 
     def follow(self) -> Coroutine:
         """Keep a helper for as long as the node runs; one that ends is followed by another, with back-off."""
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -23,7 +23,7 @@
 from marlseam.fleet.says import Kind, Note, Piece, Tell, Vote, Want
 from marlseam.fleet.versions import Apply, Keep, Terms, To, Versions
 from marlseam.fleet.words import Odd
-from marlseam.net.acting import Port
+from marlseam.net.acting import Acting, Port
 from marlseam.net.log import Log
 from marlseam.net.node import Node
 from marlseam.net.peers import Peers
@@ -716,3 +716,42 @@
     turned(node, lambda: not node.acting.stood.acts)
     assert not node.ready() and node.outs == {"fleet"}
     assert node.enter_service("operator")[1].startswith("still out of service by fleet")
+
+
+def test_a_later_process_of_a_node_acts_at_once_and_takes_over_ledger_and_votes(fleet, loop, until, tmp_path):
+    # Both acted, and the audit shows both: what each did, and no act twice or missing.
+    until(lambda: all(stage.serving for _, stage in fleet.values()))
+    peers, stage = fleet["a"][0], Stage()
+    old, port = peers.acting, stage.port()
+    port.beside = True
+    new = Acting(
+        loop, Log("new", loop.now), peers.settings, "a", old.life + 1, 9, port, lambda to, data: None
+    )
+    new.load()
+    new.begin()
+    assert new.beside and not new.stood.acts
+    new.proved(0, "", 1000.0 * loop.clock.zero + old.machine.proof_ms)
+    assert new.stood.acts and not new.machine.votes(1)
+    for acting in (old, new, new):
+        acting.count(0)
+    until(lambda: not new.flying and not new.dirty)
+    old.close()
+    os.close(old.pages.lock)
+    until(lambda: new.main is None)
+    assert new.machine.votes(1)
+    new.count(0)
+    until(lambda: new.pages.serves() and not new.unsaid)
+    new.close()
+    old.pages.lock, new.pages.lock = new.pages.lock, None
+    found = ledgers.read([tmp_path / "a"], 50.0)
+    assert found.wrong == [] and [lived.ended for lived in found.lives["a"]] == [True, True]
+    assert [sum(s.acts[0] for s in lived.spans.values()) for lived in found.lives["a"]] == [1, 3]
+
+
+def test_a_second_process_by_mistake_does_not_act(fleet, loop, until, capsys):
+    peers, stage = fleet["a"][0], Stage()
+    twin = Acting(loop, Log("twin", loop.now), peers.settings, "a", 9, 9, stage.port(), lambda to, data: None)
+    twin.load()
+    twin.begin()
+    assert not twin.may_take() and "code=locked" in capsys.readouterr().err
+    twin.pages.leave()
