Members and voters of a fleet change by publishing, one step at a time

Cause: names stood in each node's own settings alone; a fleet could not grow without a restart of all.

--- a/marlseam/cli/fleet.py
+++ b/marlseam/cli/fleet.py
@@ -130,10 +130,15 @@
 @click.option("--at", "address", required=True, help="A node's operators' door.")
 @click.option("--why", required=True, help="What it is for, in up to 160 characters.")
 @click.option("--voters", help="Who votes on the next one, by commas; else as before.")
+@click.option("--member", "added", multiple=True, help="A member more, as NAME=ADDRESS; one step at a time.")
+@click.option("--remove", "removed", multiple=True, help="A member less.")
 @click.option(
     "--wait", "wait_s", default=60.0, show_default=True, help="Seconds to wait for what comes of it."
 )
-def publish(file: Path, address: str, why: str, voters: str | None, wait_s: float) -> None:
+def publish(
+    file: Path, address: str, why: str, voters: str | None, added: tuple[str, ...],
+    removed: tuple[str, ...], wait_s: float,
+) -> None:  # fmt: skip
     """Have the settings in FILE, a node's configuration or its settings alone.
 
     Agreed on as the next version.
@@ -144,6 +149,10 @@
     except (OSError, ValueError, AttributeError) as error:
         raise click.ClickException(f"{file}: a JSON object was expected ({error})") from None
     body = {"settings": settings, "why": why, "voters": voters.split(",") if voters else None}
+    if added or removed:
+        members = dict(ask(address)["addresses"])
+        members |= dict(text.partition("=")[::2] for text in added)
+        body["members"] = {name: at for name, at in members.items() if name not in removed}
     status, text = call(address, "POST", "/control/fleet/publish", json.dumps(body).encode())
     if status != 202:
         raise click.ClickException(text.decode(errors="replace").strip() or f"{address}: {status}")
--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -98,6 +98,7 @@
     strict: bool = False  # without one it leaves service; else it serves on, and its acts are marked
     serve_ms: float = 0.0  # for so long
     local: bool = False  # whether a file of the node's own is let in at SIGHUP
+    trusted: bool = False  # whether its network is
 
 
 @dataclass(frozen=True)
@@ -434,24 +435,25 @@
         key = members.path(name)
         if not 1 <= len(name) <= NAME_MOST:
             raise ConfigError(key, name, f"a name of 1 to {NAME_MOST} characters")
-        host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-        host = host.strip("[]")
-        try:
-            here = ip_address(host).is_loopback
-        except ValueError:
-            raise ConfigError(key, value, "an IP address and a port") from None
-        if not (port.isdecimal() and 0 < int(port) < 65536):
-            raise ConfigError(key, value, "an IP address and a port")
-        if not (here or trusted):
-            raise ConfigError(key, value, "a loopback address, or trusted = true")
-        if (host, int(port)) in found.values():
+        address = member_address(key, value, trusted)
+        if address in found.values():
             raise ConfigError(key, value, "an address of its own")
-        found[name] = host, int(port)
+        found[name] = address
     period_ms = fleet.number("period_ms", 1000.0, least=20.0)
-    settings = FleetSettings(name=fleet.text("name"), members=found, period_ms=period_ms)
+    settings = FleetSettings(name=fleet.text("name"), members=found, period_ms=period_ms, trusted=trusted)
     return versions_from(fleet, settings)
 
 
+def member_address(key: str, value: object, trusted: bool) -> tuple[str, int]:
+    """Return the address of a member."""
+    found = address_from(value)
+    if found is None or not found[1]:
+        raise ConfigError(key, value, "an IP address and a port")
+    if not (trusted or ip_address(found[0]).is_loopback):
+        raise ConfigError(key, value, "a loopback address, or trusted = true")
+    return found
+
+
 def versions_from(fleet: Table, settings: FleetSettings) -> FleetSettings:
     """Read how a fleet has versions: with a folder for each node's ledger and voters, or not at all."""
     given = [
--- a/marlseam/fleet/content.py
+++ b/marlseam/fleet/content.py
@@ -18,6 +18,7 @@
 FORMAT = 1  # which this program writes, and the only one that it reads
 VOTERS = (3, 5, 7)  # how many a version may name; a fleet of fewer members has all of them
 COMMENTS = ("_", "//", "#")  # how keys begin that say nothing to a node
+MEMBERS_MOST = 1000
 OWN = ("zone",)  # of the settings: what each node has of its own
 
 
@@ -35,6 +36,7 @@
     why: str
     by: str
     settings: dict[str, Any]
+    members: dict[str, str] = {}  # who may belong, with addresses; none: those of each node's own settings
 
 
 DECODER = msgspec.json.Decoder(Content)
@@ -86,13 +88,10 @@
     return ""
 
 
-def stepwise(before: frozenset[str], voters: frozenset[str]) -> bool:
-    """Return whether voters change by one step: so that majorities of both share one that tells of the
-    change.
-
-    One comes, goes, or takes another's place; or two of one kind, as their number stays odd.
-    """
-    return len(voters - before) <= 2 and len(before - voters) <= 2 and bool(before & voters)
+def stepwise(before: frozenset[str], now: frozenset[str], most: int) -> bool:
+    """Return whether names change by one step: so many come or go, or one takes another's place."""
+    come, go = len(now - before), len(before - now)
+    return come + go <= most or come == go == 1
 
 
 def read(data: bytes, members: frozenset[str]) -> Content:
@@ -105,7 +104,9 @@
         raise Unfit(f"format {found.format}, this program reads {FORMAT}")
     if found.number < 1 or not (0 < len(found.why) <= TEXT_MOST and len(found.by) <= NAME_MOST):
         raise Unfit("number, why or by is out of bounds")
-    wrong = voters_fit(found.voters, members)
+    if len(found.members) > MEMBERS_MOST or not all(0 < len(name) <= NAME_MOST for name in found.members):
+        raise Unfit(f"members: up to {MEMBERS_MOST} names of 1 to {NAME_MOST} characters were expected")
+    wrong = voters_fit(found.voters, frozenset(found.members) or members)
     if wrong:
         raise Unfit(wrong)
     return found
--- a/marlseam/fleet/members.py
+++ b/marlseam/fleet/members.py
@@ -95,13 +95,7 @@
         self.fleet, self.me, self.seed, self.draws = fleet, me, seed, 0
         self.period_ms, self.now, self.looked_ms = period_ms, now, now
         self.own = Claim(0, life, Standing.HERE)
-        self.members = {name: Member(since_ms=now) for name in sorted(names - {me})}
-        self.names = sorted(self.members)
-        self.most = ceil(TELLINGS * log2(2.0 + len(self.members)))  # how often a change is passed on
-        # Orders of chance, made anew when one is used up: cost a letter does not grow with the fleet.
-        self.turn: list[str] = []  # of those that are there, to be pinged
-        self.turn_away: list[str] = []  # of those that are not
-        self.turn_old: list[str] = []  # of all that anything is held of, to be told of
+        self.members: dict[str, Member] = {}
         self.looks: dict[int, Look] = {}
         self.seq = self.health = 0
         self.news: dict[str, int] = {}  # members with news to pass on, and how often it was
@@ -109,6 +103,26 @@
         self.next_probe_ms = now
         self.effects: list[Effect] = []
         self.suspected: set[str] = set()
+        self.regroup(names)
+
+    def regroup(self, names: frozenset[str]) -> None:
+        """Take in who may belong from now on; of others nothing is kept."""
+        for name in self.members.keys() - names:
+            del self.members[name]
+            self.suspected.discard(name)
+            if self.news.pop(name, None) is not None:
+                self.telling.remove(name)
+            for member in self.members.values():
+                member.suspects.pop(name, None)
+        self.looks = {seq: look for seq, look in self.looks.items() if look.name in self.members}
+        for name in sorted(names - {self.me} - self.members.keys()):
+            self.members[name] = Member(since_ms=self.now)
+        self.names = sorted(self.members)
+        self.most = ceil(TELLINGS * log2(2.0 + len(self.members)))  # how often a change is passed on
+        # Orders of chance, made anew when one is used up: cost a letter does not grow with the fleet.
+        self.turn: list[str] = []  # of those that are there, to be pinged
+        self.turn_away: list[str] = []  # of those that are not
+        self.turn_old: list[str] = []  # of all that anything is held of, to be told of
 
     # Figures.
 
@@ -223,7 +237,8 @@
     def missed(self, look: Look) -> None:
         """Take in that a ping has no answer."""
         if look.asker:
-            self.say(look.asker, Kind.NACK, look.asker_seq, look.name)
+            if look.asker in self.members:
+                self.say(look.asker, Kind.NACK, look.asker_seq, look.name)
             return
         # Helpers that say nothing either speak against our own way, not against the member.
         self.health = min(HEALTH_MOST, self.health + min(1, look.nacks))
@@ -242,7 +257,9 @@
             # Another process under our name, or a letter of our own that came back.
             self.claimed(letter.own)
             return self.effects
-        member = self.members[letter.sender]
+        member = self.members.get(letter.sender)
+        if member is None:
+            return self.effects  # it belonged, or is to: others know it already, or still
         member.heard_ms = now
         self.take(Rumour(letter.sender, letter.own))
         for rumour in letter.rumours:
@@ -255,9 +272,9 @@
             look = self.looks.get(letter.seq)
             if look is not None and look.name == letter.about:
                 del self.looks[letter.seq]
-                if look.asker:
+                if look.asker in self.members:
                     self.say(look.asker, Kind.ACK, look.asker_seq, look.name)
-                else:
+                elif not look.asker:
                     self.health = max(0, self.health - 1)
         elif letter.kind == Kind.NACK:
             look = self.looks.get(letter.seq)
@@ -291,6 +308,8 @@
         if rumour.name == self.me:
             self.claimed(rumour.claim)
             return
+        if rumour.name not in self.members:
+            return
         member, claim = self.members[rumour.name], rumour.claim
         if member.claim is not None and claim <= member.claim:
             if claim == member.claim and claim.standing == Standing.SUSPECT and rumour.by:
--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -291,6 +291,10 @@
             content = read(self.contents[id], self.members)
             self.voters = frozenset(content.voters)
             self.unfit = self.check(content)
+            if content.members and not self.unfit:
+                self.members = frozenset(content.members)
+                self.others = sorted(self.members - {self.name})
+                self.peers = {name: peer for name, peer in self.peers.items() if name in self.members}
         except Unfit as error:
             self.unfit = str(error)
         self.let_go(number)
@@ -319,6 +323,8 @@
             return "hand"
         if self.disk:
             return "disk"
+        if self.name not in self.members:
+            return "removed"
         if self.unfit:
             # Not at once: by their own leases, one after another, where all are strict.
             ends = (
@@ -667,7 +673,8 @@
 
     def told(self, now: float, sender: str, say: Tell) -> list[Effect]:
         """Take in what another holds."""
-        self.peers[sender] = Peer(now, say.number, say.acting, say.serving, say.code, say.votes)
+        if sender in self.members:
+            self.peers[sender] = Peer(now, say.number, say.acting, say.serving, say.code, say.votes)
         effects: list[Effect] = []
         if say.number > self.number:
             if say.number > self.known:
--- a/marlseam/net/acting.py
+++ b/marlseam/net/acting.py
@@ -17,9 +17,9 @@
 from typing import Any
 
 from marlseam import __version__
-from marlseam.config import FleetSettings
+from marlseam.config import ConfigError, FleetSettings, member_address
 from marlseam.fleet import says
-from marlseam.fleet.content import FORMAT, Content, Unfit, meaning, read, voters_fit, write
+from marlseam.fleet.content import FORMAT, Content, Unfit, meaning, read, stepwise, voters_fit, write
 from marlseam.fleet.ledger import ACTS, Ended, Entry, Held, Kept, Life, Mark, encode
 from marlseam.fleet.ledger import Acting as Interval
 from marlseam.fleet.versions import Apply, Effect, Keep, Stand, Terms, To, Versions
@@ -87,9 +87,10 @@
     def __init__(
         self, loop: Loop, log: Log, settings: FleetSettings, name: str, life: int, seed: int, port: Port,
         send: Callable[[str, bytes], None],
+        regroup: Callable[[Mapping[str, str]], None] = lambda members: None,
     ) -> None:  # fmt: skip
         self.loop, self.log, self.settings, self.name = loop, log, settings, name
-        self.life, self.seed, self.port, self.send = life, seed, port, send
+        self.life, self.seed, self.port, self.send, self.regroup = life, seed, port, send, regroup
         self.machine: Versions | None = None
         self.stood, self.until_ms = Stand(False, False, "locked"), 0.0
         self.interval: Interval | None = None
@@ -123,9 +124,11 @@
                 self.pages.fail(code_of(error), error.strerror or str(error))
                 return None
         machine = self.machine
-        if not machine.acting:
-            return None
-        return read(machine.contents[machine.id], machine.members)
+        return self.held() if machine.acting else None
+
+    def held(self) -> Content:
+        """Return the content of the version held; raises Unfit."""
+        return read(self.machine.contents[self.machine.id], self.machine.members)
 
     def go_beside(self) -> bool:
         """Write beside the ledger while an old process of this node has it; return whether that can be."""
@@ -189,9 +192,12 @@
         if kept.bar is None and not self.beside:
             self.log.line("fleet code=lost: votes on nothing until it is known what it may have promised")
         self.unsaid.append((0, self.lived(now)))
-        if self.ready and self.machine.acting:
-            content = read(self.machine.contents[self.machine.id], self.machine.members)
-            self.port.apply(content.settings)
+        if self.machine.acting:
+            content = self.held()
+            if content.members:
+                self.regroup(content.members)
+            if self.ready:
+                self.port.apply(content.settings)
 
     def begin(self) -> None:
         """Begin to write, to ask and to tell; the node is built."""
@@ -243,6 +249,12 @@
 
     def wrong(self, content: Content) -> str:
         """Return what is wrong with a content here, or nothing."""
+        try:
+            for name, value in content.members.items():
+                if name not in self.settings.members:
+                    member_address(f"members.{name}", value, self.settings.trusted)
+        except ConfigError as error:
+            return str(error)
         return self.port.wrong(content.settings)
 
     def hear(self, data: bytes, names: frozenset[str]) -> None:
@@ -277,6 +289,8 @@
                 self.loop.spawn(self.keep(effect))
             elif type(effect) is Apply:
                 self.port.apply(effect.content.settings)
+                if effect.content.members:
+                    self.regroup(effect.content.members)
                 self.log.line(f"acts on version {effect.number}, {effect.id[:12]}: {effect.content.why}")
                 self.until_ms = 0.0
             elif type(effect) is Said:
@@ -421,35 +435,57 @@
         try:
             given = json.loads(body)
             settings, why = given["settings"], given["why"]
-            voters = given.get("voters") or sorted(machine.voters)
+            voters, members = given.get("voters"), given.get("members")
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             return 400, f"settings and why were expected ({error!r})\n"
         if not (isinstance(settings, dict) and isinstance(why, str) and 0 < len(why) <= says.TEXT_MOST):
             return 400, f"settings, and why in up to {says.TEXT_MOST} characters, were expected\n"
-        if not (isinstance(voters, list) and all(isinstance(name, str) for name in voters)):
+        names = isinstance(voters, list) and all(isinstance(name, str) for name in voters)
+        if voters is not None and not names:
             return 400, "voters: a list of members' names was expected\n"
-        wrong = voters_fit(voters, machine.members) or self.port.wrong(settings)
+        if members is not None and not (isinstance(members, dict) and members):
+            return 400, "members: an object of names and addresses was expected\n"
+        wrong = self.step_wrong(frozenset(voters or machine.voters), frozenset(members or machine.members))
         if wrong:
             return 400, f"{wrong}\n"
-        if machine.number and self.same(settings, voters):
+        number, held = machine.number + 1, self.members()
+        names = sorted(voters or machine.voters)
+        content = Content(FORMAT, number, machine.id, names, why, self.name, settings, members or held)
+        if machine.number and self.same(content):
             return 409, f"version {machine.number} says the same\n"
-        number = machine.number + 1
-        content = Content(FORMAT, number, machine.id, sorted(voters), why, self.name, settings)
         try:
             data = write(content)
+            wrong = self.wrong(read(data, machine.members))
         except Unfit as error:
-            return 400, f"{error}\n"
+            wrong = str(error)
+        if wrong:
+            return 400, f"{wrong}\n"
         self.act(machine.publish(self.loop.now(), content, data))
         return (409 if machine.result.startswith("busy") else 202), f"version {number}: {machine.result}\n"
 
-    def same(self, settings: Mapping[str, Any], voters: list[str]) -> bool:
+    def members(self) -> dict[str, str]:
+        """Return the members that the version held names, if it names any."""
+        try:
+            return dict(self.held().members) if self.machine.number else {}
+        except Unfit:
+            return {}
+
+    def step_wrong(self, voters: frozenset[str], members: frozenset[str]) -> str:
+        """Return what is wrong with voters and members after the present ones, or nothing."""
+        if not stepwise(self.machine.voters, voters, 2):
+            return f"voters {sorted(voters)}: two more or less, or one in another's place, were expected"
+        if not stepwise(self.machine.members, members, 1):
+            return f"members {sorted(members)}: one more, less, or in another's place was expected"
+        return voters_fit(sorted(voters), members)
+
+    def same(self, content: Content) -> bool:
         """Return whether the version held says this already."""
-        machine = self.machine
         try:
-            held = read(machine.contents[machine.id], machine.members)
+            held = self.held()
         except Unfit:
             return False
-        return meaning(held.settings) == meaning(settings) and set(held.voters) == set(voters)
+        alike = meaning(held.settings) == meaning(content.settings) and held.members == content.members
+        return alike and set(held.voters) == set(content.voters)
 
     def by_hand(self, why: str | None) -> tuple[int, str]:
         """Shut this node out by an operator's word, or bring it back; it holds across restarts."""
@@ -475,7 +511,8 @@
             "listed": held.listed, "interval": held.interval, "since_ms": round(now - held.mono_ms),
             "serving": stood.acts, "proved": stood.proved, "code": stood.code,
             "proof_age_ms": round(age) if age < now + 1e12 else None, "lease_ms": round(machine.lease_ms()),
-            "voters": sorted(machine.voters), "votes": machine.votes(machine.number + 1),
+            "members": self.members(), "voters": sorted(machine.voters),
+            "votes": machine.votes(machine.number + 1),
             "unfit": machine.unfit, "hand": machine.hand, "disk": machine.disk,
             "local": bool(machine.acting) and held.meaning != self.shared_meaning(),
             "ledger": str(self.pages.path), "publication": machine.result, "agreeing": open_id,
@@ -488,7 +525,7 @@
     def shared_meaning(self) -> str:
         """Return the digest of the meaning of the version held."""
         try:
-            return meaning(read(self.machine.contents[self.machine.id], self.machine.members).settings)
+            return meaning(self.held().settings)
         except Unfit:
             return ""
 
--- a/marlseam/net/peers.py
+++ b/marlseam/net/peers.py
@@ -10,11 +10,12 @@
 import socket
 import time
 from collections import Counter
+from collections.abc import Mapping
 from math import inf
 from typing import TYPE_CHECKING
 
 from marlseam import __version__
-from marlseam.config import FleetSettings
+from marlseam.config import FleetSettings, member_address
 from marlseam.fleet.members import Changed, Effect, Members, Say
 from marlseam.fleet.words import LETTER_MOST, Odd, Standing, read, write
 from marlseam.net.log import Log
@@ -38,7 +39,9 @@
         self, loop: Loop, log: Log, settings: FleetSettings, name: str, seed: int, port: Port | None = None
     ) -> None:
         self.loop, self.log, self.settings, self.name, self.seed = loop, log, settings, name, seed
-        self.names = frozenset(settings.members)
+        self.names = frozenset(settings.members)  # that are read; one that belonged is told why it does not
+        self.addresses = dict(settings.members)
+        self.belong: frozenset[str] | None = None  # by a version; else as the settings have it
         self.dropped: Counter[str] = Counter()  # what was no letter of ours, by code
         self.sent = self.came = self.sent_bytes = self.came_bytes = 0
         # A life's number need only differ from an earlier one's: incarnations order them.
@@ -48,7 +51,7 @@
             # Imported here: a node of a fleet without versions needs nothing of it.
             from marlseam.net.acting import Acting
 
-            self.acting = Acting(loop, log, settings, name, self.life, seed, port, self.send)
+            self.acting = Acting(loop, log, settings, name, self.life, seed, port, self.send, self.regroup)
         self.machine = self.machine_now()
         self.sock: socket.socket | None = None
         self.closed, self.timer = False, loop.at(loop.now(), lambda: None)
@@ -80,11 +83,23 @@
             self.loop.at(self.loop.now() + min(AGAIN_MS, self.settings.period_ms), self.join)
             return
         self.sock, self.machine = sock, self.machine_now()
+        if self.belong is not None:
+            self.machine.regroup(self.belong)
         self.loop.spawn(self.listen())
         self.tick()
         if self.acting is not None:
             self.acting.joined()
 
+    def regroup(self, members: Mapping[str, str]) -> None:
+        """Take in who may belong by a version; an address of the node's own settings goes before it."""
+        for name, value in members.items():
+            if name not in self.settings.members:
+                self.addresses[name] = member_address(f"members.{name}", value, self.settings.trusted)
+        self.names |= members.keys()
+        self.belong = frozenset(members)
+        self.machine.regroup(self.belong)
+        self.log.line(f"the fleet is of {len(members)} members")
+
     def listen(self) -> Coroutine:
         """Take in letters, some in each turn of the loop."""
         while True:
@@ -145,7 +160,7 @@
         if self.sock is None:
             return
         try:
-            self.sock.sendto(data, self.settings.members[to])
+            self.sock.sendto(data, self.addresses[to])
         except OSError:
             self.dropped["unsent"] += 1
             return
@@ -180,6 +195,8 @@
             "letters": {"sent": self.sent, "came": self.came, "bytes_sent": self.sent_bytes,
                         "bytes_came": self.came_bytes, "left_out": dict(self.dropped)},
             "members": sorted(rows, key=lambda row: row["name"]),
+            "addresses": {name: "{}:{}".format(*self.addresses[name])
+                          for name in (self.belong or self.settings.members)},
         }  # fmt: skip
         if self.acting is not None:
             told["acting"] = self.acting.status()
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -22,7 +22,8 @@
 from marlseam.fleet.ledger import Barred, Begun, Ended, Handed, Held, Kept, Life, Mark, Promises, encode
 from marlseam.fleet.says import Kind, Note, Piece, Tell, Vote, Want
 from marlseam.fleet.versions import Apply, Keep, Terms, To, Versions
-from marlseam.fleet.words import Odd
+from marlseam.fleet.words import Claim, Letter, Odd
+from marlseam.fleet.words import Kind as LetterKind
 from marlseam.net.acting import Acting, Port
 from marlseam.net.log import Log
 from marlseam.net.node import Node
@@ -755,3 +756,38 @@
     twin.begin()
     assert not twin.may_take() and "code=locked" in capsys.readouterr().err
     twin.pages.leave()
+
+
+def test_members_come_and_go_by_publishing_one_at_a_time(fleet, loop, until, tmp_path):
+    until(lambda: all(stage.serving for _, stage in fleet.values()))
+    a, settings = fleet["a"][0], dict(OPTIONS)
+
+    def publish(**more):
+        body = json.dumps({"settings": settings, "why": "w"} | more).encode()
+        return a.acting.publish(body)
+
+    addresses = json.loads(a.status())["addresses"]
+    two_more = addresses | {"d": "127.0.0.1:9", "e": "127.0.0.1:8"}
+    assert publish(members=two_more)[0] == 400 and publish(members=addresses | {"d": "10.0.0.1:9"})[0] == 400
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        address = sock.getsockname()
+    members = addresses | {"d": "{}:{}".format(*address)}
+    assert publish(members=members)[0] == 202
+    until(lambda: all("d" in peers.machine.members for peers, _ in fleet.values()))
+    first_life(tmp_path / "d", "d")
+    joining = FleetSettings("f", a.settings.members | {"d": address}, 20.0, str(tmp_path / "d"), tuple("abc"),
+                            300.0, True, 3000.0)  # fmt: skip
+    stage = Stage()
+    fleet["d"] = Peers(loop, Log("d", loop.now), joining, "d", 4, stage.port()), stage
+    fleet["d"][0].acting.load()
+    fleet["d"][0].acting.begin()
+    until(lambda: stage.serving and fleet["d"][0].acting.machine.acting == 1)
+    until(lambda: not a.acting.machine.publication)
+    assert publish(members={n: x for n, x in members.items() if n != "d"}, why="too many")[0] == 202
+    until(lambda: all("d" not in peers.machine.members for n, (peers, _) in fleet.items() if n != "d"))
+    until(lambda: fleet["d"][0].acting.stood.code == "removed" and not stage.serving)
+    assert a.machine.heard(loop.now(), LETTER) == []
+
+
+LETTER = Letter(1, "f", "d", Claim(0, 1, 0), LetterKind.PING, 1, "")
