Odd clocks in the rig; the audit brings lives of one machine onto one scale of time

Cause: with a wall clock an hour off, the audit called 367 acts past the bound that were not; a closed channel's number stayed known to the loop. Change: a life tells its machine's zero, the audit shifts by it; stand-in for a clock that runs fast or slow and a wall clock that jumps; fleet-scale measures versions and memory, fleet-cost includes versions and ledger.

--- a/marlseam/experiment/fleet.py
+++ b/marlseam/experiment/fleet.py
@@ -19,6 +19,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
 from math import inf
@@ -34,9 +35,14 @@
 from marlseam.experiment.sockets import Sockets
 from marlseam.fleet import hunt, says
 from marlseam.fleet.hunt import FAULTS, detect_ms, heal_ms
+from marlseam.fleet.ledger import Kept
 from marlseam.fleet.members import HEALTH_MOST, Members
-from marlseam.fleet.words import Kind, Odd, read
+from marlseam.fleet.says import Tell
+from marlseam.fleet.trial import Trial
+from marlseam.fleet.versions import Terms, Versions
+from marlseam.fleet.words import Claim, Kind, Odd, Rumour, read
 from marlseam.load.process import arrivals_of
+from marlseam.standin import clocks
 from marlseam.store.ledger import first_life
 from marlseam.world.model import Count, Day, NotNegative, Positive, Share, Strict, nodes, settings
 
@@ -70,6 +76,9 @@
     lease_ms: Positive = 2000.0
     past_lease: Literal["serve", "strict"] = "strict"
     older: list[str] = []  # nodes that run as an older program does
+    clocks: dict[
+        str, float
+    ] = {}  # nodes whose clock runs at another rate, and whose wall clock jumps at starts
 
 
 def reserved() -> str:
@@ -155,6 +164,18 @@
             shutil.rmtree(self.ledger(name), ignore_errors=True)
             first_life(self.ledger(name), name)
 
+    def module(self, name: str) -> str:
+        """Return what a node runs as."""
+        odd = "older" if name in self.table.older else "clocks" if name in self.table.clocks else ""
+        return f"marlseam.standin.{odd}" if odd else "marlseam"
+
+    def env(self, name: str) -> dict[str, str]:
+        """Return what a node finds in its environment."""
+        rate = self.table.clocks.get(name)
+        # An hour on and back by turns, from start to start.
+        jump = 3.6e6 * (-1) ** sum(spell[0] == name for spell in self.spells)
+        return {} if rate is None else {clocks.VARIABLE: f"{rate} {jump}"}
+
     def between_lives(self, name: str) -> None:
         """Set a node's folder back, or lose it, before it starts again."""
         how = self.replace.pop(name, "")
@@ -384,7 +405,7 @@
     rig = Rig([name for name, _ in nodes(day)], table, seed, out)
     driver = rig.driver = Sockets(
         day, seed, out, more=rig.settings, prepare=rig.prepare, between=rig.between_lives,
-        module=lambda name: "marlseam.standin.older" if name in table.older else "marlseam",
+        module=rig.module, env=rig.env,
         shared=any(fault.fault == "upgrade" for fault in table.faults),
     )  # fmt: skip
     healed: list[float] = []
@@ -505,14 +526,60 @@
     }  # fmt: skip
 
 
+def memory_kb(count: int) -> float:
+    """Return what a node of so many names holds for its fleet, all of them heard of, in kB."""
+    names = frozenset(f"n{i}" for i in range(count))
+    tracemalloc.start()
+    try:
+        before = tracemalloc.get_traced_memory()[0]
+        machine = Members("scale", "n0", names, 0, 0, hunt.PERIOD_MS, 0.0)
+        for name in names - {"n0"}:
+            machine.take(Rumour(name, Claim(0, 1, 0)))
+        terms = Terms(frozenset(list(names)[:3]), hunt.PERIOD_MS, 15.0 * hunt.PERIOD_MS, True, 0.0)
+        versions = Versions("n0", names, terms, "n0/1", 0, 0.0, Kept())
+        for name in names - {"n0"}:
+            versions.told(0.0, name, Tell(0, 0, "", 0, True, "", 0, 0, True, -1.0))
+        return (tracemalloc.get_traced_memory()[0] - before) / 1024.0
+    finally:
+        tracemalloc.stop()
+
+
+def one_version(count: int, loss: float, seed: int, table: Sizes) -> dict[str, float]:
+    """Publish in one fleet, and tell how long it took until all act on it, and what was said."""
+    world = Trial(count, seed, [], voters=min(7, count), loss=loss)
+    world.run(1000.0 * table.calm_s)
+    before = sum(seat.letters for seat in world.seats.values()), sum(s.bytes for s in world.seats.values())
+    proved = sum(seat.machine.proved(world.local(seat)) for seat in world.seats.values())
+    world.run(2000.0 * table.calm_s)
+    spent = count * table.calm_s
+    letters = sum(seat.letters for seat in world.seats.values()) - before[0]
+    size = sum(seat.bytes for seat in world.seats.values()) - before[1]
+    world.publish("n7", 1)
+    asked = world.now
+    world.run(asked + 1000.0 * table.watched_s)
+    took = sorted(world.acting_at.get((name, 1), inf) - asked for name in world.names)
+    return {
+        "not_acting": float(sum(t == inf for t in took)), "act_median_s": took[len(took) // 2] / 1000.0,
+        "act_p99_s": took[int(0.99 * (len(took) - 1))] / 1000.0, "act_most_s": took[-1] / 1000.0,
+        "unproved": float(count - proved), "notes": letters / spent, "note_bytes": size / spent,
+        "versions_wrong": float(len(world.wrong)),
+    }  # fmt: skip
+
+
 @play("fleet_scale")
 def fleet_scale(experiment: Experiment, out: Path, say: Say) -> Played:
     """Measure membership by the fleet's size and the share of letters that are lost, in virtual time."""
     table: Sizes = experiment.tables["fleet_scale"]
     rows = [["members", "loss", "gone at half, s", "99%, s", "all, s", "bound, s", "not told", "false words",
              "letters a node and s", "bytes", "CPU, s"]]  # fmt: skip
+    head = "members;loss;half act on a new version after, s;99%, s;all, s;not;notes a node and s;"
+    versions = [(head + "bytes a node and s, in all;memory a node, kB").split(";")]
     found: dict[str, float] = {}
     with ProcessPoolExecutor() as pool:
+        spread = {
+            (count, loss): pool.submit(one_version, count, loss, experiment.head.seed, table)
+            for count in table.nodes for loss in table.loss
+        }  # fmt: skip
         runs = {
             (count, loss): pool.submit(one_size, count, loss, experiment.head.seed, table)
             for count in table.nodes for loss in table.loss
@@ -539,8 +606,19 @@
                 for key in ("false", "not_told"):
                     found[key] = found.get(key, 0.0) + seen[key]
                 found["nearest"] = max(found.get("nearest", 0.0), seen["most_s"] / bound)
-            found["bytes_most"] = max(found.get("bytes_most", 0.0), seen["bytes"])
-    return Played(found, tables=[("Members by size and loss", rows)], driver="virtual")
+            acts = spread[count, loss].result()
+            found |= {f"n{count}_loss{round(100 * loss)}_{key}": value for key, value in acts.items()}
+            for key in ("not_acting", "unproved", "versions_wrong"):
+                found[key] = found.get(key, 0.0) + acts[key]
+            total = seen["bytes"] + acts["note_bytes"]
+            found["bytes_most"] = max(found.get("bytes_most", 0.0), total)
+            found["memory_kb_most"] = max(found.get("memory_kb_most", 0.0), memory_kb(count))
+            times = [f"{acts[key]:.1f}" for key in ("act_median_s", "act_p99_s", "act_most_s")]
+            others = [f"{acts['not_acting']:.0f}", f"{acts['notes']:.1f}", f"{total:.0f}"]
+            versions.append([str(count), f"{loss:.0%}", *times, *others, f"{memory_kb(count):.0f}"])
+    return Played(
+        found, tables=[("Members by size and loss", rows), ("Versions", versions)], driver="virtual"
+    )
 
 
 class Cost(Strict):
@@ -565,10 +643,19 @@
         for name in ("off", "on") if i % 2 == 0 else ("on", "off"):
             say(f"pair {i + 1}, the fleet {name}")
             members = "\n".join(f'{n} = "{reserved()}"' for n in names)
-            own = f'[fleet]\nname = "cost"\nperiod_ms = {table.period_ms:g}\n[fleet.members]\n{members}\n'
             where = out / f"{name}-{i + 1}"
-            settings = own if name == "on" else ""
-            driver = Sockets(day, seed, where, more=lambda _, settings=settings: ({}, settings))
+            shutil.rmtree(where / "ledgers", ignore_errors=True)
+
+            def own(node: str, members: str = members, where: Path = where, on: bool = name == "on") -> tuple:
+                ledger = where / "ledgers" / node
+                if not on:
+                    return {}, ""
+                if not ledger.exists():
+                    first_life(ledger, node)
+                head = f'[fleet]\nname = "cost"\nperiod_ms = {table.period_ms:g}\nfolder = "{ledger}"\n'
+                return {}, f"{head}voters = {json.dumps(names[:3])}\n[fleet.members]\n{members}\n"
+
+            driver = Sockets(day, seed, where, more=own)
             driver.run(arrivals)
             played = plays.judged(*records.read_folder(where / "records"), driver="sockets")
             cpu[name] = 1000.0 * sum(driver.cpu_s.values()) / max(1.0, played.figures["completed"])
--- a/marlseam/experiment/recovering.py
+++ b/marlseam/experiment/recovering.py
@@ -104,7 +104,8 @@
     env = {FAULTS: msgspec.json.encode(faults).decode(), OVER: str(over)}
     try:
         played, _, driver = on_sockets(
-            day, experiment.head.seed, out, own=own, module=lambda name: "marlseam.standin.disk", env=env,
+            day, experiment.head.seed, out, own=own,
+            module=lambda name: "marlseam.standin.disk", env=lambda name: env,
             between=lambda name: damage(out / "state" / name, next(starts), case.torn),
         )  # fmt: skip
     finally:
--- a/marlseam/experiment/sockets.py
+++ b/marlseam/experiment/sockets.py
@@ -50,7 +50,7 @@
         prepare: Callable[[str, dict[str, str]], None] | None = None,
         between: Callable[[str], None] | None = None,
         module: Callable[[str], str] = lambda name: "marlseam",
-        env: dict[str, str] | None = None,
+        env: Callable[[str], dict[str, str]] = lambda name: {},
         more: Callable[[str], tuple[dict, str]] | None = None,
         shared: bool = False,
     ) -> None:
@@ -115,12 +115,12 @@
             settings_path.write_text(own.format(folder=self.out / "state" / name))
             words += ["--settings", str(settings_path)]
         self.began_s = time.monotonic()
-        env, keep = self.env, ()
+        env, keep = self.env(name), ()
         if self.shared:
             folder = self.out / "shared" / name
             folder.mkdir(parents=True, exist_ok=True)
             keep = (self.doors[name].fileno(),)
-            env = (env or {}) | {SOCKET: str(keep[0]), FOLDER: str(folder)}
+            env = env | {SOCKET: str(keep[0]), FOLDER: str(folder)}
         process = Process(words, log, env, self.profile, self.module(name), keep)
         self.started.append(process)
         end = time.monotonic() + 30.0
--- a/marlseam/fleet/audit.py
+++ b/marlseam/fleet/audit.py
@@ -8,6 +8,8 @@
 from dataclasses import dataclass, field
 from math import inf
 
+from msgspec.structs import replace
+
 from marlseam.fleet.ledger import ACTS, Acting, Ended, Entry, Held, Life, Mark
 
 TOLD = ("life", "interval", "program", "number", "id", "meaning", "listed", "proved", "serving", "code")
@@ -33,6 +35,7 @@
     ended: bool = False
     whole: bool = True  # whether its first interval is in what is kept
     unknown: tuple[float, float] | None = None  # from when to when acts may be missing
+    shift_ms: float = 0.0  # onto its machine's scale of time, whatever its wall clock was set to
 
 
 @dataclass
@@ -42,6 +45,9 @@
     lives: dict[str, list[Lived]] = field(default_factory=dict)  # by node, in order
     held: dict[int, dict[str, float]] = field(default_factory=dict)  # by number and id: first held, anywhere
     wrong: list[str] = field(default_factory=list)
+    zeros: dict[str, float] = field(
+        default_factory=dict
+    )  # by start of a machine: the Unix time it counts from
 
 
 def read(
@@ -62,17 +68,24 @@
 def lives_of(audit: Audit, node: str, chains: list[list[Entry]]) -> list[Lived]:
     """Return a node's processes, in the order of their begin."""
     found: dict[int, Lived] = {}
+    told: set[tuple[int, str]] = set()
     for entries in chains:
         lived, first, before = None, True, dict[tuple[int, int], tuple[int, ...]]()
         for entry in entries:
             if type(entry) is Life:
                 known = entry.life in found  # also from another chain: it moved on when the node was its own
-                lived = found.setdefault(entry.life, Lived(entry, last_ms=entry.wall_ms))
+                shift = audit.zeros.setdefault(entry.boot, entry.zero_ms) - entry.zero_ms
+                began = replace(entry, wall_ms=entry.wall_ms + shift)
+                lived = found.setdefault(entry.life, Lived(began, last_ms=began.wall_ms, shift_ms=shift))
                 # A file that is the oldest kept begins in the middle of a life.
                 lived.whole = lived.whole if known else not first
             elif type(entry) is Held and entry.wall_ms:
-                ids = audit.held.setdefault(entry.number, {})
-                ids[entry.id] = min(ids.get(entry.id, inf), entry.wall_ms)
+                if (entry.number, entry.id) not in told:
+                    # Told once: later files begin with it again, and not on their own life's scale.
+                    told.add((entry.number, entry.id))
+                    ids = audit.held.setdefault(entry.number, {})
+                    at_ms = entry.wall_ms + (lived.shift_ms if lived is not None else 0.0)
+                    ids[entry.id] = min(ids.get(entry.id, inf), at_ms)
             elif lived is not None:
                 note(audit, node, found, before, entry)
             first = first and type(entry) is not Ended and lived is None
@@ -87,6 +100,7 @@
     lived = found.get(getattr(entry, "life", -1))
     if lived is None:
         return
+    entry = replace(entry, wall_ms=entry.wall_ms + lived.shift_ms)
     lived.last_ms = max(lived.last_ms, entry.wall_ms)
     if type(entry) is Acting:
         held = lived.spans.setdefault(entry.interval, Span(entry))
--- a/marlseam/net/acting.py
+++ b/marlseam/net/acting.py
@@ -174,7 +174,7 @@
         """Return what tells of this life."""
         began, wall = now - self.began_ms, self.wall()
         return Life(self.life, __version__, self.pages.era.boot, wall - began, now - began,
-                    self.settings.lease_ms, self.beside)  # fmt: skip
+                    self.settings.lease_ms, self.beside, self.pages.era.zero_ms)  # fmt: skip
 
     def take_in(self, kept: Kept) -> None:
         """Begin with what the ledger holds."""
--- a/marlseam/store/scribe.py
+++ b/marlseam/store/scribe.py
@@ -166,7 +166,7 @@
             self.channel.sendall(bytes(self.out) + HEAD.pack(END, 0))
         with contextlib.suppress(subprocess.TimeoutExpired):
             self.process.wait(2.0)
-        self.channel.close()
+        self.loop.close(self.channel)
         self.channel = None
 
     # Entries.
