--- a/marlseam/__main__.py
+++ b/marlseam/__main__.py
@@ -16,7 +16,7 @@
 
 OWN = click.option("--settings", "own", help="The operator's own settings, else by MARLSEAM_SETTINGS.")
 GROUPS = {  # of marlseam/cli: imported only when named, so that a node stays small
-    "fleet": "See who of a fleet is there; search for what breaks its bounds.",
+    "fleet": "See who of a fleet is there and acts on what; publish; audit; search for what breaks bounds.",
     "experiment": "Run experiments, list and compare them.",
     "load": "Send load to nodes; write traces.",
     "standin": "Run parts of the world on loopback.",
@@ -81,10 +81,12 @@
 @CONFIG
 @OWN
 def check(path: str | None, own: str | None) -> None:
-    """Read a configuration and say what it holds; a state folder is tried."""
+    """Read a configuration and say what it holds; folders for state and ledger are tried."""
     config = configuration.load(path, own=own)
     if config.store is not None:
         importlib.import_module("marlseam.store.check").test(config.store, config.name)
+    if config.fleet is not None and config.fleet.folder is not None:
+        importlib.import_module("marlseam.store.check").test_ledger(config.fleet, config.name)
     deployment = config.deployment
     print(f"{config.name} listens on {config.listen[0]}:{config.listen[1]}", end=", ")
     print(f"{len(deployment.types)} project types, {len(deployment.kinds)} kinds: good")
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -4,6 +4,8 @@
 import os
 import resource
 import socket
+import subprocess
+import sys
 from math import inf
 
 import msgspec
@@ -680,7 +682,8 @@
         os.close(node.acting.pages.lock)
 
     yield start, stop, path
-    stop(made[-1])
+    for node in made[-1:]:
+        stop(node)
 
 
 def turned(node, done):
@@ -791,3 +794,14 @@
 
 
 LETTER = Letter(1, "f", "d", Claim(0, 1, 0), LetterKind.PING, 1, "")
+
+
+def test_check_tries_the_ledgers_folder(single):
+    _, _, path = single
+    words = [sys.executable, "-m", "marlseam", "check", "--config", str(path), "--settings"]
+    own = path.with_name("own.toml")
+    good = subprocess.run([*words, str(own)], capture_output=True, text=True, timeout=60)
+    assert good.returncode == 0 and "version 0, votes" in good.stdout
+    own.write_text(own.read_text().replace(f"{path.parent}/ledger", "/proc/no"))
+    bad = subprocess.run([*words, str(own)], capture_output=True, text=True, timeout=60)
+    assert bad.returncode == 2 and "fleet.folder" in bad.stderr
