--- a/marlseam/cli/fleet.py
+++ b/marlseam/cli/fleet.py
@@ -3,7 +3,6 @@
 Searches for what breaks bounds.
 """
 
-import http.client
 import json
 import sys
 import time
@@ -12,6 +11,7 @@
 import click
 
 from marlseam.cli.audit import audit
+from marlseam.cli.door import ask, call
 from marlseam.cli.tables import table
 from marlseam.store.folder import code_of
 from marlseam.store.ledger import first_life
@@ -27,26 +27,6 @@
 group.add_command(audit)
 
 
-def call(address: str, method: str, path: str, body: bytes = b"") -> tuple[int, bytes]:
-    """Return what a node answers at its operators' door."""
-    host, _, port = address.rpartition(":")
-    try:
-        door = http.client.HTTPConnection(host.strip("[]"), int(port), timeout=3.0)
-        door.request(method, path, body)
-        answer = door.getresponse()
-        return answer.status, answer.read()
-    except (OSError, ValueError, http.client.HTTPException) as error:
-        raise click.ClickException(f"{address}: {error}") from None
-
-
-def ask(address: str) -> dict:
-    """Return what a node says of its fleet."""
-    status, body = call(address, "GET", "/control/fleet")
-    if status != 200:
-        raise click.ClickException(f"{address}: {status}, a node with a door and a fleet was expected")
-    return json.loads(body)
-
-
 def aged(ms: float | None) -> str:
     """Return an age for people."""
     if ms is None:
--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -117,7 +117,7 @@
     known: dict[str, Any]
     deployment: Deployment
     shape: dict[str, Any]  # the keys of the file
-    settings: dict[str, Any]  # the deployment's, as they are in force
+    settings: dict[str, Any]  # the deployment's, as they are in force, where a fleet has to know
     admin: tuple[str, int] | None = None  # the operators' door, if there is one
     socket_fd: int | None = None  # the clients' listening socket, where the platform hands it on
     folder: str | None = None  # that processes of one node share, with the socket
@@ -585,7 +585,7 @@
         known=dict(top.table("known", {}).values),
         deployment=deployment_from(settings.values, before=before.deployment if before else None, whole=True),
         shape=shape_of(values),
-        settings=dict(settings.values),
+        settings=dict(settings.values) if fleet is not None else {},
         admin=address(in_force, "admin", env) if in_force["admin"] else None,
         socket_fd=before.socket_fd if before is not None else descriptor(env.get(SOCKET)),
         folder=before.folder if before is not None else env.get(FOLDER),
--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -233,13 +233,13 @@
         return crc32(b"%d:%d" % (self.seed, self.draws)) / 2.0**32
 
     def some(self, count: int) -> list[str]:
-        """Return so many other members at random, or all."""
-        pool, found = list(self.others), []
-        while pool and len(found) < count:
-            at = int(self.chance() * len(pool))
-            pool[at], pool[-1] = pool[-1], pool[at]
-            found.append(pool.pop())
-        return found
+        """Return so many other members at random, or all; as cheap in a large fleet."""
+        if len(self.others) <= count:
+            return list(self.others)
+        found: dict[str, None] = {}
+        while len(found) < count:
+            found[self.others[int(self.chance() * len(self.others))]] = None
+        return list(found)
 
     def keep(self, entries: tuple[Entry, ...], then: Callable[[float], list[Effect]]) -> Keep:
         """Return the wish to have something durable, and note what follows."""
