Lending of a fleet's limit as a pure machine, looked at in every interleaving

Cause: every limit is a node's own (40): what dead or idle nodes have is used by nobody. Not joined to the node yet.

--- a/marlseam/cli/fleet.py
+++ b/marlseam/cli/fleet.py
@@ -216,14 +216,17 @@
 
 @group.command()
 @click.option("--depth", default=10, show_default=True, type=click.IntRange(1, 40), help="Steps, at most.")
-def explore(depth: int) -> None:
-    """Look at every interleaving of three voters and two operators.
+@click.option("--lending", is_flag=True, help="Of a limit lent between three members, in place of agreement.")
+def explore(depth: int, lending: bool) -> None:
+    """Look at every interleaving of three voters, two operators and one that asks, or of lending.
 
-    Ends with 1 if a number gets two contents. A step is one process's: hear a message, begin, take some
-    promises, restart. States grow threefold a step.
+    Ends with 1 if a number gets two contents, a proof says what is not so, or members may use more than their
+    limit. A step is one process's. States grow threefold a step.
     """
-    from marlseam.fleet import explore as search
+    from marlseam.fleet import explore as agreement
+    from marlseam.fleet import explore_lending
 
+    search = explore_lending if lending else agreement
     found = search.explore(depth, tell=lambda level, states: click.echo(f"{level} steps: {states} states"))
     for name in found.way:
         click.echo(f"  {name}")
--- a/marlseam/fleet/explore.py
+++ b/marlseam/fleet/explore.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable, Iterator
 from itertools import combinations
 from typing import NamedTuple
-from zlib import crc32
 
+from marlseam.fleet import search
 from marlseam.fleet.agree import (
     NONE,
     Accept,
@@ -27,6 +27,7 @@
     Proposer,
     majority,
 )
+from marlseam.fleet.search import Explored
 
 NUMBER = 2  # the number that is agreed on
 
@@ -214,14 +215,6 @@
     return rules.proves(clear) and rules.claims(state)
 
 
-class Explored(NamedTuple):
-    """How many states there were, to what depth all of them, and a way to a broken one, if there is one."""
-
-    states: int
-    depth: int
-    way: list[str]
-
-
 def explore(
     depth: int,
     rules: Rules | None = None,
@@ -230,36 +223,9 @@
 ) -> Explored:
     """Look at each state up to a depth, nearest first."""
     rules = rules or Rules()
-    first = beginning(rules)
-    came: dict[State, tuple[State, str] | None] = {first: None}
-    layer = [first]
-    for level in range(1, depth + 1):
-        following = []
-        for state in layer:
-            for name, new in steps(state, rules):
-                if new in came:
-                    continue
-                came[new] = state, name
-                if broken(new, rules):
-                    return Explored(len(came), level, way(came, new))
-                following.append(new)
-            if len(came) > states_most:
-                return Explored(len(came), level - 1, [])
-        layer = following
-        if tell is not None:
-            tell(level, len(came))
-        if not layer:
-            return Explored(len(came), level, [])
-    return Explored(len(came), depth, [])
-
-
-def way(came: dict[State, tuple[State, str] | None], state: State) -> list[str]:
-    """Return the steps that lead to a state."""
-    found = []
-    while (before := came[state]) is not None:
-        state, name = before
-        found.append(name)
-    return found[::-1]
+    return search.explore(
+        beginning(rules), lambda s: steps(s, rules), lambda s: broken(s, rules), depth, states_most, tell
+    )
 
 
 def after(path: list[str], rules: Rules) -> State:
@@ -274,15 +240,6 @@
 
 
 def wander(walks: int, length: int, rules: Rules, first: State | None = None, seed: int = 1) -> list[str]:
-    """Go ways of chance; return one that leads to a broken state, or none: `explore` does not come as far."""
-    for walk in range(walks):
-        state, gone = first or beginning(rules), list[str]()
-        for at in range(length):
-            following = sorted(steps(state, rules), key=lambda step: step[0])
-            if not following:
-                break
-            name, state = following[crc32(b"%d:%d:%d" % (seed, walk, at)) % len(following)]
-            gone.append(name)
-            if broken(state, rules):
-                return gone
-    return []
+    """Go ways of chance; return one that leads to a broken state, or none."""
+    begin = first or beginning(rules)
+    return search.wander(begin, lambda s: steps(s, rules), lambda s: broken(s, rules), walks, length, seed)
