A fleet's node asks by the size of the fleet, and marks its acts each second

Change: asks by log10 of the members, marks each second, the scribe writes at once where it can, a look with nothing new is three comparisons.

--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from math import inf
+from math import ceil, inf, log10
 from typing import NamedTuple
 from zlib import crc32
 
@@ -33,7 +33,6 @@
 
 DRIFT = 0.001  # by which a clock may run fast or slow
 LEAST_SHARE = 0.5  # of the lease, after which the first of those without a proof stop acting
-ASKS = 2  # members asked a period, beside the voters that a voter asks
 PUSHES = 4  # members told at once of a new number
 CONTENTS_MOST = 8  # held at a time
 WINDOW = 8  # pieces sent for one want
@@ -397,7 +396,9 @@
 
     def ask(self, now: float) -> list[Effect]:
         """Ask some members, and as a voter all voters, what they hold."""
-        targets = set(self.some(ASKS))
+        # A proof goes round in as many periods as the fleet has figures, about: more are asked in a larger
+        # one.
+        targets = set(self.some(ceil(log10(1.0 + len(self.others)))))
         self.seq += 1
         round = Asked(now, self.number, self.voters)
         if self.name in self.voters:
--- a/marlseam/net/acting.py
+++ b/marlseam/net/acting.py
@@ -31,7 +31,7 @@
 from marlseam.store.ledger import BESIDE, Ledger
 from marlseam.store.scribe import LOCK_S, Scribe
 
-MARK_MS = 500.0  # between marks of acts, and looks at what changes by itself
+MARK_MS = 1000.0  # between marks of acts, and looks at what changes by itself
 ACTS_MOST = 200  # acts after which a mark does not wait
 FILE_MB, WAIT_MS = 1.0, 2000.0  # at which a file of the ledger is begun anew; patience with the disk
 BACK_MOST_MS = 2000.0  # between tries of a disk that failed: the node is out until it serves
@@ -100,6 +100,7 @@
         self.acts = 0  # since the last mark
         self.unsaid: deque[tuple[int, Entry]] = deque()  # entries that are not durable, and their numbers
         self.flying: deque[tuple[int, tuple[int, ...]]] = deque()  # marks likewise, and of which intervals
+        self.listed = -1  # the list that the last look saw
         self.noted: object = None  # the settings in force, and the digest of their meaning
         self.meant = ""
         self.pages = Pages(loop, log, Path(settings.folder), name, self.take_in)
@@ -262,7 +263,8 @@
         note = says.read(data, self.settings.name, names)
         if self.machine is not None and note.sender != self.name:
             self.act(self.machine.heard(self.loop.now(), note.sender, note.say))
-            self.until_ms = 0.0
+            if not self.stood.proved:
+                self.until_ms = 0.0
 
     def tick(self) -> None:
         """Do what is due."""
@@ -317,8 +319,10 @@
 
     def look(self) -> Stand:
         """Return whether this node may act, and see to it that the interval in hand tells on what."""
-        now, machine = self.loop.now(), self.machine
-        if machine is None:
+        now, machine, port = self.loop.now(), self.machine, self.port
+        # The usual look, several an act: nothing has changed.
+        same = port.settings() is self.noted and port.listed() == self.listed
+        if machine is None or (same and now < self.until_ms):
             return self.stood
         if now >= self.until_ms:
             machine.disk = "" if self.pages.serves() else self.pages.code or "slow"
@@ -328,8 +332,8 @@
                 if not self.stood.acts:
                     self.log.line(f"fleet code={self.stood.code}: out of service")
                 self.port.serve(self.stood.acts)
-        held, stood, listed = self.interval, self.stood, self.port.listed()
-        settings = self.port.settings()
+        held, stood, listed = self.interval, self.stood, port.listed()
+        settings, self.listed = port.settings(), listed
         if self.noted is not settings:
             self.noted, self.meant = settings, meaning(settings)
         if (
--- a/marlseam/store/scribe.py
+++ b/marlseam/store/scribe.py
@@ -196,6 +196,14 @@
         yield from sleep(self.loop.now())
         if channel is not self.channel:
             return  # guards against a helper that ended in this very turn
+        try:
+            del self.out[: channel.send(self.out)]
+        except BlockingIOError:
+            pass
+        except OSError:
+            return
+        if not self.out:
+            return
         # A copy of the descriptor: the loop knows one task a socket, and another reads the answers.
         copy = channel.dup()
         try:
