--- a/marlseam/experiment/versions.py
+++ b/marlseam/experiment/versions.py
@@ -190,6 +190,8 @@
     for t, who, what in rig.acted:
         if who != name:
             continue
+        if t >= until and acting >= newest and serving:
+            return 0.0  # it was up before: what is said later is other news
         acting = int(what) if what.isdecimal() else acting
         serving = serving if what.isdecimal() else what == "in"
         if t >= until and acting >= newest and serving:
--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -550,7 +550,11 @@
             return []
         if vote.kind == "accept":
             if vote.value not in self.contents:
+                self.accepts.pop(vote.value, None)
                 self.accepts[vote.value] = sender, vote
+                if len(self.accepts) > FETCHES_MOST:
+                    # Guards the memory: the oldest is asked again, if it is still meant.
+                    del self.accepts[next(iter(self.accepts))]
                 return self.fetch(vote.value, 0, sender)
             why = self.wrong(vote)
             if why:
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 from math import inf
+from types import SimpleNamespace
 
 import msgspec
 import pytest
@@ -17,6 +18,7 @@
 
 from marlseam.cli import fleet as command
 from marlseam.config import ConfigError, FleetSettings, load
+from marlseam.experiment.versions import up_after
 from marlseam.fleet import audit, says, trial
 from marlseam.fleet.content import FORMAT, Content, Unfit, digest, meaning, read, write
 from marlseam.fleet.hunt import Strike
@@ -305,6 +307,43 @@
         says.read(says.FIRST + data, "f", NAMES)
 
 
+IDS = st.sampled_from([digest(b"%d" % i) for i in range(40)])
+NUMBERS = st.one_of(st.integers(0, 3), st.integers(0, 1 << 53))
+PLACES = st.sampled_from(["a/1", "b/1", ""])
+SAYS = st.one_of(
+    st.builds(says.Ask, NUMBERS, NUMBERS),
+    st.builds(
+        Tell, NUMBERS, NUMBERS, IDS, NUMBERS, st.booleans(), st.just(""), NUMBERS, NUMBERS, st.booleans(),
+        st.floats(-1.0, 1e9),
+    ),
+    st.builds(Vote, st.sampled_from(says.VOTES), NUMBERS, NUMBERS, PLACES, NUMBERS, PLACES, IDS, st.just("")),
+    st.builds(Want, IDS, st.integers(0, says.CONTENT_MOST - 1)),
+    st.builds(Piece, IDS, st.just(2000), st.sampled_from([0, 1000]), st.just(b"x" * 1000)),
+)  # fmt: skip
+
+
+@given(st.lists(st.tuples(st.sampled_from("bcg"), SAYS, st.booleans()), max_size=60))
+def test_whatever_members_say_no_content_is_made_up_and_memory_is_bounded(notes):
+    machine, now = versions("a"), 0.0
+    machine.publish(0.0, content(), write(content()))
+    for sender, say, durable in notes:
+        now += 100.0
+        effects = machine.heard(now, sender, say) + machine.tick(now)
+        for effect in effects:
+            if type(effect) is Keep and durable:
+                effects += machine.kept(now, effect.token)
+        assert not [e for e in effects if type(e) is Apply]  # no content of theirs is whole
+        machine.stand(now)
+    assert len(machine.contents) <= 10 and len(machine.fetches) <= 3 and len(machine.accepts) <= 3
+
+
+def test_questions_about_contents_that_do_not_come_are_bounded():
+    machine = versions("b")
+    for i in range(40):
+        machine.heard(0.0, "a", Vote("accept", 1, i, "a/1", value=digest(b"%d" % i)))
+    assert len(machine.accepts) == len(machine.fetches) == 3
+
+
 @pytest.mark.parametrize(
     ("say", "code"),
     [
@@ -825,3 +864,16 @@
     node.reload()
     node.acting.look()
     assert node.acting.status()["local"] and node.acting.interval.interval == before + 1
+
+
+@pytest.mark.parametrize(
+    ("acted", "took"),
+    [
+        ([(1.0, "1"), (5.0, "2"), (5.5, "in"), (20.0, "3")], 0.0),  # up before its time: 3 is other news
+        ([(1.0, "1"), (4.0, "unproved"), (12.0, "2"), (13.0, "in")], 3.0),
+        ([(1.0, "1"), (4.0, "disk")], inf),
+    ],
+)
+def test_how_soon_a_straggler_is_up_is_told_from_its_log(acted, took):
+    rig = SimpleNamespace(acted=[(t, "n", what) for t, what in acted])
+    assert up_after(rig, "n", 10.0, {1: 0.5, 2: 4.5, 3: 19.0}) == took
