--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 
 import h11
 import pytest
+from hypothesis import settings as hypothesis_settings
 
 from marlseam.config import ConfigError, Deployment, deployment_from, load, own_settings
 from marlseam.core import Event
@@ -32,6 +33,9 @@
 from marlseam.net.loop import READ, Loop
 from marlseam.net.node import Node
 
+# The same examples each time: whether a change lands does not hang on chance, or on how busy the machine is.
+hypothesis_settings.register_profile("fixed", derandomize=True, deadline=None)
+hypothesis_settings.load_profile("fixed")
 RERUNNABLE = ProjectType(200.0, 2.0, 5000.0, Effect.RERUNNABLE, Group.ALL, 5000.0, -1)
 RECEIPTED = replace(RERUNNABLE, effect=Effect.RECEIPTED, group=Group.CELL, memory_ms=3000.0)
 EXCLUSIVE = replace(RERUNNABLE, effect=Effect.EXCLUSIVE)
