One that cannot read a version proves nothing by an earlier one's voters

Cause: found in a second reading. A node that holds a content it cannot read went on with the voters before it, whose word proves nothing, and others took its proof over; a strict node that starts with a version it cannot use acted for a lease; that a node was brought back was not restated, so an old word beside the ledger could shut it out again; acts between the last mark and a later interval were not told as unknown, and the play counted any surplus of a killed life as unknown. Change: no voters until a content is read; former_ms is the proof alone; Handed is always restated; a durable word holds at once; unknown since the last mark, and the play allows only what came after it.

--- a/marlseam/experiment/versions.py
+++ b/marlseam/experiment/versions.py
@@ -4,7 +4,7 @@
 """
 
 import time
-from collections import Counter
+from collections import defaultdict
 from math import inf
 from pathlib import Path
 
@@ -48,7 +48,7 @@
     def __init__(self, rig: Rig, out: Path, all_records: list[records.Record], zero_unix_ms: float) -> None:
         self.audit: Audit = ledgers.read([rig.ledger(name) for name in rig.names], ERROR_MS)
         self.zero, self.rig = zero_unix_ms, rig
-        self.seen: Counter[tuple[str, int, int]] = Counter()
+        self.times: dict[tuple[str, int, int], list[float]] = defaultdict(list)  # of what executors took
         self.took: list[tuple[float, str, int, bool]] = []
         self.bare = 0
         for record in all_records:
@@ -57,7 +57,7 @@
                     self.bare += 1
                     continue
                 name, life, interval, number, proved = record.acting.split("/")
-                self.seen[name, int(life), int(interval)] += 1
+                self.times[name, int(life), int(interval)].append(record.t)
                 self.took.append((record.t, name, int(number), proved == "1"))
 
     def since(self) -> dict[int, float]:
@@ -66,20 +66,22 @@
 
     def compared(self) -> dict[str, float]:
         """Return differences between both, and the acts that are told as unknown."""
-        told, open_lives = {}, set()
+        told, unknown_from = {}, {}
         for name, lives in self.audit.lives.items():
             for lived in lives:
                 if lived.unknown is not None:
-                    open_lives.add((name, lived.life.life))
+                    unknown_from[name, lived.life.life] = lived.unknown[0] - self.zero - ERROR_MS
                 for number, span in lived.spans.items():
                     told[name, lived.life.life, number] = span.acts[1]
         differences = unknown = 0
-        for key in told.keys() | self.seen.keys():
-            seen, said = self.seen[key], told.get(key, 0)
-            if seen > said and key[:2] in open_lives:
-                unknown += seen - said  # after the last mark of a killed life
-            else:
-                differences += abs(seen - said)
+        for key in told.keys() | self.times.keys():
+            seen, said = len(self.times.get(key, ())), told.get(key, 0)
+            known = seen
+            if seen > said and key[:2] in unknown_from:
+                # Only what came after the last mark of a killed life may be missing there.
+                known = max(said, sum(t <= unknown_from[key[:2]] for t in self.times[key]))
+            unknown += seen - known
+            differences += abs(known - said)
         total = len(self.took)
         return {
             "allocations": float(total), "differences": float(differences + self.bare),
--- a/marlseam/fleet/audit.py
+++ b/marlseam/fleet/audit.py
@@ -32,6 +32,7 @@
     life: Life
     spans: dict[int, Span] = field(default_factory=dict)
     last_ms: float = 0.0
+    marked_ms: float = 0.0  # as of when its acts are known
     ended: bool = False
     whole: bool = True  # whether its first interval is in what is kept
     unknown: tuple[float, float] | None = None  # from when to when acts may be missing
@@ -76,7 +77,9 @@
                 known = entry.life in found  # also from another chain: it moved on when the node was its own
                 shift = audit.zeros.setdefault(entry.boot, entry.zero_ms) - entry.zero_ms
                 began = replace(entry, wall_ms=entry.wall_ms + shift)
-                lived = found.setdefault(entry.life, Lived(began, last_ms=began.wall_ms, shift_ms=shift))
+                lived = found.setdefault(
+                    entry.life, Lived(began, last_ms=began.wall_ms, marked_ms=began.wall_ms, shift_ms=shift)
+                )
                 # A file that is the oldest kept begins in the middle of a life.
                 lived.whole = lived.whole if known else not first
             elif type(entry) is Held and entry.wall_ms:
@@ -107,6 +110,7 @@
         if held.acting != entry:
             audit.wrong.append(f"{node}: two intervals {entry.interval} of life {entry.life}")
     elif type(entry) is Mark:
+        lived.marked_ms = max(lived.marked_ms, entry.wall_ms)
         for number, *acts in entry.rows:
             span = lived.spans.get(number)
             if span is None:
@@ -139,7 +143,9 @@
             audit.wrong.append(f"{node}: intervals {missing} of life {lived.life.life} are missing")
         if not lived.ended and not (running and i == len(lives) - 1):
             following = lives[i + 1].life.wall_ms if i + 1 < len(lives) else inf
-            lived.unknown = lived.last_ms, following
+            # Since the last mark, not the last record: an interval may have begun after acts that were not
+            # marked.
+            lived.unknown = lived.marked_ms, following
 
 
 def judge(audit: Audit, error_ms: float) -> None:
--- a/marlseam/fleet/ledger.py
+++ b/marlseam/fleet/ledger.py
@@ -220,8 +220,9 @@
         for number, p in self.promises.items():
             yield Promises(number, *p.ballot, *p.accepted, p.value)
         yield Barred(-1 if self.bar is None else self.bar)
-        if self.hand is not None:
-            yield Handed(True, self.hand, self.handed_ms)
+        if self.handed_ms:
+            # Also that it was brought back: an older word in the ledger beside this one is not the last.
+            yield Handed(self.hand is not None, self.hand or "", self.handed_ms)
         if self.life is not None and not self.ended:
             yield self.life
             if self.acting is not None:
--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -192,7 +192,7 @@
         )  # beside a process of this node that has its memory of votes
         self.number, self.id, self.voters = 0, "", terms.voters
         self.acting, self.unfit = 0, ""
-        self.former_ms = now  # as of when the version acted on was in force, where the one held is unfit
+        self.former_ms = -inf  # as of when the version acted on was in force, where the one held is unfit
         self.known, self.behind_ms = 0, inf  # the highest number heard of, and since when that is above ours
         self.rank = crc32(name.encode()) / 2.0**32
         self.proof_ms = -inf
@@ -282,7 +282,7 @@
         """Hold a number, and act on it if it fits here."""
         self.number, self.id, self.learning = number, id, None
         if not self.unfit:
-            self.former_ms = max(self.proof_ms, self.began_ms)
+            self.former_ms = self.proof_ms
         for old in [n for n in self.acceptor.kept if n <= number]:
             del self.acceptor.kept[old]
             self.durable.pop(old, None)
@@ -295,7 +295,9 @@
                 self.others = sorted(self.members - {self.name})
                 self.peers = {name: peer for name, peer in self.peers.items() if name in self.members}
         except Unfit as error:
-            self.unfit = str(error)
+            # Who votes on the next number is not known: the voters of an earlier one would prove what is
+            # not so, and others would take that over.
+            self.unfit, self.voters = str(error), frozenset()
         self.let_go(number)
         self.open_ms = None
         if self.unfit:
--- a/marlseam/net/acting.py
+++ b/marlseam/net/acting.py
@@ -307,6 +307,9 @@
             number = self.write(entry)
         if (yield from self.pages.durable(number)):
             self.act(self.machine.kept(self.loop.now(), keep.token))
+            self.until_ms = (
+                0.0  # a word of an operator's, or a version that cannot be used, holds from here on
+            )
             self.look()
         else:
             self.machine.unkept(keep.token)
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -877,3 +877,40 @@
 def test_how_soon_a_straggler_is_up_is_told_from_its_log(acted, took):
     rig = SimpleNamespace(acted=[(t, "n", what) for t, what in acted])
     assert up_after(rig, "n", 10.0, {1: 0.5, 2: 4.5, 3: 19.0}) == took
+
+
+def test_one_that_cannot_read_a_version_proves_nothing_by_the_voters_of_an_earlier_one():
+    # They may have no say any more: what they did not accept others may have.
+    machine = versions("a")
+    data = write(content(format=FORMAT + 1))
+    machine.contents[digest(data)] = data
+    keep = machine.learn(0.0, 1, digest(data))[-1]
+    machine.kept(0.0, keep.token)
+    assert machine.number == 1 and machine.unfit and not machine.votes(2)
+    machine.tick(machine.next_ms)
+    for name in "bc":
+        machine.told(machine.next_ms, name, told(machine.seq, number=1, id=machine.id, accepted=1))
+    assert machine.proof_ms == -inf
+
+
+def test_a_strict_node_that_starts_with_a_version_it_cannot_use_is_out_from_the_start():
+    data = write(content())
+    kept = Kept(begun=True, held=Held(1, digest(data)), contents={digest(data): data})
+    machine = versions("d", kept, check=lambda c: "key: what was expected")
+    assert machine.stand(0.0) == (False, False, "unfit")
+
+
+def test_that_a_node_was_brought_back_outlives_a_new_file(folder):
+    _, ledger = loaded(folder)
+    ledger.renew()
+    ledger.append([encode(Handed(False, "", 99.0))], True)
+    ledger.renew()
+    ledger.renew()
+    ledger.close()
+    kept, _ = loaded(folder)
+    assert kept.hand is None and kept.handed_ms == 99.0
+
+
+def test_acts_before_an_interval_that_was_written_and_after_the_last_mark_are_told_as_unknown():
+    found = spans(interval(1, 1000.0), Mark(7, [(1, 3, 2, 1, 0)], 1500.0, 0.0), interval(2, 2000.0))
+    assert found.lives["n"][0].unknown == (1500.0, inf)
