One drawing of schedules, one rule for voters; the first life's missing interval is seen

Cause: second reading: schedules were drawn in three places alike, seats started in three; who may vote was checked in config and in contents; acts were counted by bare numbers; the audit passed over a missing first interval of each chain's first life.

--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -22,6 +22,14 @@
 FILE, SOCKET, FOLDER = "EDGE_CONFIG", "EDGE_SOCKET_FD", "TMPDIR"
 MEMBERS_MOST, NAME_MOST = 1000, 64  # members of a fleet, and characters of a member's name
 LEASE_PERIODS, LEASE_LEAST = 15.0, 6.0  # a fleet's lease if not said, and at least, in its periods
+VERSIONS = (
+    "folder",
+    "voters",
+    "lease_ms",
+    "past_lease",
+    "serve_ms",
+    "local",
+)  # keys of a fleet with versions
 SERVE_LEASES = 100.0  # for how long nodes serve on without a proof if not said, in leases
 OWN = {"name": "EDGE_NAME", "listen": "EDGE_LISTEN", "discovery": "EDGE_DISCOVERY", "admin": "EDGE_ADMIN"}
 OWN_FILE = "MARLSEAM_SETTINGS"
@@ -396,18 +404,7 @@
     known = {
         "store": ("folder", "sync", "journal_mb", "wait_ms", "keys"),
         "watch": ("reports", "weights", "fetch_price", "worth_by", "every_s"),
-        "fleet": (
-            "name",
-            "members",
-            "period_ms",
-            "trusted",
-            "folder",
-            "voters",
-            "lease_ms",
-            "past_lease",
-            "serve_ms",
-            "local",
-        ),
+        "fleet": ("name", "members", "period_ms", "trusted", *VERSIONS),
     }
     for name, table in values.items():
         if name not in known:
@@ -456,11 +453,7 @@
 
 def versions_from(fleet: Table, settings: FleetSettings) -> FleetSettings:
     """Read how a fleet has versions: with a folder for each node's ledger and voters, or not at all."""
-    given = [
-        key
-        for key in ("folder", "voters", "lease_ms", "past_lease", "serve_ms", "local")
-        if key in fleet.values
-    ]
+    given = [key for key in VERSIONS if key in fleet.values]
     if not given:
         return settings
     for key in ("folder", "voters"):
@@ -469,9 +462,12 @@
     voters = fleet.get("voters", [])
     if not isinstance(voters, list) or not all(isinstance(name, str) for name in voters):
         raise ConfigError(fleet.path("voters"), voters, "a list of members' names")
-    whole = len(set(voters)) == len(voters) and set(voters) <= set(settings.members)
-    if not whole or (len(voters) not in (3, 5, 7) and set(voters) != set(settings.members)):
-        raise ConfigError(fleet.path("voters"), voters, "3, 5 or 7 different members, or all")
+    # Imported here: a node of a fleet without versions needs nothing of it.
+    from marlseam.fleet.content import voters_fit
+
+    wrong = voters_fit(voters, frozenset(settings.members))
+    if wrong:
+        raise ConfigError(fleet.path("voters"), voters, f"3, 5 or 7 different members, or all ({wrong})")
     period_ms = settings.period_ms
     lease_ms = fleet.number("lease_ms", LEASE_PERIODS * period_ms, least=LEASE_LEAST * period_ms)
     return replace(
--- a/marlseam/fleet/audit.py
+++ b/marlseam/fleet/audit.py
@@ -10,7 +10,7 @@
 
 from msgspec.structs import replace
 
-from marlseam.fleet.ledger import ACTS, Acting, Ended, Entry, Held, Life, Mark
+from marlseam.fleet.ledger import ACTS, Acting, Ended, Entry, Held, Life, Mark, Written
 
 TOLD = ("life", "interval", "program", "number", "id", "meaning", "listed", "proved", "serving", "code")
 
@@ -71,7 +71,7 @@
     found: dict[int, Lived] = {}
     told: set[tuple[int, str]] = set()
     for entries in chains:
-        lived, first, before = None, True, dict[tuple[int, int], tuple[int, ...]]()
+        lived, headed, before = None, False, dict[tuple[int, int], tuple[int, ...]]()
         for entry in entries:
             if type(entry) is Life:
                 known = entry.life in found  # also from another chain: it moved on when the node was its own
@@ -80,8 +80,9 @@
                 lived = found.setdefault(
                     entry.life, Lived(began, last_ms=began.wall_ms, marked_ms=began.wall_ms, shift_ms=shift)
                 )
-                # A file that is the oldest kept begins in the middle of a life.
-                lived.whole = lived.whole if known else not first
+                # What stands in a file's first batch is told again: a life may have begun in a file that is
+                # gone.
+                lived.whole = lived.whole if known else headed
             elif type(entry) is Held and entry.wall_ms:
                 if (entry.number, entry.id) not in told:
                     # Told once: later files begin with it again, and not on their own life's scale.
@@ -91,7 +92,7 @@
                     ids[entry.id] = min(ids.get(entry.id, inf), at_ms)
             elif lived is not None:
                 note(audit, node, found, before, entry)
-            first = first and type(entry) is not Ended and lived is None
+            headed = headed or type(entry) is Written
     return sorted(found.values(), key=lambda lived: lived.life.wall_ms)
 
 
--- a/marlseam/fleet/hunt.py
+++ b/marlseam/fleet/hunt.py
@@ -4,6 +4,7 @@
 wrong is told by a checker that knows the faults and what members said of one another, not how they think.
 """
 
+import enum
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -121,11 +122,14 @@
         self.lives += 1
         rate = 1.0 + self.drift * (2.0 * self.chance() - 1.0)
         seed = crc32(b"%d:%s:%d" % (self.seed, name.encode(), self.lives))
-        machine = self.machine("fleet", name, self.names, self.lives, seed, PERIOD_MS, 0.0)
-        seat = Seat(name, machine, rate, self.now)
+        seat = Seat(name, self.make(name, seed), rate, self.now)
         self.at(self.now + PERIOD_MS * self.chance(), self.tick, seat)
         return seat
 
+    def make(self, name: str, seed: int) -> Any:  # noqa: ANN401
+        """Return a process's machine."""
+        return self.machine("fleet", name, self.names, self.lives, seed, PERIOD_MS, 0.0)
+
     def local(self, seat: Seat) -> float:
         """Return a process's own time."""
         return (self.now - seat.begun) * seat.rate
@@ -257,6 +261,13 @@
             call(*words)
         self.now = until
 
+    def last(self, strikes: list[Strike]) -> float:
+        """Begin no fault any more; return when the last one is over, and all that was kept back has come."""
+        self.strikes.clear()
+        over = max([b for _, b in self.touched], default=0.0)
+        held = max([s.for_ms for s in strikes if s.fault == "hold"], default=0.0)
+        return max(self.now, over, self.now + held)
+
     def calm(self, since: float, until: float) -> bool:
         """Return whether no fault touched a span."""
         return all(b < since or a > until for a, b in self.touched)
@@ -304,27 +315,44 @@
     return Found(broken, nearest, world.told_twins)
 
 
-def schedule(nodes: int, seed: int, most: int = 4) -> list[Strike]:
-    """Return a schedule of chance."""
-    draws = 0
+class Draws:
+    """Whole numbers of chance, by a seed."""
+
+    def __init__(self, prefix: str, seed: int) -> None:
+        self.prefix, self.seed, self.count = prefix, seed, 0
+
+    def __call__(self, below: int) -> int:
+        """Return the next one, below some number."""
+        self.count += 1
+        return crc32(f"{self.prefix}:{self.seed}:{self.count}".encode()) % below
 
-    def chance(count: int) -> int:
-        nonlocal draws
-        draws += 1
-        return crc32(b"schedule:%d:%d" % (seed, draws)) % count
 
+def drawn(
+    draws: Draws, nodes: int, step: Callable[[Draws], tuple[enum.IntEnum, int]], faults: tuple[str, ...],
+    periods: int, most: int = 4,
+) -> list[Strike]:  # fmt: skip
+    """Return some faults of chance, each before a step that `step` draws, for up to so many periods."""
     found = []
-    for _ in range(1 + chance(most)):
-        node, other = chance(nodes), chance(nodes - 1)
+    for _ in range(1 + draws(most)):
+        node, other = draws(nodes), draws(nodes - 1)
         other += other >= node
-        kind = Kind(1 + chance(4)) if chance(4) == 0 else Kind(1 + chance(2))
-        count = 3 + chance(4) if kind > Kind.ACK else 6 + chance(30)
-        fault = FAULTS[chance(len(FAULTS))]
-        for_ms = PERIOD_MS * (1.0 + chance(90))
-        found.append(Strike(f"n{node}", bool(chance(2)), kind, count, fault, f"n{other}", for_ms))
+        kind, count = step(draws)
+        fault, for_ms = faults[draws(len(faults))], PERIOD_MS * (1.0 + draws(periods))
+        found.append(Strike(f"n{node}", bool(draws(2)), kind, count, fault, f"n{other}", for_ms))
     return found
 
 
+def letters(draws: Draws) -> tuple[Kind, int]:
+    """Return a step of membership: mostly a ping or its answer."""
+    kind = Kind(1 + draws(4)) if draws(4) == 0 else Kind(1 + draws(2))
+    return kind, 3 + draws(4) if kind > Kind.ACK else 6 + draws(30)
+
+
+def schedule(nodes: int, seed: int, most: int = 4) -> list[Strike]:
+    """Return a schedule of chance."""
+    return drawn(Draws("schedule", seed), nodes, letters, FAULTS, 90, most)
+
+
 def play(nodes: int, seed: int, strikes: list[Strike], machine: type[Members] = Members) -> Found:
     """Play a schedule, wait until its last fault is over, and judge."""
     world = World(nodes, seed, strikes, doubles=0.02, machine=machine)
@@ -335,11 +363,8 @@
     world.run(SETTLE * PERIOD_MS)
     broken = [f"at the start {what}" for what in world.agree()] if world.calm(0.0, world.now) else []
     world.run(PERIOD_MS * 60.0)
-    over = max([b for _, b in world.touched], default=0.0)
-    held = max([s.for_ms for s in strikes if s.fault == "hold"], default=0.0)
-    world.strikes.clear()  # a later step would begin a fault when all is to heal
+    end = world.last(strikes)
     heal = heal_ms(nodes, PERIOD_MS) * (1.0 + 2.0 * DRIFT)
-    end = max(world.now, over, world.now + held)
     world.run(end)
     step, wrong = end, world.agree()
     while wrong and step < end + heal:
--- a/marlseam/fleet/skew.py
+++ b/marlseam/fleet/skew.py
@@ -6,11 +6,10 @@
 
 from collections.abc import Callable
 from typing import Any, NamedTuple
-from zlib import crc32
 
 import msgspec
 
-from marlseam.fleet.hunt import DRIFT, PERIOD_MS, Seat, Strike, World
+from marlseam.fleet.hunt import DRIFT, PERIOD_MS, Draws, Seat, Strike, World, drawn
 from marlseam.fleet.lending import Borrow, Give, Lend, Lending, Lent
 from marlseam.fleet.room import Keep, Room
 from marlseam.fleet.says import Kind
@@ -39,19 +38,13 @@
         super().__init__(nodes, seed, strikes, loss, doubles, drift)
         self.at(LOOK_MS, self.look)
 
-    def start(self, name: str) -> Seat:
-        """Start a process with the loans that its disk holds."""
-        self.lives += 1
-        rate = 1.0 + self.drift * (2.0 * self.chance() - 1.0)
-        seed = crc32(b"%d:%s:%d" % (self.seed, name.encode(), self.lives))
+    def make(self, name: str, seed: int) -> Room:
+        """Return a process's machine, with the loans that its disk holds."""
         first = name not in self.disks
         memory = self.disks.setdefault(name, ())
         own = self.limit / len(self.names)
         held = self.rules.restarted(own, self.lives, 0.0, () if first else memory)
-        room = Room(name, self.names, self.rules, held, PERIOD_MS, seed, PERIOD_MS * self.chance())
-        seat = Seat(name, room, rate, self.now)
-        self.at(self.now + PERIOD_MS * self.chance(), self.tick, seat)
-        return seat
+        return Room(name, self.names, self.rules, held, PERIOD_MS, seed, PERIOD_MS * self.chance())
 
     def act(self, seat: Seat, effects: list[Any]) -> None:
         """Carry out what a process asks for."""
@@ -135,23 +128,14 @@
     return lambda name, now: share * part if name == on else 0.1 * part
 
 
-def schedule(nodes: int, seed: int, most: int = 4) -> list[Strike]:
-    """Return a schedule of chance."""
-    draws = 0
+def messages(draws: Draws) -> tuple[Kind, int]:
+    """Return a step of lending."""
+    return list(KINDS.values())[draws(3)], 1 + draws(20)
 
-    def chance(count: int) -> int:
-        nonlocal draws
-        draws += 1
-        return crc32(b"skew:%d:%d" % (seed, draws)) % count
 
-    found = []
-    for _ in range(1 + chance(most)):
-        node, other = chance(nodes), chance(nodes - 1)
-        other += other >= node
-        kind, fault = list(KINDS.values())[chance(3)], FAULTS[chance(len(FAULTS))]
-        count, for_ms = 1 + chance(20), PERIOD_MS * (1.0 + chance(40))
-        found.append(Strike(f"n{node}", bool(chance(2)), kind, count, fault, f"n{other}", for_ms))
-    return found
+def schedule(nodes: int, seed: int, most: int = 4) -> list[Strike]:
+    """Return a schedule of chance."""
+    return drawn(Draws("skew", seed), nodes, messages, FAULTS, 40, most)
 
 
 def play(nodes: int, seed: int, strikes: list[Strike], rules: type[Lending] = Lending) -> Found:
@@ -167,12 +151,9 @@
 
     world = Skew(nodes, seed, strikes, limit, demand, doubles=0.02, rules=rules)
     world.run(60.0 * PERIOD_MS)
-    over = max([b for _, b in world.touched], default=0.0)
-    held = max([s.for_ms for s in strikes if s.fault == "hold"], default=0.0)
-    world.strikes.clear()
     # To the end of a spell of demand that began after all was well for a lease.
     spell = 20.0 * PERIOD_MS
-    end = max(world.now, over + LEASE_PERIODS * PERIOD_MS, world.now + held)
+    end = world.last(strikes) + LEASE_PERIODS * PERIOD_MS
     world.run((end // spell + 2.0) * spell - LOOK_MS)
     _, used, wanted = world.samples[-1]
     broken = []
--- a/marlseam/fleet/trial.py
+++ b/marlseam/fleet/trial.py
@@ -12,7 +12,7 @@
 from marlseam.fleet import says
 from marlseam.fleet.agree import majority
 from marlseam.fleet.content import FORMAT, Content, read, write
-from marlseam.fleet.hunt import DRIFT, PERIOD_MS, Seat, Strike, World
+from marlseam.fleet.hunt import DRIFT, PERIOD_MS, Draws, Seat, Strike, World, drawn
 from marlseam.fleet.ledger import Barred, Begun, Entry, Held, Promises, added_up
 from marlseam.fleet.versions import Apply, Keep, Terms, To, Versions
 from marlseam.fleet.words import Odd
@@ -77,19 +77,12 @@
 
     # The world's steps, for these machines.
 
-    def start(self, name: str) -> Seat:
-        """Start a process with what its disk holds."""
-        self.lives += 1
-        rate = 1.0 + self.drift * (2.0 * self.chance() - 1.0)
-        disk = self.disks.setdefault(name, Disk())
-        seed = crc32(b"%d:%s:%d" % (self.seed, name.encode(), self.lives))
-        machine = self.kind(
-            name, self.names, self.terms, f"{name}/{self.lives}", seed, 0.0, added_up(disk.entries)
-        )
+    def make(self, name: str, seed: int) -> Versions:
+        """Return a process's machine, with what its disk holds."""
+        kept = added_up(self.disks.setdefault(name, Disk()).entries)
+        machine = self.kind(name, self.names, self.terms, f"{name}/{self.lives}", seed, 0.0, kept)
         machine.next_ms = PERIOD_MS * self.chance()
-        seat = Seat(name, machine, rate, self.now)
-        self.at(self.now + PERIOD_MS * self.chance(), self.tick, seat)
-        return seat
+        return machine
 
     def act(self, seat: Seat, effects: list[Any]) -> None:
         """Carry out what a process asks for."""
@@ -256,25 +249,15 @@
         return found
 
 
-def schedule(nodes: int, seed: int, most: int = 4) -> list[Strike]:
-    """Return a schedule of chance."""
-    draws = 0
+def notes(draws: Draws) -> tuple[says.Kind, int]:
+    """Return a step of versions: those of agreement often, early ones of them."""
+    kind = says.Kind(11 + draws(9)) if draws(3) else says.Kind(13 + draws(4))
+    return kind, 10 + draws(60) if kind < says.Kind.PREPARE else 1 + draws(3)
 
-    def chance(count: int) -> int:
-        nonlocal draws
-        draws += 1
-        return crc32(b"trial:%d:%d" % (seed, draws)) % count
 
-    found = []
-    for _ in range(1 + chance(most)):
-        node, other = chance(nodes), chance(nodes - 1)
-        other += other >= node
-        kind = says.Kind(11 + chance(9)) if chance(3) else says.Kind(13 + chance(4))
-        count = 10 + chance(60) if kind < says.Kind.PREPARE else 1 + chance(3)
-        fault = FAULTS[chance(len(FAULTS))]
-        for_ms = PERIOD_MS * (1.0 + chance(45))
-        found.append(Strike(f"n{node}", bool(chance(2)), kind, count, fault, f"n{other}", for_ms))
-    return found
+def schedule(nodes: int, seed: int, most: int = 4) -> list[Strike]:
+    """Return a schedule of chance."""
+    return drawn(Draws("trial", seed), nodes, notes, FAULTS, 45, most)
 
 
 def play(
@@ -288,10 +271,7 @@
         for j in range(2):
             world.publish(f"n{crc32(b'%d:%d:%d' % (seed, i, j)) % nodes}", 10 * i + j)
     world.run(60.0 * PERIOD_MS)
-    over = max([b for _, b in world.touched], default=0.0)
-    held = max([s.for_ms for s in strikes if s.fault == "hold"], default=0.0)
-    world.strikes.clear()
-    end = max(world.now, over, world.now + held)
+    end = world.last(strikes)
     world.run(end)
     heal = heal_ms(PERIOD_MS) * (1.0 + 2.0 * DRIFT)
     step, wrong = end, world.alike()
--- a/marlseam/net/acting.py
+++ b/marlseam/net/acting.py
@@ -381,6 +381,14 @@
         """Return whether work may be taken now."""
         return self.look().acts
 
+    def took(self) -> None:
+        """Count a taking."""
+        self.count(TAKEN)
+
+    def ended(self, status: int) -> None:
+        """Count an answer, or a refusal, by the status that the client is told."""
+        self.count(ANSWERED if status == 200 else REFUSED)
+
     def count(self, what: int, interval: int = 0) -> None:
         """Count an act."""
         if self.interval is None:
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -284,7 +284,7 @@
         self.pending[ref] = pending
         goes = self.acting is None or self.acting.may_take()
         if self.acting is not None:
-            self.acting.count(0)
+            self.acting.took()
         work = WorkUnit(
             ref, job.type, pending.expires_ms, job.slots, receipt=job.receipt, key=job.key, repeat=job.repeat,
             kept=goes and (self.memory is None or self.memory.keeper.serves()), goes=goes,
@@ -322,7 +322,7 @@
         if pending is not None:
             self.counters.ended(pending.job.type_name, status)
             if self.acting is not None:
-                self.acting.count(2 if status == 200 else 3)
+                self.acting.ended(status)
             pending.give(status, headers, body)
 
     def timer(self, effect: core.Timer) -> None:
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -23,7 +23,19 @@
 from marlseam.fleet.content import FORMAT, Content, Unfit, digest, meaning, read, write
 from marlseam.fleet.hunt import Strike
 from marlseam.fleet.ledger import Acting as Interval
-from marlseam.fleet.ledger import Barred, Begun, Ended, Handed, Held, Kept, Life, Mark, Promises, encode
+from marlseam.fleet.ledger import (
+    Barred,
+    Begun,
+    Ended,
+    Handed,
+    Held,
+    Kept,
+    Life,
+    Mark,
+    Promises,
+    Written,
+    encode,
+)
 from marlseam.fleet.says import Kind, Note, Piece, Tell, Vote, Want
 from marlseam.fleet.versions import Apply, Keep, Terms, To, Versions
 from marlseam.fleet.words import Claim, Letter, Odd
@@ -519,6 +531,8 @@
     ("entries", "what"),
     [
         ([interval(1, 1000.0), interval(3, 2000.0)], "intervals [2]"),
+        ([Written(900.0), Life(8, "0.1", "boot", 1e6, 0.0, LEASE), interval(2, 1e6, life=8)],
+         "intervals [1]"),
         ([interval(1, 1000.0), Mark(7, [(2, 1, 1, 1, 1)], 1500.0, 0.0)], "is missing"),
         ([interval(1, 1000.0), interval(1, 2000.0)], "two intervals 1"),
         ([interval(1, 1000.0), Mark(7, [(1, 5, 5, 5, 5)], 1.0, 0.0), Mark(7, [(1, 4, 5, 5, 5)], 2.0, 0.0)],
