--- a/marlseam/experiment/versions.py
+++ b/marlseam/experiment/versions.py
@@ -22,8 +22,8 @@
 from marlseam.world.model import Count
 
 ERROR_MS = 20.0  # one machine: by which a node's clock, read at its start, may be off
+NONE_OF = ("two_contents", "audit_wrong", "past_bound", "rules_broken")  # none is expected anywhere
 ON_ITS_WAY_MS = 300.0  # at most from a look at what an allocation stands on until its executor notes it
-UP_MS = 5000.0  # from a straggler's way back until it is up, or out with its reason
 
 
 def alike(rig: Rig) -> list[str]:
@@ -161,15 +161,7 @@
         ]
     ]
     worst: dict[str, float] = {}
-    sums = (
-        "allocations",
-        "differences",
-        "unknown",
-        "two_contents",
-        "audit_wrong",
-        "past_bound",
-        "rules_broken",
-    )
+    sums = ("allocations", "differences", "unknown", *NONE_OF)
     most = ("alike_s", "nearest_stale", "not_struck")
     for seed in range(experiment.head.seed, experiment.head.seed + table.seeds):
         _, _, played, figures = under_faults(experiment, table, seed, out / f"{seed}", say)
@@ -249,14 +241,7 @@
             one = replace(table, faults=faults, past_lease=mode)
             where = out / f"{mode}-{table.cuts.index(cut)}"
             rig, _, _, figures = under_faults(experiment, one, experiment.head.seed, where, say)
-            for key in (
-                "two_contents",
-                "past_bound",
-                "differences",
-                "audit_wrong",
-                "rules_broken",
-                "not_struck",
-            ):
+            for key in ("differences", "not_struck", *NONE_OF):
                 worst[key] = worst.get(key, 0.0) + figures[key]
             worst["alike_s"] = max(worst.get("alike_s", 0.0), figures["alike_s"])
             worst[f"{mode}_unproved"] = max(worst.get(f"{mode}_unproved", 0.0), figures["unproved_share"])
--- a/marlseam/fleet/content.py
+++ b/marlseam/fleet/content.py
@@ -1,5 +1,4 @@
-"""A version's content: what all nodes of a fleet share of their configuration, as one canonical document;
-pure.
+"""A version's content: what a fleet's nodes share of their configuration, as one document; pure.
 
 Its id is a digest of all of it; the digest of its meaning is of the settings alone, so that a comment, the
 order of keys or how a number is written changes nothing.
--- a/marlseam/fleet/ledger.py
+++ b/marlseam/fleet/ledger.py
@@ -52,9 +52,7 @@
     mono_ms: float
     lease_ms: float
     beside: bool = False
-    zero_ms: float = (
-        0.0  # its Unix time at that start of the machine: what makes times of one machine comparable
-    )
+    zero_ms: float = 0.0  # its Unix time at that start: it makes times of one machine comparable
 
 
 class Acting(msgspec.Struct, tag="acting", array_like=True, frozen=True):
--- a/marlseam/fleet/skew.py
+++ b/marlseam/fleet/skew.py
@@ -1,5 +1,4 @@
-"""A limit shared by a fleet in virtual time: demand that moves, and faults of a schedule; never over, and
-used.
+"""A limit shared by a fleet in virtual time: demand that moves, and faults of a schedule.
 
 The world is `hunt`'s. Its checker adds up what all that live may use at each moment, by their own clocks.
 """
@@ -113,10 +112,7 @@
 
 
 class Found(NamedTuple):
-    """What a run showed: breaches.
-
-    The most that all might use of the limit, what is left unused at the end.
-    """
+    """What a run showed: breaches, and how near it came to the limit and to leaving a twentieth unused."""
 
     broken: list[str]
     nearest: dict[str, float]
--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -186,10 +186,8 @@
         self.acceptor = Acceptor(name, dict(kept.promises))
         self.durable = dict(kept.promises)  # what has been written of them
         self.bar = kept.bar  # votes on no number up to it; None: on none until it is known
-        self.hand, self.beside = (
-            kept.hand,
-            False,
-        )  # beside a process of this node that has its memory of votes
+        self.hand = kept.hand
+        self.beside = False  # a process of this node that has its memory of votes
         self.number, self.id, self.voters = 0, "", terms.voters
         self.acting, self.unfit = 0, ""
         self.former_ms = -inf  # as of when the version acted on was in force, where the one held is unfit
@@ -328,10 +326,9 @@
             return "removed"
         if self.unfit:
             # Not at once: by their own leases, one after another, where all are strict.
-            ends = (
-                self.former_ms + self.lease_ms() if self.terms.strict else now if not self.alone(now) else inf
-            )
-            return "unfit" if now >= ends else ""
+            if self.terms.strict:
+                return "unfit" if now >= self.former_ms + self.lease_ms() else ""
+            return "" if self.alone(now) else "unfit"
         if self.known > self.number and now >= self.behind_ms + self.lease_ms():
             return "behind"
         if self.proved(now):
@@ -476,10 +473,8 @@
             message: agree.Message = Prepare(proposer.number, proposer.ballot)
             left = proposer.voters - set(proposer.promises)
         else:
-            message, left = (
-                Accept(proposer.number, proposer.ballot, proposer.asked),
-                proposer.voters - proposer.taken,
-            )
+            message = Accept(proposer.number, proposer.ballot, proposer.asked)
+            left = proposer.voters - proposer.taken
         return [To(name, vote_of(message)) for name in sorted(left - {self.name})]
 
     def to_voters(self, now: float, message: agree.Message) -> list[Effect]:
@@ -682,7 +677,6 @@
         """Take in what another holds."""
         if sender in self.members:
             self.peers[sender] = Peer(now, say.number, say.acting, say.serving, say.code, say.votes)
-        effects: list[Effect] = []
         if say.number > self.number:
             if say.number > self.known:
                 self.behind_ms = min(self.behind_ms, now) if self.known > self.number else now
@@ -692,7 +686,7 @@
             return self.fetch(say.id, say.number, sender) if say.id else []
         asked_ms = self.sent.get(say.seq)
         if asked_ms is None:
-            return effects
+            return []
         if say.age_ms >= 0.0:
             # As of then nothing above the other's number was chosen, so nothing above this one's either.
             self.proof_ms = max(self.proof_ms, asked_ms - say.age_ms)
@@ -702,8 +696,8 @@
             if say.accepted <= round.number:
                 round.clear.add(sender)
                 self.weigh(round)
-            effects += self.remember(round)
-        return effects
+            return self.remember(round)
+        return []
 
     def remember(self, round: Asked) -> list[Effect]:
         """Set up to which number not to vote, where this node's memory of that is lost.
