What stands behind an answer near the end is served; guesses follow new settings

Cause, by reading, each forced by a test: Server.parting() looked only at bytes already read, so that a request that had come behind the one answered with close was reset unread, and the answer with it; with limits under 0.2 s the node ended in the turn in which it took what was left in the accept queue; a run guessed from an earlier configuration's promise stayed as a guess, so that work of a type whose limit new settings shorten was refused for good ('it did not come': nothing of it was ever sent).

--- a/marlseam/figures.py
+++ b/marlseam/figures.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect
 from collections.abc import Callable, Iterator
-from math import ceil
+from math import ceil, inf
 from typing import Any
 from zlib import crc32
 
@@ -106,6 +106,10 @@
             self.mean_area = sum(guesses) / max(1, len(guesses))
         self.run += guesses[len(self.run) :]
         self.seen += [GUESS_WEIGHT] * (len(self.run) - len(self.seen))
+        for i, guess in enumerate(guesses):
+            # Guards work whose limit new settings shorten: no run guessed by the old ones would fit into it.
+            if self.seen[i] <= GUESS_WEIGHT and guess < inf:
+                self.run[i] = guess
         self.fails += [0.0] * (len(self.run) - len(self.fails))
         self.asked_for += [1.0] * (len(self.run) - len(self.asked_for))
 
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -34,6 +34,7 @@
 DRAIN_MOST_MS = 3000.0  # how long work goes on after SIGTERM, or for the longest hard limit if that is less
 KEEP_SHARE = 0.4  # of that time, in which clients may go on using the connections that they have
 ANSWER_MS, EXIT_MS = 300.0, 500.0  # by when after that all is answered, and the node ends at the latest
+LAST_MS = 100.0  # but not before what came on the last connections could be read
 FIXED = (
     "name",
     "listen",
@@ -398,7 +399,8 @@
         part_ms = PART_MS if stays else max(LISTEN_MS, KEEP_SHARE * drain)
         self.server.drain(0.0 if stays else part_ms, part_ms)
         self.loop.at(began + (0.0 if stays else LISTEN_MS), self.server.stop_listening)
-        self.loop.at(began + part_ms, lambda: self.end(began + drain + EXIT_MS))
+        last_ms = began + max(drain + EXIT_MS, part_ms + LAST_MS)
+        self.loop.at(began + part_ms, lambda: self.end(last_ms))
 
     def end(self, at_ms: float) -> None:
         """Stop once no client waits any more, or the time is over."""
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -168,7 +168,7 @@
 
     def parting(self, connection: Connection) -> bool:
         """Return whether a connection ends with the answer in hand: a drain is on, nothing more has come."""
-        return self.loop.now() >= self.close_ms and not connection.ahead()
+        return self.loop.now() >= self.close_ms and connection.quiet()
 
     def stop_listening(self) -> None:
         """Take no more connections; where nobody else will, first those that the system has for us."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -318,6 +318,30 @@
     assert flight.task.done and not flight.begun and b"POST" not in executor.read()
 
 
+def test_what_is_called_off_leaves_no_record_and_gives_its_keys_turn_on(node, client, stand, turn, settle):
+    keyed = OPTIONS["requestClasses"][0] | {
+        "semantics": "keyed", "dedupScope": "cell", "memorySpanUs": 30000000, "oneAtATime": True,
+        "aimStretch": 20,
+    }  # fmt: skip
+    (executor,) = stand("e1", backlog=0, ceilings=FORBIDDEN, requestClasses=[keyed])
+    release = full_queue(executor)
+    asked = REQUEST.replace(b"/statement", b"/statement?user=u").replace(
+        b"Host: h", b"Host: h\r\nIdempotency-Key: k%d"
+    )
+    first = client(asked % 1)
+    turn(lambda: node.executors.out)
+    client((asked % 2).replace(b"9b", b"9c"))
+    turn(lambda: node.refs == 2)
+    (flight,) = node.executors.out.values()
+    assert node.core.receipts.known("k1", node.loop.now())
+    first.close()
+    turn(lambda: flight.task.done and node.executors.out)
+    assert not node.core.receipts.known("k1", node.loop.now())  # it provably never ran
+    assert node.core.receipts.known("k2", node.loop.now())  # and the key's next has its turn
+    assert list(node.core.open) == ["2"]
+    release()
+
+
 # No two out together.
 
 
@@ -539,6 +563,59 @@
     assert node.core.closes_ms - began == pytest.approx(1000.0 + node_module.ANSWER_MS, abs=50.0)
 
 
+def test_a_request_behind_one_that_is_answered_near_the_end_is_answered_too(node, client, turn, stand):
+    stand("e1", ceilings=NO_PROBES)
+    sock = client(REQUEST)
+    turn(lambda: node.refs == 1)
+    node.server.drain(0.0, 10000.0)
+    sock.sendall(REQUEST.replace(b"9b", b"9c"))  # unread as the first is answered
+    node.answer("1", 200, [], b"")
+    turn(lambda: node.refs == 2)
+    node.answer("2", 200, [], b"")
+    turn(lambda: not node.server.open)
+    data = sock.recv(1 << 16)
+    assert data.count(b"HTTP/1.1 200 ") == 2 and data.count(b"Connection: close") == 1
+    assert not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+
+@pytest.mark.parametrize("longest_ms", [100.0, 500.0, 1000.0, 3000.0, 20000.0])
+def test_all_is_answered_and_the_node_ends_before_the_earliest_sigkill(
+    node, client, turn, reply, stand, longest_ms
+):
+    types = [row | {"deadlineUs": longest_ms * 1000.0, "aimUs": 50000} for row in OPTIONS["requestClasses"]]
+    (executor,) = stand("e1", ceilings=NO_PROBES, requestClasses=types)
+    sock = client(POSTING)
+    turn(lambda: b"abc" in executor.read())  # it hangs from here on
+    half = client(REQUEST[:-1])  # and this one never comes whole
+    turn(lambda: node.server.reading)
+    began = node.loop.now()
+    node.close()
+    clock = node.loop.now
+    lead = [0.0]
+    node.loop.now = lambda: clock() + lead[0]
+    while not node.loop.stopped:
+        lead[0] += 5.0  # time itself is the subject
+        node.loop.at(node.loop.now(), lambda: None)
+        node.loop.turn()
+    kill_ms = min(longest_ms, 3000.0) + 700.0
+    assert node.loop.now() - began < kill_ms and not node.pending
+    assert reply(sock).startswith(b"HTTP/1.1 500 ")  # exclusive work that may have run
+    assert reply(half)[:13] in (b"HTTP/1.1 503 ", b"HTTP/1.1 408 ")
+
+
+def test_a_second_sigterm_and_new_settings_change_nothing_of_the_end(node, client, turn, stand):
+    stand("e1", ceilings=NO_PROBES)
+    node.close()
+    closes, draining = node.core.closes_ms, node.server.close_ms
+    node.close()
+    node.reload()
+    assert (node.core.closes_ms, node.server.close_ms) == (closes, draining) and node.ending
+    client(REQUEST)
+    turn(lambda: node.refs == 1)  # new connections still come
+    (wu,) = node.core.open.values()
+    assert wu.work.expires_ms <= closes
+
+
 # Room.
 
 
@@ -590,6 +667,58 @@
     assert node.discovery.wait_ms <= 60000.0
 
 
+HEAD = b"HTTP/1.1 200 -\r\nContent-Length: %d\r\n\r\n"
+LIST = b'{"seq":5,"whole":true,"hosts":[]}'
+
+
+@pytest.mark.parametrize(
+    ("says", "silent_in_watch"),
+    [
+        (b"", False),
+        (HEAD[:9], False),
+        (HEAD % len(LIST) + LIST[:9], False),
+        (HEAD % len(LIST) + LIST, True),
+        (HEAD % len(LIST) + LIST + HEAD[:9], True),
+    ],
+    ids=["before a byte", "in a head", "in a list", "after an answer", "in a watch's answer"],
+)
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+def test_a_watch_that_falls_silent_is_open_anew_in_the_pages_time(node, peers, mode, says, silent_in_watch):
+    peers["discovery"] = roster = Peer()
+    path, door = Path(node.config.path), "{}:{}".format(*roster.address)
+    settings = OPTIONS | {"registryMode": mode, "guarantees": {"stopSendingWithinUs": 400000}}
+    path.write_text(json.dumps(json.loads(path.read_text()) | {"settings": settings, "discovery": door}))
+    made = node_module.Node(node_module.configuration.load(node.config.path, {}))
+    real, lead = made.loop.now, [0.0]
+    made.loop.now = lambda: real() + lead[0]
+
+    def turns(most):
+        for _ in range(most):
+            made.loop.at(made.loop.now(), lambda: None)
+            made.loop.turn()
+
+    try:
+        turns(3)
+        assert roster.read()
+        roster.held[0].sendall(says)
+        turns(3)
+        lead[0] += 150.0  # the least time between two calls
+        turns(3)
+        silent = made.loop.now()
+        assert (b"since=5" in roster.read()) is silent_in_watch
+        while len(roster.held) == 1:
+            lead[0] += 10.0
+            turns(3)
+            roster.accept()
+        bound = max(6000.0, made.discovery.wait_ms + 2000.0) if silent_in_watch else 6000.0
+        if mode == "automatic" and not silent_in_watch:
+            bound = 400.0  # what the agent has counts at once
+        assert made.loop.now() - silent < bound
+    finally:
+        made.busy = True
+        made.loop.finish()
+
+
 @pytest.mark.parametrize("grace_us", [100000, 400000, 2500000])
 def test_where_lists_are_pushed_a_lost_watch_is_open_anew_within_the_grace(node, grace_us):
     options = OPTIONS | {"registryMode": "automatic", "guarantees": {"stopSendingWithinUs": grace_us}}
