--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -210,6 +210,7 @@
     alloc: int
     executor: str
     limit_ms: float
+    begin_ms: float = inf  # within which its first byte goes out, or nothing
 
 
 class Cancel(NamedTuple):
@@ -333,13 +334,17 @@
 
     def send(self, wu: Handle, executor: int, limit_ms: float) -> None:
         """Send a work unit to an executor; under a key it is noted first, with the pod that it may run on."""
-        key, node, type = wu.work.receipt, self.node, wu.type
+        key, node, type, begin_ms = wu.work.receipt, self.node, wu.type, inf
+        earlier = [a for a in wu.traces() if a is not wu.allocs[-1]]
+        if earlier and type.effect is RECEIPTED:  # after that its pods need not know it any more
+            begin_ms = earlier[0].sent_ms + type.memory_ms - self.clock
         if key is not None and type.effect is not RERUNNABLE:
             until = self.clock + (type.memory_ms if type.effect is RECEIPTED else type.limit_ms)
             trace = Trace(self.names[executor], node.zone[executor], node.cell[executor], self.clock, until)
             self.receipts.note(key, trace)
             self.effects.append(Remember(wu.work.ref, key, trace))
-        self.effects.append(Send(wu.work.ref, len(wu.allocs) - 1, self.names[executor], limit_ms))
+        alloc = len(wu.allocs) - 1
+        self.effects.append(Send(wu.work.ref, alloc, self.names[executor], limit_ms, begin_ms))
 
     def cancel(self, wu: Handle, alloc: int) -> None:
         """Stop waiting for an allocation; one that has not begun is called off whatever the settings."""
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -45,6 +45,7 @@
     expires_ms: float
     gate: Callable[[], Steps] | None = None  # must be over, and say yes, before anything goes out
     stands: "Stands | None" = None  # where the node is of a fleet
+    begins_ms: float = inf  # before which its first byte goes out, or nothing
 
 
 class Stands(Protocol):
@@ -270,8 +271,9 @@
                 unkept()
                 return
             now = self.loop.now()
-            if now >= until:
-                raise Ended(Reason.TIMED_OUT)  # guards the hard limit against a connection that comes up late
+            if now >= min(until, order.begins_ms):
+                # Guards the hard limit, and the memory of pods, against a connection that comes up late.
+                raise Ended(Reason.TIMED_OUT)
             headers = protocol.job_headers(job, peer.name, order.expires_ms - now, acting)
             request = h11.Request(method="POST", target=job.target, headers=headers)
             flight.begun = True
@@ -385,8 +387,10 @@
             body = yield from connection.body(protocol.BODY_MOST, until)
             report = protocol.load_from(body, Head(answer.headers), self.deployment.report_names)
             outcome = {200: Outcome.COMPLETED, 503: Outcome.FULL}.get(answer.status_code, Outcome.ERROR)
-            self.release(peer, connection)
-            connection = None
+            reason = Reason.DONE
+            if outcome is Outcome.COMPLETED:  # a refusal might come twice: see above
+                self.release(peer, connection)
+                connection = None
             return outcome, report
         except Ended as ended:
             reason = ended.reason
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -303,12 +303,13 @@
 
     def send(self, effect: core.Send) -> None:
         """Send an allocation."""
-        pending, until = self.pending[effect.ref], self.loop.now() + effect.limit_ms
+        pending, now = self.pending[effect.ref], self.loop.now()
         gate = self.memory.gate(effect.ref) if self.memory is not None else None
         stands = self.acting.order() if self.acting is not None else None
         order = Order(
-            effect.ref, effect.alloc, effect.executor, pending.job, until, pending.expires_ms, gate, stands
-        )
+            effect.ref, effect.alloc, effect.executor, pending.job, now + effect.limit_ms,
+            pending.expires_ms, gate, stands, now + effect.begin_ms,
+        )  # fmt: skip
         self.executors.send(order)
 
     def remember(self, effect: core.Remember | core.Forget) -> None:
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -214,7 +214,7 @@
             self.idle[connection] = self.loop.current
             came = yield (connection.sock.fileno(), READ, until)
             self.idle.pop(connection, None)
-            if came == LATE:
+            if came == LATE and connection.quiet():  # not where a request comes just then
                 raise Ended(Reason.IDLE)
         if not connection.ahead():
             raise Ended(Reason.PEER_CLOSED)
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -342,6 +342,29 @@
     release()
 
 
+def test_a_repeat_whose_connection_comes_up_after_the_pods_memory_is_not_sent(
+    node, client, stand, turn, settle
+):
+    keyed = OPTIONS["requestClasses"][0] | {
+        "semantics": "keyed", "dedupScope": "all", "memorySpanUs": 1000000, "aimStretch": 20,
+    }  # fmt: skip
+    one, two = stand("e1", "e2", ceilings=NO_PROBES, requestClasses=[keyed])
+    client(REQUEST.replace(b"Host: h", b"Host: h\r\nIdempotency-Key: k"))
+    turn(lambda: b"abc" in one.read() + two.read())
+    (flight,) = node.executors.out.values()
+    release = gated(node)  # the next one, as a connection that does not come up
+    (one if flight.executor == "e1" else two).held[0].sendall(b"nonsense\r\n\r\n")
+    turn(lambda: flight.task.done and node.executors.out)
+    (second,) = node.executors.out.values()
+    late = node.loop.now() + 1000.0  # within the hard limit
+    node.loop.now = lambda: late
+    release()
+    second.task.step("ready")
+    settle()
+    assert second.task.done and not second.begun
+    assert b"abc" not in one.read() + two.read()
+
+
 # No two out together.
 
 
@@ -483,6 +506,17 @@
     turn(other.accept)  # it never ran: exclusive work is sent once more
 
 
+def test_a_probe_that_was_refused_leaves_no_connection_for_work(node, stand, turn):
+    (executor,) = stand("e1")
+    told = []
+    node.executors.post = told.append
+    node.executors.probe("e1")
+    turn(lambda: b"/-/load" in executor.read())
+    executor.held[0].sendall(NEVER)
+    turn(lambda: told)
+    assert told[0].outcome is Outcome.FULL and ended(executor.held[0])
+
+
 # A peer that never ends.
 
 
@@ -616,6 +650,15 @@
     assert wu.work.expires_ms <= closes
 
 
+def test_a_request_that_comes_as_its_connections_time_ends_is_served(node, client, turn, settle, monkeypatch):
+    sock = client(b"")
+    turn(lambda: node.server.idle)
+    (task,) = node.server.idle.values()
+    sock.sendall(REQUEST)
+    task.step("late")  # its time is over in the turn in which the request comes
+    turn(lambda: node.refs == 1)
+
+
 # Room.
 
 
