--- a/marlseam/net/http.py
+++ b/marlseam/net/http.py
@@ -102,7 +102,7 @@
         """Take no more connections; `rest`: but for those that the system has accepted for us.
 
         Guards requests that stand in the queue, as for want of room: they count as taken, and closing the
-        listener would reset them.
+        listener would reset them. `taken` sees to it that no limit is passed.
         """
         self.task.cancel()
         for _ in range(BACKLOG if rest else 0):
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -94,8 +94,12 @@
         return (not short and len(self.open) < self.room.clients) or self.make_room()
 
     def taken(self, sock: socket.socket) -> None:
-        """Serve a connection."""
+        """Serve a connection; without room, as the listener closes, what came on it is refused at once."""
         connection = Connection(self.loop, self.log, sock, h11.SERVER, "client")
+        if not self.has_room(False):
+            connection.last_words(HTTPStatus.SERVICE_UNAVAILABLE)
+            connection.close(Reason.CROWDED)
+            return
         self.open[connection] = None
         self.loop.spawn(self.serve(connection))
 
