Work that waits for probes, in line or for its turn goes nowhere once its client left

Need: the issue names these three beside a connection that comes up; the module has done so all along, now a test forces each.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -28,6 +28,7 @@
 
 AHEAD = b"x" * 20000  # more than a node reads ahead
 REQUEST = test_net.REQUEST.replace(b"0.5", b"5")
+NEVER = b"HTTP/1.1 503 -\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
 POSTING = REQUEST.replace(b"statement", b"posting")
 
 
@@ -365,6 +366,48 @@
     assert b"abc" not in one.read() + two.read()
 
 
+def test_work_whose_client_leaves_while_probes_are_out_goes_nowhere(node, client, stand, turn, settle):
+    (executor,) = stand("e1")
+    sock = client(REQUEST)
+    turn(lambda: b"/-/load" in executor.read())
+    sock.close()
+    turn(lambda: not node.pending)
+    executor.held[0].sendall(b"HTTP/1.1 200 -\r\nContent-Length: 12\r\n\r\nTEXT queue=0")
+    settle()
+    assert b"POST" not in executor.read() and not node.core.open
+
+
+def test_work_whose_client_leaves_while_it_stands_in_line_goes_nowhere(node, client, stand, turn, settle):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    sock = client(REQUEST)
+    turn(lambda: b"abc" in executor.read())
+    executor.held[0].sendall(NEVER)  # between two tries: the only executor is full
+    turn(lambda: not node.executors.out and node.core.node.lines)
+    sock.close()
+    turn(lambda: not node.pending)
+    node.core.node.full[node.core.index["e1"]] = False
+    node.core.node.pump()
+    settle()
+    assert b"POST" not in executor.read() and not node.core.open and not node.core.node.lines
+
+
+def test_work_whose_client_leaves_before_its_keys_turn_goes_nowhere(node, client, stand, turn, settle):
+    turned = OPTIONS["requestClasses"][0] | {"oneAtATime": True, "aimStretch": 20}
+    (executor,) = stand("e1", ceilings=NO_PROBES, requestClasses=[turned])
+    asked = REQUEST.replace(b"/statement", b"/statement?user=u")
+    first = client(asked)
+    turn(lambda: b"abc" in executor.read())
+    second = client(asked.replace(b"9b", b"9c"))
+    turn(lambda: node.refs == 2)
+    second.close()
+    turn(lambda: len(node.pending) == 1)
+    executor.held[0].sendall(ANSWER)
+    turn(lambda: not node.pending)
+    settle()
+    assert b"POST" not in executor.read() and not node.core.open and not node.core.node.turns
+    assert first.recv(1000).startswith(b"HTTP/1.1 200 ")
+
+
 # No two out together.
 
 
@@ -417,8 +460,6 @@
 
 # What surely never ran.
 
-NEVER = b"HTTP/1.1 503 -\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n"
-
 
 def lines(*states):
     """Return an answer in chunks with lines of these states."""
