Chance has a non-linear step behind CRC-32: neighbouring seeds drew alike

Cause: CRC-32 is linear. Two texts of one length that differ in the seed alone differ in their numbers by one and the same pattern of bits at every draw (`Node.chance`, `Members.chance`, `Versions.chance`, `Room.chance`, `World.chance`, `Rig.chance`), and the numbers of successive counters depend on each other; `Draws` and `wander` took the low bits of it.

Looked at and left: `Handle.lot` by key (`Node.lot`) gives only 8 (30 executors) or 16 (200) different sets for 400 keys, yet executors' shares of the keys are even (coefficient of variation 0.02; mixed 0.05); `Versions.rank` is spread as by chance; seeds made of seeds (`Watch`, `World.start`) are mixed where drawn.

One in test_recovery.py wanted room at the pod's second executor, which the drawn pod need not have: its first allocation is called off now as in its neighbour, and it is held for eight seeds, not one.

--- a/marlseam/experiment/fleet.py
+++ b/marlseam/experiment/fleet.py
@@ -25,9 +25,9 @@
 from math import inf
 from pathlib import Path
 from typing import Literal
-from zlib import crc32
 
 from marlseam import records
+from marlseam.chance import Chance
 from marlseam.experiment import file, plays
 from marlseam.experiment.file import Experiment
 from marlseam.experiment.plays import Played, Say, play
@@ -90,7 +90,8 @@
     """Stands between the nodes, in a thread of its own, and lets faults strike."""
 
     def __init__(self, names: list[str], table: Fleet, seed: int, out: Path) -> None:
-        self.names, self.table, self.seed, self.out, self.draws = names, table, seed, out, 0
+        self.names, self.table, self.seed, self.out = names, table, seed, out
+        self.chance = Chance(f"rig:{seed}")
         self.real = {name: reserved() for name in names}
         self.held: list[socket.socket] = []
         self.doors = {name: self.door() for name in names}
@@ -193,11 +194,6 @@
         own += "[fleet.members]\n"
         return {"admin": self.doors[name]}, own + "\n".join(rows) + "\n"
 
-    def chance(self) -> float:
-        """Return the next number in [0, 1)."""
-        self.draws += 1
-        return crc32(b"rig:%d:%d" % (self.seed, self.draws)) / 2.0**32
-
     def run(self) -> None:
         """Pass on what comes until the experiment is over."""
         pairs = {sock.fileno(): pair for pair, sock in self.between.items()}
--- a/marlseam/fleet/hunt.py
+++ b/marlseam/fleet/hunt.py
@@ -12,6 +12,7 @@
 from typing import Any, NamedTuple
 from zlib import crc32
 
+from marlseam.chance import Chance
 from marlseam.fleet.members import HEALTH_MOST, Changed, Members, Say, Twin
 from marlseam.fleet.words import Kind, Letter, Odd, Standing, read, write
 
@@ -89,7 +90,7 @@
         drift: float = DRIFT,
         machine: type[Members] = Members,
     ) -> None:
-        self.seed, self.draws, self.now, self.count = seed, 0, 0.0, 0
+        self.seed, self.chance, self.now, self.count = seed, Chance(f"world:{seed}"), 0.0, 0
         self.names = frozenset(f"n{i}" for i in range(nodes))
         self.loss, self.doubles, self.drift, self.machine = loss, doubles, drift, machine
         self.strikes = {(s.node, s.sends, int(s.kind), s.count): s for s in strikes}
@@ -107,11 +108,6 @@
 
     # The world.
 
-    def chance(self) -> float:
-        """Return the next number in [0, 1)."""
-        self.draws += 1
-        return crc32(b"world:%d:%d" % (self.seed, self.draws)) / 2.0**32
-
     def at(self, when: float, call: Callable[..., None], *words: Any) -> None:  # noqa: ANN401
         """Call at a time."""
         self.count += 1
@@ -319,12 +315,11 @@
     """Whole numbers of chance, by a seed."""
 
     def __init__(self, prefix: str, seed: int) -> None:
-        self.prefix, self.seed, self.count = prefix, seed, 0
+        self.chance = Chance(f"{prefix}:{seed}")
 
     def __call__(self, below: int) -> int:
         """Return the next one, below some number."""
-        self.count += 1
-        return crc32(f"{self.prefix}:{self.seed}:{self.count}".encode()) % below
+        return int(self.chance() * below)
 
 
 def drawn(
--- a/marlseam/fleet/members.py
+++ b/marlseam/fleet/members.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass, field
 from math import ceil, inf, log, log2, log10
 from typing import NamedTuple
-from zlib import crc32
 
+from marlseam.chance import Chance
 from marlseam.fleet.words import (
     NUMBER_MOST,
     RUMOURS_MOST,
@@ -92,7 +92,7 @@
     def __init__(
         self, fleet: str, me: str, names: frozenset[str], life: int, seed: int, period_ms: float, now: float
     ) -> None:
-        self.fleet, self.me, self.seed, self.draws = fleet, me, seed, 0
+        self.fleet, self.me, self.chance = fleet, me, Chance(f"{seed}:{me}")
         self.period_ms, self.now, self.looked_ms = period_ms, now, now
         self.own = Claim(0, life, Standing.HERE)
         self.members: dict[str, Member] = {}
@@ -161,11 +161,6 @@
         """Return a period as this member takes it, longer where it doubts itself."""
         return self.period_ms * (1.0 + self.health)
 
-    def chance(self) -> float:
-        """Return the next number in [0, 1) of this member's own sequence."""
-        self.draws += 1
-        return crc32(b"%d:%s:%d" % (self.seed, self.me.encode(), self.draws)) / 2.0**32
-
     def shuffled(self, names: list[str]) -> list[str]:
         """Return names in an order of chance."""
         return [name for _, name in sorted((self.chance(), name) for name in names)]
--- a/marlseam/fleet/room.py
+++ b/marlseam/fleet/room.py
@@ -6,8 +6,8 @@
 """
 
 from typing import NamedTuple
-from zlib import crc32
 
+from marlseam.chance import Chance
 from marlseam.fleet.lending import Borrow, Held, Lend, Lending, Lent, Message
 
 HEADROOM = 0.1  # of its demand, that a member keeps beside it
@@ -43,15 +43,10 @@
     ) -> None:  # fmt: skip
         """Make one; `held` is what this process begins with (`Lending.restarted`)."""
         self.name, self.others, self.rules, self.held = name, sorted(members - {name}), rules, held
-        self.period_ms, self.seed, self.draws = period_ms, seed, 0
+        self.period_ms, self.chance = period_ms, Chance(seed)
         self.demand, self.next_ms = 0.0, now
         self.refused: dict[str, int] = {}  # how often in a row a member had nothing: asked last
 
-    def chance(self) -> float:
-        """Return the next number in [0, 1)."""
-        self.draws += 1
-        return crc32(b"%d:%d" % (self.seed, self.draws)) / 2.0**32
-
     def usable(self, now: float) -> float:
         """Return what may be used now."""
         return self.rules.usable(self.held, now)
--- a/marlseam/fleet/search.py
+++ b/marlseam/fleet/search.py
@@ -5,7 +5,8 @@
 
 from collections.abc import Callable, Hashable, Iterator
 from typing import NamedTuple, TypeVar
-from zlib import crc32
+
+from marlseam.chance import number
 
 State = TypeVar("State", bound=Hashable)
 Steps = Callable[[State], Iterator[tuple[str, State]]]
@@ -65,7 +66,7 @@
             following = sorted(steps(state), key=lambda step: step[0])
             if not following:
                 break
-            name, state = following[crc32(b"%d:%d:%d" % (seed, walk, at)) % len(following)]
+            name, state = following[number(b"%d:%d:%d" % (seed, walk, at)) % len(following)]
             gone.append(name)
             if broken(state):
                 return gone
--- a/marlseam/fleet/trial.py
+++ b/marlseam/fleet/trial.py
@@ -7,8 +7,8 @@
 
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
-from zlib import crc32
 
+from marlseam.chance import number
 from marlseam.fleet import says
 from marlseam.fleet.agree import majority
 from marlseam.fleet.content import FORMAT, Content, read, write
@@ -161,7 +161,7 @@
             self.at(self.now + 1.0, self.again, name, seat)
         elif strike.fault == "halves":
             self.touched.append((self.now, until))
-            order = sorted(self.names, key=lambda n: crc32(b"%d:%s" % (self.seed, n.encode())))
+            order = sorted(self.names, key=lambda n: number(b"%d:%s" % (self.seed, n.encode())))
             for a in order[: len(order) // 2]:
                 for b in order[len(order) // 2 :]:
                     self.cuts += [(a, b, until), (b, a, until)]
@@ -269,7 +269,7 @@
     for i in range(6):
         world.run((4.0 + 8.0 * i) * PERIOD_MS)
         for j in range(2):
-            world.publish(f"n{crc32(b'%d:%d:%d' % (seed, i, j)) % nodes}", 10 * i + j)
+            world.publish(f"n{number(b'%d:%d:%d' % (seed, i, j)) % nodes}", 10 * i + j)
     world.run(60.0 * PERIOD_MS)
     end = world.last(strikes)
     world.run(end)
--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -15,6 +15,7 @@
 from typing import NamedTuple
 from zlib import crc32
 
+from marlseam.chance import Chance
 from marlseam.fleet import agree, says
 from marlseam.fleet.agree import (
     NONE,
@@ -181,7 +182,7 @@
         """Make one; `place` is this process's own in ballots, no other process of any name has it."""
         self.name, self.members, self.terms, self.place = name, members, terms, place
         self.others = sorted(members - {name})
-        self.seed, self.check, self.draws = seed, check, 0
+        self.chance, self.check = Chance(seed), check
         self.contents: dict[str, bytes] = dict(kept.contents)
         self.acceptor = Acceptor(name, dict(kept.promises))
         self.durable = dict(kept.promises)  # what has been written of them
@@ -224,11 +225,6 @@
 
     # Small things.
 
-    def chance(self) -> float:
-        """Return the next number in [0, 1)."""
-        self.draws += 1
-        return crc32(b"%d:%d" % (self.seed, self.draws)) / 2.0**32
-
     def some(self, count: int) -> list[str]:
         """Return so many other members at random, or all; as cheap in a large fleet."""
         if len(self.others) <= count:
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -10,6 +10,7 @@
 from heapq import heappop, heappush
 from math import ceil, inf, log
 
+from marlseam.chance import Chance
 from marlseam.figures import DOUBT, WELL_ERROR, Figures
 from marlseam.interface import (
     Alloc,
@@ -347,7 +348,7 @@
 
     def __init__(self, settings: Settings, seed: int, port: Port) -> None:
         super().__init__()
-        self.port, self.seed, self.draws = port, seed, 0
+        self.port, self.chance = port, Chance(seed)
         self.configure(settings)
         # Heaps by (further allocation, kind needed, slots, rank): until when one can be in time, a number.
         self.lines: dict[tuple[bool, int, float, float], list[tuple[float, int, Handle]]] = {}
@@ -375,11 +376,6 @@
         self.grow(settings.kinds, [FIRST_GUESS * (t.promised_ms or urgent) for t in self.types])
         self.near, self.far = self.by_zone(settings.zone)
 
-    def chance(self) -> float:
-        """Return the next number in [0, 1) of this instance's own sequence."""
-        self.draws += 1
-        return zlib.crc32(b"%d:%d" % (self.seed, self.draws)) / 2.0**32
-
     # The roster.
 
     def roster(self, listing: Listing, members: list[Member], doubt: float = 0.0) -> None:
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -100,14 +100,13 @@
     return Entry(name, state, 0, 0, cell, born)
 
 
-@pytest.fixture
-def node():
+def begun(seed):
     """Return a reducer with a list of three executors, two of them in one cell.
 
     And a function to play events.
     """
     made = Core()
-    made.reduce(0.0, core.Begin(SETTINGS, 7))
+    made.reduce(0.0, core.Begin(SETTINGS, seed))
 
     def play(clock, event):
         return made.reduce(clock, event)
@@ -117,6 +116,12 @@
     return play
 
 
+@pytest.fixture
+def node():
+    """Return what `begun` gives for a seed."""
+    return begun(7)
+
+
 def sends(effects):
     return [effect.executor for effect in effects if type(effect) is core.Send]
 
@@ -181,12 +186,16 @@
     assert core.Remember not in [type(e) for e in answered(node, 2.0, node(2.0, unit("2", type=0, key=None)))]
 
 
-def test_past_the_bound_a_new_key_is_deferred_with_advice_and_an_old_one_still_goes(node):
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_past_the_bound_a_new_key_is_deferred_with_advice_and_an_old_one_still_goes(seed):
+    node = begun(seed)
     node.core.receipts.most = 1
     assert sends(answered(node, 1.0, node(1.0, unit("1", key="old"))))
     (refused,) = node(2.0, unit("2", key="new"))
     assert type(refused) is core.Defer and refused.advice_ms > 0.0
+    # Called off, as the pod's other executor, if it has one, need not have room.
     node(2.5, core.Left("1"))
+    node(2.5, core.Settled("1", 0, Outcome.WITHDRAWN, True, None))
     assert sends(answered(node, 3.0, node(3.0, unit("3", key="old"))))
 
 
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -177,8 +177,8 @@
 @pytest.mark.parametrize(
     ("machine", "seed"),
     [
-        (SpeaksFirst, 1), (NoAge, 12), (OneProves, 25), (AcceptedIsClear, 130),
-        (FirstVoters, 3), (NoLease, 4), (NeverFinishes, 145), (AsksOnce, 45),
+        (SpeaksFirst, 1), (NoAge, 22), (OneProves, 18), (AcceptedIsClear, 22),
+        (FirstVoters, 3), (NoLease, 18), (NeverFinishes, 57), (AsksOnce, 3),
         (FromTheAnswer, LATE),
     ],
 )  # fmt: skip
