A client is looked at right before the first byte of every attempt

Cause: whether a client was there was asked before its work was taken (Server.work_unit) and when the loop came to its end (Server.wait); between the choice and the first byte nobody looked (Executors.allocation). Change: `Order.left` looks at the client's connection after the gate, the dial and what a fleet stands on; one that is gone ends the work unit, and the attempt ends as void, with its record, its key's turn and its executor's count given back. No cancel on the wire: settings that forbid cancelling do not matter. Tests: tests/test_left.py brings 13 kinds of hold to the brink (dial; repeat after an error, a broken answer, unprocessed, returned, a reset, silence; second copy, probe, gate, line, key's turn) and puts send and end before the node in the bad order, closing, resetting and half-closing, with nothing, a request and 20 kB sent ahead, cancelling allowed and not; and shows that each hold lets go where the client stays.

--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -46,6 +46,7 @@
     gate: Callable[[], Steps] | None = None  # must be over, and say yes, before anything goes out
     stands: "Stands | None" = None  # where the node is of a fleet
     begins_ms: float = inf  # before which its first byte goes out, or nothing
+    left: Callable[[], bool] | None = None  # whether its client has gone, as a look at that moment has it
 
 
 class Stands(Protocol):
@@ -276,6 +277,11 @@
                 raise Ended(Reason.TIMED_OUT)
             headers = protocol.job_headers(job, peer.name, order.expires_ms - now, acting)
             request = h11.Request(method="POST", target=job.target, headers=headers)
+            if order.left is not None and order.left():
+                # Guards against work for nobody: the client's end may be handled later in this turn, or have
+                # come since it began.
+                reason = Reason.WITHDRAWN
+                return
             flight.begun = True
             yield from connection.message(request, job.body, until)
             written = True
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -299,6 +299,16 @@
         self.post(core.Left(ref))
         self.pending.pop(ref, None)
 
+    def look(self, ref: str, pending: Pending) -> bool:
+        """Return whether a work unit's client has gone; if so nothing more of it is tried.
+
+        Its own coroutine closes the connection once the loop comes to that.
+        """
+        if not pending.gone():
+            return False
+        self.post(core.Left(ref))
+        return True
+
     # Effects.
 
     def send(self, effect: core.Send) -> None:
@@ -308,7 +318,7 @@
         stands = self.acting.order() if self.acting is not None else None
         order = Order(
             effect.ref, effect.alloc, effect.executor, pending.job, now + effect.limit_ms,
-            pending.expires_ms, gate, stands, now + effect.begin_ms,
+            pending.expires_ms, gate, stands, now + effect.begin_ms, lambda: self.look(effect.ref, pending),
         )  # fmt: skip
         self.executors.send(order)
 
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -35,8 +35,8 @@
 class Pending:
     """A work unit that is out for its client, and the answer once there is one."""
 
-    def __init__(self, job: Job, taken_ms: float) -> None:
-        self.job = job
+    def __init__(self, job: Job, taken_ms: float, gone: Callable[[], bool] = lambda: False) -> None:
+        self.job, self.gone = job, gone  # `gone` looks whether its client has ended its connection
         self.task: Task | None = None  # that waits for the answer
         self.expires_ms = taken_ms + job.left_ms
         self.answer: tuple[int, Headers, bytes] | None = None
@@ -242,7 +242,9 @@
                 status, headers, body = (200 if self.ready() else 503), [], b""
             else:
                 job = protocol.job_from(call.target, call.head, call.body, self.deployment)
-                status, headers, body = yield from self.work_unit(connection, Pending(job, began))
+                status, headers, body = yield from self.work_unit(
+                    connection, Pending(job, began, connection.gone)
+                )
         except Malformed as error:
             raise http.bad(error) from None
         del self.held[connection]
--- /dev/null
+++ b/tests/test_left.py
@@ -0,0 +1,340 @@
+"""For a client that has gone nothing begins, first or further attempt (docs/design/endings.md).
+
+Each hold brings a work unit to the instant at which the next event has it sent. That event and the client's
+end are then put before the node in the bad order, on real loopback sockets: both ready in one turn, the send
+in front, or the end in the middle of a turn that is late.
+"""
+
+import select
+import socket
+from dataclasses import replace
+from math import inf
+
+import pytest
+from conftest import ANSWER, OPTIONS
+from test_endings import (
+    AHEAD,
+    AHEAD_MOST,
+    NEVER,
+    POSTING,
+    REQUEST,
+    half_close,
+    lines,
+    reset,
+    tell,
+)
+from test_net import JOB
+
+from marlseam.interface import Listing, State
+from marlseam.net.connection import Connection
+from marlseam.net.executors import Order
+from marlseam.net.loop import READ as READ_MASK
+from marlseam.net.loop import READY
+
+pytest_plugins = ("test_endings",)  # its fixtures: peers, turn, settle, stand
+
+LATE_MS = 150.0  # how long a late turn takes after the client's end, past the 0.1 s that are allowed
+PATIENT = [row | {"aimUs": 1000000} for row in OPTIONS["requestClasses"]]  # so that a late turn ends no wait
+WAYS = pytest.mark.parametrize(
+    "goes", [socket.socket.close, reset, half_close], ids=["closes", "resets", "half"]
+)
+SENT_AHEAD = pytest.mark.parametrize(
+    "ahead", [b"", REQUEST.replace(b"9b", b"9d"), AHEAD], ids=["nothing", "a request", "much"]
+)
+CANCEL = pytest.mark.parametrize("may_cancel", [True, False], ids=["cancel", "no cancel"])
+ERROR = b"HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n"
+LOAD = b"HTTP/1.1 200 -\r\nContent-Length: 12\r\n\r\nTEXT queue=0"
+
+
+def comes(fd, mask=select.POLLIN):
+    """Wait until the system has something for a descriptor; an epoll's own counts as well."""
+    poll = select.poll()
+    poll.register(fd, mask)
+    assert poll.poll(2000), "it did not come"
+
+
+class Scene:
+    """A node with its client and its executors, and the ways to have things happen to them."""
+
+    def __init__(self, node, client, turn, settle, stand, may_cancel):
+        self.node, self.client, self.turn, self.settle, self.stand = node, client, turn, settle, stand
+        self.may_cancel = may_cancel
+        self.ahead, self.executors, self.bells = b"", {}, []
+        self.begun = 0  # attempts
+        self.sock = self.within = None  # `within`: what a late turn handles by itself
+        self.late_ms = LATE_MS
+        real, self.lead_ms = node.loop.now, 0.0
+        node.loop.now = lambda: real() + self.lead_ms
+
+    def list(self, *names, probes=False, **options):
+        """List executors with two kept connections each, so that what is chosen goes out in the same turn."""
+        limits = {"mayProbe": probes, "cancel": self.may_cancel} | options.pop("ceilings", {})
+        options = {"requestClasses": PATIENT} | options
+        self.executors = dict(zip(names, self.stand(*names, ceilings=limits, **options), strict=True))
+        for name, peer in self.executors.items():
+            until = self.node.loop.now() + 1000.0
+            for alloc in range(2):
+                self.node.executors.send(Order("0", alloc, name, JOB, until, until))
+            self.turn(lambda peer=peer: peer.accept() and len(peer.held) == 2)
+            for sock in peer.held:
+                sock.sendall(ANSWER.replace(b'"e1"', b'"%b"' % name.encode()))
+            self.turn(lambda name=name: len(self.node.executors.peers[name].idle) == 2)
+        assert self.read().count(b"abc") == 2 * len(names)
+
+    def ask(self, request=REQUEST, read=True):
+        """Have the client that will go send its request; `read` what it sends ahead as far as a node does."""
+        before, units = set(self.node.server.open), self.node.refs
+        self.sock = self.client(request + self.ahead)
+        self.turn(lambda: set(self.node.server.open) - before)
+        (self.door,) = set(self.node.server.open) - before
+        self.turn(lambda: self.node.refs > units)
+        if read and self.ahead:
+            much = self.ahead is AHEAD
+            self.turn(lambda: self.door.ahead() and (not much or len(self.door.buffer) >= AHEAD_MOST))
+            self.node.loop.at(self.node.loop.now(), lambda: None)
+            self.node.loop.turn()  # else its bytes are still news, and its end comes in their place
+
+    def read(self):
+        """Return what came to executors since the last look."""
+        data = b""
+        for name, peer in self.executors.items():
+            while peer.accept():
+                pass
+            for sock in peer.held:
+                try:
+                    came = sock.recv(1 << 16)
+                except (BlockingIOError, ConnectionResetError):
+                    continue
+                if came:
+                    self.at = name, sock
+                data += came
+        return data
+
+    def running(self, word=b"abc"):
+        """Wait until a request is at an executor; return that one's name and its side of the connection."""
+        self.turn(lambda: word in self.read())
+        return self.at
+
+    def bell(self, call):
+        """Return what has the node call in a turn, as an event of its sockets."""
+        ours, theirs = socket.socketpair()
+        self.bells += [ours, theirs]
+
+        def hear():
+            yield (theirs.fileno(), READ_MASK, inf)
+            call()
+
+        self.node.loop.spawn(hear())
+        return lambda: ours.send(b"!")
+
+    def leave(self, goes):
+        """Have the client go; return once its end is in the node's socket."""
+        goes(self.sock)
+        comes(self.door.sock.fileno(), select.POLLRDHUP)
+
+    def close(self):
+        for sock in self.bells:
+            sock.close()
+
+
+@pytest.fixture
+def scene(node, client, turn, settle, stand, monkeypatch):
+    made, write = [], Connection.message
+
+    def message(connection, head, body, until_ms):
+        made[-1].begun += connection.what.startswith("executor") and head.method == b"POST"
+        return (yield from write(connection, head, body, until_ms))
+
+    def begin(may_cancel, ahead=b""):
+        made.append(Scene(node, client, turn, settle, stand, may_cancel))
+        made[-1].ahead = ahead
+        return made[-1]
+
+    monkeypatch.setattr(Connection, "message", message)
+
+    yield begin
+    for each in made:
+        each.close()
+
+
+# What a send waits for. Each brings a work unit there and returns what has it go out in the next turn.
+
+
+def a_dial(scene):
+    scene.list("e1")
+    for connection, _ in scene.node.executors.peers["e1"].idle:
+        connection.eof = True  # closed by its executor: a new one is dialled
+    scene.ask(read=False)
+    (flight,) = scene.node.executors.out.values()
+    comes(flight.task.fd, select.POLLOUT)  # it is up, and the node has not heard of it
+    scene.within = lambda: flight.task.step(READY)
+    return lambda: None
+
+
+def a_repeat(answer, request=REQUEST):
+    def hold(scene):
+        scene.list("e1", "e2")
+        scene.ask(request)
+        name, sock = scene.running()
+        return lambda: sock.sendall(answer.replace(b'"e1"', b'"%b"' % name.encode()))
+
+    return hold
+
+
+def a_repeat_after_a_reset(scene):
+    scene.list("e1", "e2")
+    scene.ask()
+    name, sock = scene.running()
+    scene.executors[name].held.remove(sock)
+    return lambda: reset(sock)
+
+
+def a_repeat_after_silence(scene):
+    scene.list("e1", "e2", requestClasses=[PATIENT[0], OPTIONS["requestClasses"][1]])  # time is left for two
+    scene.ask()
+    scene.running()
+    scene.late_ms = scene.node.executors.take_ms
+    return lambda: None
+
+
+def a_second_copy(scene):
+    scene.list("e1", "e2", ceilings={"secondCopies": True})
+    scene.ask()
+    name, _ = scene.running()
+    gone = {name: scene.executors[name].address}
+    return scene.bell(lambda: tell(scene.node, gone, State.GONE, Listing.DELTA))
+
+
+def a_probe(scene):
+    scene.list("e1", probes=True)
+    scene.node.core.node.heard_ms[scene.node.core.index["e1"]] = -inf
+    scene.ask()
+    _, sock = scene.running(b"/-/load")
+    return lambda: sock.sendall(LOAD)
+
+
+def a_gate(scene):
+    scene.list("e1")
+    ours, theirs = socket.socketpair()
+    scene.bells += [ours, theirs]
+
+    def gate():
+        yield (theirs.fileno(), READ_MASK, inf)  # the word that a record is on the disk
+        return True
+
+    real = scene.node.executors.send
+    scene.node.executors.send = lambda order: real(replace(order, gate=gate))
+    scene.ask()
+    assert scene.node.executors.out
+    return lambda: ours.send(b"!")
+
+
+def a_line(scene):
+    scene.list("e1")
+    at = {"e1": scene.executors["e1"].address}
+    tell(scene.node, at, State.DRAINING, Listing.DELTA)
+    scene.ask()
+    assert scene.node.core.node.lines
+    return scene.bell(lambda: tell(scene.node, at, State.READY, Listing.DELTA))
+
+
+def a_turn_of_its_key(scene):
+    scene.list("e1", requestClasses=[PATIENT[0] | {"oneAtATime": True, "aimStretch": 20}])
+    asked = REQUEST.replace(b"/statement", b"/statement?user=u")
+    scene.client(asked.replace(b"9b", b"9a"))
+    _, sock = scene.running()
+    scene.ask(asked)
+    assert scene.node.refs == 2
+    return lambda: sock.sendall(ANSWER.replace(b"9b", b"9a"))
+
+
+HOLDS = {
+    "a dial": a_dial,
+    "an error": a_repeat(ERROR),
+    "a broken answer": a_repeat(b"nonsense\r\n\r\n"),
+    "unprocessed": a_repeat(NEVER),
+    "unprocessed, exclusive": a_repeat(NEVER, POSTING),
+    "returned, exclusive": a_repeat(lines(b"returned"), POSTING),
+    "a reset": a_repeat_after_a_reset,
+    "silence": a_repeat_after_silence,
+    "a second copy": a_second_copy,
+    "a probe": a_probe,
+    "a gate": a_gate,
+    "a line": a_line,
+    "a turn of its key": a_turn_of_its_key,
+}
+HOLD = pytest.mark.parametrize("name", HOLDS)
+
+
+def over(node):
+    """Say that nothing is left of work, and that the executors' counts are right."""
+    assert not node.pending and not node.core.open and not node.executors.out and not node.server.ids
+    assert not any(node.core.node.ours) and not node.core.node.turns and not node.core.node.lines
+
+
+@HOLD
+@CANCEL
+def test_a_hold_lets_go_while_its_client_stays(name, may_cancel, scene, node, turn):
+    scene = scene(may_cancel)
+    act = HOLDS[name](scene)
+    act()
+    scene.lead_ms += scene.late_ms if name == "silence" else 0.0
+    turn(lambda: b"abc" in scene.read())
+
+
+def goes_nowhere(scene, begun):
+    """Say that nothing has begun since, on the wire or on its way there, and that all ends."""
+    node = scene.node
+    assert scene.begun == begun and b"abc" not in scene.read()
+    scene.settle()
+    scene.turn(lambda: scene.door not in node.server.open)
+    scene.lead_ms += (
+        1000.0 if node.executors.out else 0.0
+    )  # what had begun runs on where cancelling is forbidden
+    scene.turn(lambda: not node.executors.out)
+    assert scene.begun == begun and b"abc" not in scene.read()
+    over(node)
+
+
+@CANCEL
+@SENT_AHEAD
+@WAYS
+@pytest.mark.parametrize("name", [name for name in HOLDS if name != "silence"])  # a timer comes after events
+def test_nothing_is_begun_where_the_send_is_handled_before_the_end(
+    name, goes, ahead, may_cancel, scene, node
+):
+    scene = scene(may_cancel, ahead)
+    act = HOLDS[name](scene)
+    begun = scene.begun
+    act()
+    comes(node.loop.poll.fileno())
+    scene.leave(goes)  # ready in the same turn, behind the send
+    node.loop.turn()
+    goes_nowhere(scene, begun)
+
+
+@CANCEL
+@SENT_AHEAD
+@WAYS
+@HOLD
+def test_nothing_is_begun_in_a_late_turn_in_which_the_client_went(name, goes, ahead, may_cancel, scene, node):
+    scene = scene(may_cancel, ahead)
+
+    def late():
+        """Have the client go, and be long about it: the turn's events were fetched before."""
+        scene.leave(goes)
+        scene.lead_ms += scene.late_ms
+        if scene.within is not None:
+            scene.within()
+
+    ring = scene.bell(late)
+    act = HOLDS[name](scene)
+    begun = scene.begun
+    if scene.within is not None:  # it is ready before the bell could be: handled as from within a turn
+        late()
+    else:
+        ring()
+        comes(node.loop.poll.fileno())
+        act()
+        node.loop.turn()
+    goes_nowhere(scene, begun)
