A repeat whose bytes wait past the pods' memory is cut, not begun there

Cause: an executor begins a request when its last byte has come, and pods drop repeats for a stated time only. `Executors.allocation` looked at `begins_ms` before the first byte and then gave `Connection.write` the hard limit, so a long request to an executor that read slowly went on past that memory; and `Connection.write`, resumed because there was room, did not look at its time. Forced on real sockets with small buffers: two executors, the first answers nonsense, the repeat stands in the middle of 64 KB, the clock is led past the memory, the second executor reads on.

Change: the bytes have until the earlier of hard limit and memory; a write that waited for room looks at its time.

--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -210,7 +210,7 @@
     alloc: int
     executor: str
     limit_ms: float
-    begin_ms: float = inf  # within which its first byte goes out, or nothing
+    begin_ms: float = inf  # within which its last byte goes out, or it never ran
 
 
 class Cancel(NamedTuple):
--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -145,13 +145,14 @@
     # Writing.
 
     def write(self, data: bytes, until_ms: float) -> Steps:
-        """Write all of some bytes."""
+        """Write all of some bytes; none once the time is over, also where there is room just then."""
         view = memoryview(data)
         while view:
             try:
                 view = view[self.sock.send(view) :]
             except (BlockingIOError, InterruptedError):
-                if (yield (self.sock.fileno(), WRITE, until_ms)) == LATE:
+                came = yield (self.sock.fileno(), WRITE, until_ms)
+                if came == LATE or self.loop.now() >= until_ms:
                     raise Ended(Reason.TIMED_OUT) from None
             except OSError:
                 raise Ended(Reason.PEER_RESET) from None
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -45,7 +45,7 @@
     expires_ms: float
     gate: Callable[[], Steps] | None = None  # must be over, and say yes, before anything goes out
     stands: "Stands | None" = None  # where the node is of a fleet
-    begins_ms: float = inf  # before which its first byte goes out, or nothing
+    begins_ms: float = inf  # before which its last byte goes out, or it never ran
     left: Callable[[], bool] | None = None  # whether its client has gone, as a look at that moment has it
 
 
@@ -271,8 +271,8 @@
                 connection = None
                 unkept()
                 return
-            now = self.loop.now()
-            if now >= min(until, order.begins_ms):
+            now, goes_until = self.loop.now(), min(until, order.begins_ms)
+            if now >= goes_until:
                 # Guards the hard limit, and the memory of pods, against a connection that comes up late.
                 raise Ended(Reason.TIMED_OUT)
             headers = protocol.job_headers(job, peer.name, order.expires_ms - now, acting)
@@ -283,7 +283,7 @@
                 reason = Reason.WITHDRAWN
                 return
             flight.begun = True
-            yield from connection.message(request, job.body, until)
+            yield from connection.message(request, job.body, goes_until)  # it begins with its last byte
             written = True
             if order.stands is not None:
                 order.stands.went()
--- /dev/null
+++ b/tests/test_standing.py
@@ -0,0 +1,106 @@
+"""What the page of the standing test asks, each bad order forced on real sockets (docs/design/endings.md).
+
+Peers and time as in test_endings: the test's own, so that the order is the same in every run.
+"""
+
+import select
+import socket
+
+import h11
+import pytest
+import test_endings
+from conftest import OPTIONS
+from test_endings import NO_PROBES, REQUEST
+
+from marlseam.net.connection import Ended
+from marlseam.net.loop import READY
+
+peers, settle, stand, turn = (
+    test_endings.peers,
+    test_endings.settle,
+    test_endings.stand,
+    test_endings.turn,
+)
+KEYED = OPTIONS["requestClasses"][0] | {"semantics": "keyed", "dedupScope": "all", "aimStretch": 20}
+PAYING = REQUEST.replace(b"Host: h", b"Host: h\r\nIdempotency-Key: k")
+
+
+@pytest.fixture
+def small(monkeypatch):
+    """Return a function from which on sockets hold so little that a long request waits for its reader."""
+    real = socket.socket
+
+    def made(*given, **named):
+        sock = real(*given, **named)
+        for side in (socket.SO_SNDBUF, socket.SO_RCVBUF):
+            sock.setsockopt(socket.SOL_SOCKET, side, 2048)
+        return sock
+
+    return lambda: monkeypatch.setattr(socket, "socket", made)
+
+
+@pytest.fixture
+def lead(node):
+    """Return a function that leads the node's clock by so many ms more."""
+    real, by = node.loop.now, [0.0]
+    node.loop.now = lambda: real() + by[0]
+
+    def more(ms):
+        by[0] += ms
+
+    return more
+
+
+def long(request):
+    """Return a request with a body that fills small sockets."""
+    return request.replace(b"Length: 3", b"Length: 65536").replace(b"abc", b"b" * 65536)
+
+
+# Short windows for repeats.
+
+
+@pytest.mark.parametrize("reads", ["before", "with"])
+def test_a_repeat_whose_bytes_wait_past_the_pods_memory_is_cut(
+    node, client, stand, turn, settle, small, lead, reads
+):
+    # An executor begins a request when its last byte has come: by then its pods have forgotten the first.
+    keyed = KEYED | {"memorySpanUs": 1000000}
+    one, two = stand("e1", "e2", ceilings=NO_PROBES, requestClasses=[keyed])
+    for peer in (one, two):
+        peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+    client(long(PAYING))
+    turn(lambda: one.accept() or two.accept())
+    first, other = (one, two) if one.held else (two, one)
+    read = bytearray()
+
+    def whole():
+        read.extend(first.read())
+        return read.endswith(b"b") and read.count(b"b") >= 65536
+
+    turn(whole)
+    small()
+    first.held[0].sendall(b"nonsense\r\n\r\n")  # it may have run
+    turn(lambda: other.accept())
+    settle()
+    (flight,) = node.executors.out.values()
+    assert flight.begun
+    attempts = node.counters.attempts
+    lead(1000.0)  # the memory is over, the hard limit is not
+    while reads == "with" and not select.select([], [flight.task.fd], [], 0)[1]:
+        other.read()  # there is room for more in the turn in which the time is over
+    settle()
+    for _ in range(100):
+        other.read()
+        settle(2)
+    assert node.counters.attempts == attempts and not node.executors.out
+
+
+def test_what_waits_for_room_goes_out_no_more_once_its_time_is_over(connection):
+    made = connection(h11.CLIENT, piece=10)
+    steps = made.write(b"x" * 100, made.loop.now() + 5.0)
+    next(steps)
+    late, gone = made.loop.now() + 5.0, made.sock.sent
+    made.loop.now = lambda: late
+    with pytest.raises(Ended):
+        steps.send(READY)  # there is room in the turn in which the time is over
+    assert made.sock.sent == gone
