Work that may not run twice takes no connection that has just answered

`Executors.allocation` closes a connection after a refusal, so that a second refusal is believed by nobody, but keeps it after any other answer, and `checked_out` gives the one used last: the next request may go out on it in the same turn. Its second answer is then read as the answer to that next request. A refusal (`X-Unprocessed: 1`) names no work unit: exclusive work would be sent again, and a receipted one taken off the record, though the executor has it. Any other second answer had such work aborted for nothing. Forced on real sockets: three kinds of second answer, exclusive and receipted work.

Change: work that may not run twice everywhere takes a connection that has rested for 50 ms, else a new one, with a fresh one's place where all places are taken. Rerunnable work goes on as before.

--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -24,6 +24,7 @@
 END_SHARE = 1.0  # how long the end of an answer may take after its last line, likewise
 PROBE_PLACES = 4  # connections to an executor that probes may open beyond those of allocations
 FIRST_LOOK = 0.5  # of a probe's time, after which it is made once more on a new connection
+SECOND_MS = 50.0  # by when a second answer has come at the latest: the page says some milliseconds
 CUT = (Reason.PEER_CLOSED, Reason.PEER_RESET, Reason.REFUSED)  # what ends one connection, and maybe no other
 FAILED = {  # what a probe's end says of its executor; any other is a break
     Reason.TIMED_OUT: Outcome.TIMED_OUT,
@@ -176,19 +177,24 @@
         self.end(peer, connection, Reason.CROWDED)
         return True
 
-    def checked_out(self, peer: Peer) -> Connection:
-        """Take the unused connection that was used last."""
-        connection, watch = peer.idle.pop()
-        watch.cancel()
-        return connection
+    def checked_out(self, peer: Peer, rest_ms: float = -inf) -> Connection | None:
+        """Take the unused connection that was used last, of those that have rested for some time."""
+        before = self.loop.now() - rest_ms
+        for i in reversed(range(len(peer.idle))):
+            if peer.idle[i][0].used_ms <= before:
+                connection, watch = peer.idle.pop(i)
+                watch.cancel()
+                return connection
+        return None
 
-    def acquire(self, peer: Peer, places: int, until_ms: float, fresh: bool = False) -> Steps:
-        """Return a connection: one that is unused and still open, else or if wished a new one."""
-        while peer.idle and not fresh:
-            connection = self.checked_out(peer)
+    def acquire(self, peer: Peer, places: int, until_ms: float, rest_ms: float = -inf) -> Steps:
+        """Return a connection: one that is unused, has rested for some time and is open, else a new one."""
+        while (connection := self.checked_out(peer, rest_ms)) is not None:
             if connection.quiet():
                 return connection
             self.end(peer, connection, Reason.PEER_CLOSED)
+        if peer.count >= places and peer.idle:
+            self.end(peer, self.checked_out(peer), Reason.CROWDED)  # which may not be used yet
         if peer.address is None or peer.count >= places:
             raise Ended(Reason.NO_SOCKETS)
         if self.open() >= self.places and not self.make_room():
@@ -263,7 +269,10 @@
             if order.gate is not None and not (yield from order.gate()):
                 unkept()
                 return
-            connection = yield from self.acquire(peer, self.limit(), until)
+            # Guards what may not run twice against a second answer to what its connection carried before:
+            # one that says "never ran" names no work unit, and would be believed.
+            rest_ms = SECOND_MS if job.once else -inf
+            connection = yield from self.acquire(peer, self.limit(), until, rest_ms)
             kept = connection.messages > 0
             acting = order.stands.goes() if order.stands is not None else ""
             if order.stands is not None and not acting:
@@ -385,7 +394,7 @@
     def look(self, peer: Peer, until: float, fresh: bool = False) -> Steps:
         """Make one call for a report; return how it ended, and the report."""
         reason, places = Reason.FAULT, self.limit() + PROBE_PLACES
-        connection = yield from self.acquire(peer, places, until, fresh)
+        connection = yield from self.acquire(peer, places, until, inf if fresh else -inf)
         try:
             request = h11.Request(method="GET", target=protocol.LOAD_PATH, headers=[("Host", peer.name)])
             yield from connection.message(request, b"", until)
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -53,6 +53,7 @@
     left_ms: float
     slots: float
     exclusive: bool = False  # as its type's effect was when it was taken
+    once: bool = False  # likewise: it may not run twice everywhere
     key: str | None = None  # the thing that it needs
     repeat: bool = False  # it may be a client's retry
 
@@ -185,6 +186,7 @@
         left_ms=min(left_ms, limit_ms),
         slots=number(facts.get("slots", "1"), FACTS) or 1.0,
         exclusive=of_type.effect is Effect.EXCLUSIVE,
+        once=of_type.effect is not Effect.RERUNNABLE,
         repeat=head.get(REPEAT) == "1" or not deployment.marks_retry,
         key=dict(parse_qsl(target.partition("?")[2])).get(KEY),
     )
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -5,14 +5,17 @@
 
 import select
 import socket
+from dataclasses import replace
 
 import h11
 import pytest
 import test_endings
-from conftest import OPTIONS
-from test_endings import NO_PROBES, REQUEST
+from conftest import ANSWER, OPTIONS
+from test_endings import NEVER, NO_PROBES, REQUEST
+from test_net import JOB
 
 from marlseam.net.connection import Ended
+from marlseam.net.executors import SECOND_MS, Order
 from marlseam.net.loop import READY
 
 peers, settle, stand, turn = (
@@ -104,3 +107,60 @@
     with pytest.raises(Ended):
         steps.send(READY)  # there is room in the turn in which the time is over
     assert made.sock.sent == gone
+
+
+# Second answers, some milliseconds late.
+
+
+@pytest.mark.parametrize(
+    "second",
+    [NEVER, ANSWER, b"HTTP/1.1 500 -\r\nContent-Length: 0\r\n\r\n"],
+    ids=["never ran", "the same", "an error"],
+)
+@pytest.mark.parametrize(
+    "job", [replace(JOB, exclusive=True, once=True), replace(JOB, once=True)], ids=["exclusive", "receipted"]
+)
+def test_a_second_answer_after_a_good_one_is_not_the_next_ones(node, stand, turn, settle, second, job):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    told = []
+    node.executors.post = told.append
+    until = node.loop.now() + 5000.0
+    node.executors.send(Order("1", 0, "e1", JOB, until, until))
+    turn(lambda: b"abc" in executor.read())
+    executor.held[0].sendall(ANSWER)
+    turn(lambda: node.executors.peers["e1"].idle)
+    told.clear()
+    node.executors.send(Order("2", 0, "e1", job, until, until))  # in the turn in which the first ends
+    turn(lambda: b"abc" in executor.read())
+    executor.held[0].sendall(second)
+    settle()
+    assert not told and ("2", 0) in node.executors.out
+
+
+def test_what_may_not_run_twice_uses_a_connection_that_has_rested(node, stand, turn, lead):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    for ref in "12":
+        until = node.loop.now() + 5000.0
+        node.executors.send(Order(ref, 0, "e1", replace(JOB, once=True), until, until))
+        turn(lambda: b"abc" in executor.read())
+        executor.held[0].sendall(ANSWER)
+        turn(lambda: node.executors.peers["e1"].idle)
+        lead(SECOND_MS)
+    assert len(executor.held) == 1
+
+
+def test_what_may_not_run_twice_finds_a_place_where_all_connections_are_fresh(node, stand, turn, settle):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    node.executors.limit = lambda: most
+    most, until = 2, node.loop.now() + 5000.0
+    for i in range(most):
+        node.executors.send(Order(str(i), 0, "e1", JOB, until, until))
+    turn(lambda: executor.accept() is not None and len(executor.held) == most)
+    settle()
+    executor.read()
+    for sock in executor.held:
+        sock.sendall(ANSWER)
+    turn(lambda: len(node.executors.peers["e1"].idle) == most)
+    node.executors.send(Order("x", 0, "e1", replace(JOB, once=True), until, until))
+    turn(lambda: b"abc" in executor.read())
+    assert len(executor.held) == most + 1 and node.executors.open() == most
