A drain is heard in a spoilt entry, and numbers that no float holds spoil little

Cause, `protocol.py`: `entry_from` refused an entry for an odd `dial` or `born_ms` before its health counted, so one that drains stayed ready for us, against the rule on drains; `isfinite(born)` and `isfinite(share)` raise OverflowError for a whole number that no float holds, which ended the watch with a fault at each list, so that the node had none; `report_from` and `line_from` likewise (an answer that said `done` was taken for a break), and `load_from` let a body nested for ever out of the probe's coroutine as a fault.

Change: of an entry that drains or has left, host and health are enough; numbers go through `config.finite`; such reports are passed by.

--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -8,7 +8,7 @@
 from typing import Any
 from urllib.parse import parse_qsl
 
-from marlseam.config import Deployment, address_from
+from marlseam.config import Deployment, address_from, finite
 from marlseam.core import Entry
 from marlseam.interface import Effect, Listing, Outcome, Report, State
 
@@ -246,8 +246,8 @@
     report = report_from(row.get("load"), names)
     if state == "started":
         return Line(started=True)
-    if state == "running" and isinstance(share, int | float):
-        return Line(share=float(share))
+    if state == "running" and finite(share) is not None:
+        return Line(share=finite(share))
     known = isinstance(state, str) and state in ENDS
     if not known or (state == "done" and not isinstance(result, str)):
         raise Malformed("a line tells no known state")
@@ -282,7 +282,7 @@
         if name in names:
             try:
                 figure = float(figure)
-            except (TypeError, ValueError):
+            except (TypeError, ValueError, OverflowError):
                 continue
             if isfinite(figure):
                 found[names[name]] = figure
@@ -295,7 +295,7 @@
     if text.startswith("{"):
         try:
             return report_from(json.loads(text), names)
-        except ValueError:
+        except (ValueError, RecursionError):
             return None
     return report_from(text or head.get(LOAD), names)
 
@@ -342,16 +342,19 @@
 def entry_from(
     row: object, deployment: Deployment, from_unix: Callable[[float], float]
 ) -> tuple[Entry, tuple[str, int] | None]:
-    """Read one entry of the list; one that has left needs no address."""
+    """Read one entry of the list; of one that wants nothing new, host and health are enough.
+
+    Guards a drain that is told in an entry that is spoilt elsewhere.
+    """
     if not isinstance(row, dict):
         raise Malformed("no object")
     name, state, block, born = row.get("host"), row.get("health"), row.get("block"), row.get("born_ms")
-    share = row.get("share")
+    share, at = finite(row.get("share")), finite(born)
     if not isinstance(name, str) or not name:
         raise Malformed("no host")
     if not isinstance(state, str) or state not in HEALTH:
         raise Malformed("unknown health")
-    if born is not None and (not isinstance(born, int | float) or not isfinite(born)):
+    if born is not None and at is None and HEALTH[state] is State.READY:
         raise Malformed("born_ms is no number")
     entry = Entry(
         executor=name,
@@ -359,13 +362,13 @@
         kind=place(row.get("class"), deployment.kinds),
         zone=place(row.get("site"), deployment.zones),
         cell=block if isinstance(block, int) else -1,
-        born_ms=from_unix(born) if born else None,
-        weight=share if isinstance(share, int | float) and isfinite(share) and share > 0 else None,
+        born_ms=from_unix(at) if at else None,
+        weight=share if share is not None and share > 0 else None,
     )
     if entry.state is State.GONE:
         return entry, None
     address = address_from(row.get("dial"))
-    if address is None:
+    if address is None and entry.state is State.READY:
         raise Malformed("dial is no address and port")
     return entry, address
 
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -11,9 +11,10 @@
 import pytest
 import test_endings
 from conftest import ANSWER, OPTIONS
-from test_endings import NEVER, NO_PROBES, REQUEST
+from test_endings import NEVER, NO_PROBES, POSTING, REQUEST
 from test_net import JOB
 
+from marlseam.interface import Outcome, State
 from marlseam.net.connection import Ended
 from marlseam.net.executors import SECOND_MS, Order
 from marlseam.net.loop import READY
@@ -164,3 +165,107 @@
     node.executors.send(Order("x", 0, "e1", replace(JOB, once=True), until, until))
     turn(lambda: b"abc" in executor.read())
     assert len(executor.held) == most + 1 and node.executors.open() == most
+
+
+# The list.
+
+
+DISCOVERED = {"host": "e1", "site": "here", "class": "plain", "block": 0}
+
+
+@pytest.mark.parametrize(
+    "spoilt",
+    [{"dial": "odd"}, {"dial": None}, {"born_ms": "soon"}, {"born_ms": 10**400}, {"share": 10**400}],
+    ids=["dial", "no dial", "born", "number", "share"],
+)
+@pytest.mark.parametrize("whole", [True, False], ids=["whole", "change"])
+def test_a_drain_is_heard_in_an_entry_that_is_spoilt_elsewhere(node, spoilt, whole):
+    row = DISCOVERED | {"dial": "127.0.0.1:1", "health": "active"}
+    node.discovery.take({"seq": 5, "whole": True, "hosts": [row]})
+    row = row | {"health": "leaving"} | spoilt
+    node.discovery.take({"seq": 6, "whole": whole, "hosts": [row]})
+    assert node.core.node.state[node.core.index["e1"]] is State.DRAINING
+
+
+@pytest.mark.parametrize("field", ["born_ms", "share", "block"])
+def test_a_number_that_no_float_holds_spoils_its_entry_alone(node, field):
+    row = DISCOVERED | {"dial": "127.0.0.1:1", "health": "active"}
+    odd = row | {"host": "e2", field: 10**400}
+    node.discovery.take({"seq": 5, "whole": True, "hosts": [odd, row]})
+    assert "e1" in node.discovery.held
+
+
+# Broken answers.
+
+HUGE = b"1" + b"0" * 400
+DEEP = b"[" * 30000
+
+
+def line(text):
+    return b"HTTP/1.1 200 -\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text)
+
+
+SPOILT = {
+    "a share no float holds": line(b'{"id":"9b","from":"e1","state":"running","share":%b}\n' % HUGE),
+    "a report no float holds": line(
+        b'{"id":"9b","from":"e1","state":"done","result":"r","load":{"queue":%b}}\n' % HUGE
+    ),
+    "nested for ever": line(DEEP + b"\n"),
+    "a length no number holds": b"HTTP/1.1 200 -\r\nContent-Length: %b\r\n\r\n" % (b"9" * 5000),
+    "no text": line(b'{"id":"9b","from":"e1","state":"done","result":"\xff"}\n'),
+    "no scalar": line(b'{"id":"9b","from":"e1","state":"done","result":"\\ud800"}\n'),
+    "another protocol": b"HTTP/1.1 101 -\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    "a last line without its end": line(b'{"id":"9b","from":"e1","state":"returned"}'),
+    "no head": b"\x00" * 20000,
+    "a long head": b"HTTP/1.1 200 -\r\n" + b"x: y\r\n" * 5000,
+    "an odd size": b"HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n%b\r\n" % (b"f" * 30),
+}
+
+
+@pytest.mark.parametrize("says", SPOILT.values(), ids=SPOILT)
+def test_a_spoilt_answer_may_have_run_and_is_no_fault_of_the_node(
+    node, client, stand, turn, reply, capsys, says
+):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    sock = client(POSTING)
+    turn(lambda: b"abc" in executor.read())
+    executor.held[0].sendall(says)
+    executor.held[0].shutdown(socket.SHUT_WR)
+    answer = reply(sock)
+    done = says is SPOILT["a report no float holds"]
+    assert answer.startswith(b"HTTP/1.1 200 " if done else b"HTTP/1.1 500 ")
+    assert not node.executors.out and node.counters.attempts == 1
+    assert "Traceback" not in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    "says",
+    [line(b'{"queue":%b}' % HUGE), line(b'{"queue":%b' % DEEP), line(b"TEXT queue=%b" % HUGE)],
+    ids=["number", "nested", "text"],
+)
+def test_a_spoilt_report_is_no_fault_of_the_node(node, stand, turn, capsys, says):
+    (executor,) = stand("e1")
+    told = []
+    node.executors.post = told.append
+    node.executors.probe("e1")
+    turn(lambda: b"/-/load" in executor.read())
+    executor.held[0].sendall(says)
+    turn(lambda: told)
+    assert told[0].outcome is Outcome.COMPLETED and "Traceback" not in capsys.readouterr().err
+
+
+ASKS = b"POST /statement HTTP/1.1\r\nHost: h\r\n"
+BAD = {
+    "a length no number holds": ASKS + b"Content-Length: %b\r\n\r\n" % (b"9" * 5000),
+    "slots no float holds": REQUEST.replace(b"Host: h", b"Host: h\r\nX-Facts: slots=%b" % HUGE),
+    "a time no float holds": REQUEST.replace(b"Left: 5", b"Left: %b" % HUGE),
+    "a target of another script": REQUEST.replace(b"/statement", b"/statement?user=%ff%fe&x=\xe9"),
+    "a chunk without end": ASKS + b"Transfer-Encoding: chunked\r\n\r\n" + b"f" * 9999,
+}
+
+
+@pytest.mark.parametrize("says", BAD.values(), ids=BAD)
+def test_a_bad_request_is_told_so_and_is_no_fault_of_the_node(node, client, reply, capsys, says):
+    sock = client(says)
+    assert reply(sock)[:10] == b"HTTP/1.1 4"
+    assert "Traceback" not in capsys.readouterr().err
