An answer that has come by the end of its time is taken, though the loop is late

Cause: `Connection.event` looked at the time after each wait before it read. A loop that ran late by more than an executor's patience (one urgent promise for its first word) took an answer that lay in the socket for silence: work went out again, or its client was told 503, and the executor was blamed. The same for a timer that comes in the turn in which the bytes do.

Change: what has come by the end of a wait is read once; an answer without end still ends at its limit, as the time is looked at before each part.

--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -76,13 +76,16 @@
                 # small parts.
                 yield from sleep(self.loop.now())
                 self.fed = 0
+            came = ""
             while not len(self.buffer) and not self.eof:
-                if self.loop.now() >= until_ms:
+                # What has come by the end of a wait is read, though the loop be late: it was in time.
+                if not came and self.loop.now() >= until_ms:
                     raise Ended(Reason.TIMED_OUT, 408)
                 if not self.fill():
-                    self.fed = 0
-                    if (yield (self.sock.fileno(), READ, until_ms)) == LATE:
+                    if came == LATE:
                         raise Ended(Reason.TIMED_OUT, 408)
+                    self.fed = 0
+                    came = yield (self.sock.fileno(), READ, until_ms)
             data = self.buffer.take(BITE)
             self.fed += len(data)
             if self.http.their_state is h11.IDLE:
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -3,6 +3,7 @@
 Peers and time as in test_endings: the test's own, so that the order is the same in every run.
 """
 
+import os
 import select
 import socket
 from dataclasses import replace
@@ -11,13 +12,15 @@
 import pytest
 import test_endings
 from conftest import ANSWER, OPTIONS
-from test_endings import NEVER, NO_PROBES, POSTING, REQUEST
+from test_endings import NEVER, NO_PROBES, POSTING, REQUEST, ended, lines
 from test_net import JOB
 
+from marlseam import core
 from marlseam.interface import Outcome, State
 from marlseam.net.connection import Ended
 from marlseam.net.executors import SECOND_MS, Order
-from marlseam.net.loop import READY
+from marlseam.net.loop import LATE, READY
+from marlseam.net.server import NEW_MS
 
 peers, settle, stand, turn = (
     test_endings.peers,
@@ -269,3 +272,146 @@
     sock = client(says)
     assert reply(sock)[:10] == b"HTTP/1.1 4"
     assert "Traceback" not in capsys.readouterr().err
+
+
+# Bytes in the very moment in which the node closes.
+
+
+@pytest.fixture
+def crossing(node, monkeypatch):
+    """Return a function that has a call made between the last look at a client's socket and its closing."""
+    close = node.loop.close
+
+    def begin(call):
+        doors = list(node.server.open)
+
+        def closes(sock):
+            if any(sock is door.sock for door in doors):
+                call()
+            close(sock)
+
+        monkeypatch.setattr(node.loop, "close", closes)
+
+    return begin
+
+
+def by_room(node):
+    node.server.make_room()
+
+
+def by_drain(node):
+    node.server.drain(0.0, 0.0)
+
+
+def by_age(node):
+    ((door, task),) = node.server.idle.items()
+    task.step(LATE)
+
+
+def by_end(node):
+    node.loop.finish()
+
+
+@pytest.mark.parametrize("closes", [by_room, by_drain, by_age, by_end])
+@pytest.mark.parametrize("used", [False, True], ids=["new", "used"])
+def test_a_request_that_crosses_its_connections_end_is_not_read(
+    node, client, stand, turn, settle, lead, crossing, closes, used
+):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    sock = client(REQUEST if used else b"")
+    if used:
+        turn(lambda: b"abc" in executor.read())
+        executor.held[0].sendall(ANSWER)
+        turn(lambda: node.refs and not node.pending and node.server.idle)
+        assert sock.recv(1 << 16).startswith(b"HTTP/1.1 200 ")
+    turn(lambda: node.server.idle)
+    lead(NEW_MS)
+    crossed = []
+    crossing(lambda: crossed.append(sock.sendall(REQUEST.replace(b"9b", b"9c"))))
+    closes(node)
+    if closes is not by_end:
+        settle()
+    assert crossed and ended(sock) and not node.server.open
+    assert node.refs == used and b"abc" not in executor.read()  # its client may send it once more
+
+
+def test_an_answer_that_ends_its_connection_is_whole_though_a_request_crosses_it(
+    node, client, stand, turn, crossing
+):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    sock = client(REQUEST)
+    turn(lambda: b"abc" in executor.read())
+    node.server.drain(0.0, 10000.0)
+    crossing(lambda: sock.sendall(REQUEST.replace(b"9b", b"9c")))
+    body = b"r" * 60000
+    node.answer("1", 200, [], body)
+    turn(lambda: not node.server.open)
+    answer = b""
+    while len(answer) < len(body):
+        more = sock.recv(1 << 16)
+        assert more
+        answer += more
+    assert answer.endswith(b"\r\n\r\n" + body) and node.refs == 1
+
+
+def test_all_sockets_write_small_parts_at_once(node, client, stand, turn):
+    # What the system holds back goes with a connection that is reset.
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    client(REQUEST)
+    turn(executor.accept)
+    (door,), (flight,) = node.server.open, node.executors.out.values()
+    turn(lambda: flight.begun)
+    made = [door.sock.fileno(), flight.task.fd]
+    for number in made:
+        sock = socket.socket(fileno=os.dup(number))
+        assert sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        sock.close()
+
+
+SAYS = {
+    "half a line": lines(b"done")[:-20],
+    "the last line": lines(b"done"),
+    "a refusal": NEVER,
+    "handed back": lines(b"returned"),
+}
+
+
+@pytest.mark.parametrize("says", SAYS.values(), ids=SAYS)
+@pytest.mark.parametrize("request_", [REQUEST, POSTING], ids=["rerunnable", "exclusive"])
+def test_what_an_executor_says_as_it_is_given_up_is_told_once(
+    node, client, stand, turn, settle, monkeypatch, says, request_
+):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    sock = client(request_)
+    turn(lambda: b"abc" in executor.read())
+    told, close, post = [], node.loop.close, node.executors.post
+    node.executors.post = lambda event: (told.append(event), post(event))
+
+    def closes(closed):
+        if executor.held and closed.fileno() == flight_fd:
+            executor.held[0].sendall(says)
+        close(closed)
+
+    (flight,) = node.executors.out.values()
+    flight_fd = flight.task.fd
+    monkeypatch.setattr(node.loop, "close", closes)
+    sock.close()
+    turn(lambda: flight.task.done)
+    settle()
+    assert [event.outcome for event in told if type(event) is core.Settled] == [Outcome.WITHDRAWN]
+    assert not node.core.open and b"abc" not in executor.read()
+
+
+@pytest.mark.parametrize("seen", [READY, LATE])
+def test_an_answer_that_has_come_as_its_time_ends_is_taken(node, client, stand, turn, reply, lead, seen):
+    # The loop runs late: the answer is there, its patience is over in the same turn.
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    sock = client(REQUEST)
+    turn(lambda: b"abc" in executor.read())
+    (flight,) = node.executors.out.values()
+    executor.held[0].sendall(ANSWER)
+    while not select.select([flight.task.fd], [], [], 0)[0]:
+        pass
+    lead(node.executors.take_ms + 1.0)
+    flight.task.step(seen)
+    assert reply(sock).startswith(b"HTTP/1.1 200 ") and node.counters.attempts == 1
