--- a/marlseam/experiment/plays.py
+++ b/marlseam/experiment/plays.py
@@ -16,6 +16,7 @@
 from marlseam import __version__, records
 from marlseam.experiment import report
 from marlseam.experiment.file import Experiment, FileError, nearest
+from marlseam.experiment.slope import Slope
 from marlseam.judge.book import Book
 from marlseam.judge.rules import Verdict, judge
 from marlseam.judge.service import figures, turnarounds
@@ -35,6 +36,7 @@
     book: Book | None = None
     tables: list[tuple[str, list[list[str]]]] = field(default_factory=list)  # title, and rows with a head
     driver: str = ""
+    slopes: list[Slope] = field(default_factory=list)  # drawn in the report, each with its bound
 
 
 Play = Callable[[Experiment, Path, Say], Played]
@@ -196,12 +198,13 @@
         "figures": played.figures,
         "rules": rules_summary(played),
         "tables": played.tables,
+        "slopes": played.slopes,
         "versions": versions(),
     }
     (out / "summary.json").write_bytes(msgspec.json.format(msgspec.json.encode(summary), indent=1))
     if played.book is not None:
         (out / "units.json").write_bytes(msgspec.json.encode(units(played.book)))
-    (out / "report.html").write_text(report.page(summary, played.book), encoding="utf-8")
+    (out / "report.html").write_text(report.page(summary, played.book, played.slopes), encoding="utf-8")
     return code, missed
 
 
--- a/marlseam/experiment/report.py
+++ b/marlseam/experiment/report.py
@@ -1,10 +1,12 @@
 """The report: one HTML file without outside parts, readable in dark and light."""
 
+from collections.abc import Sequence
 from html import escape
 from math import log10
 
 import numpy as np
 
+from marlseam.experiment.slope import Slope
 from marlseam.judge.book import Book
 from marlseam.judge.service import turnarounds
 from marlseam.records import Took, Trouble
@@ -202,7 +204,53 @@
     return "".join(out) + "</table>"
 
 
-def page(summary: dict, book: Book | None) -> str:
+def slope_chart(slope: Slope) -> str:
+    """Draw a figure by size, both axes logarithmic: its points, the line through them, and its bound."""
+    sizes = [n for n, _ in slope.points] + [slope.full]
+    values = [y for _, y in slope.points if y > 0.0] + ([slope.bound] if slope.bound else [])
+    if not values or min(sizes) <= 0.0:
+        return ""
+    lefts, rights = log10(min(sizes)), log10(max(sizes))
+    low, high = float(np.floor(log10(min(values)))), float(np.ceil(log10(max(values)) + 1e-9))
+    high = max(high, low + 1.0)
+
+    def x(n: float) -> float:
+        return LEFT + 20.0 + (WIDTH - LEFT - 60.0) * (log10(n) - lefts) / max(rights - lefts, 1e-9)
+
+    def y(value: float) -> float:
+        share = min(max((log10(max(value, 1e-30)) - low) / (high - low), 0.0), 1.0)
+        return HEIGHT - BOTTOM - (HEIGHT - BOTTOM - TOP) * share
+
+    parts = []
+    for p in range(int(low), int(high) + 1):
+        at = y(10.0**p)
+        parts.append(f'<line class="grid" x1="{LEFT}" x2="{WIDTH - 10}" y1="{at:.1f}" y2="{at:.1f}"/>')
+        parts.append(f'<text x="{LEFT - 6}" y="{at + 4:.1f}" text-anchor="end">{10.0**p:g}</text>')
+    for n in sorted(set(sizes)):
+        parts.append(f'<text x="{x(n):.1f}" y="{HEIGHT - 8}" text-anchor="middle">{n:g}</text>')
+    if slope.bound:
+        at = y(slope.bound)
+        parts.append(
+            f'<line x1="{LEFT}" x2="{WIDTH - 10}" y1="{at:.1f}" y2="{at:.1f}" stroke="var(--c)" '
+            f'stroke-dasharray="6 4"/><text x="{LEFT + 4}" y="{at - 5:.1f}">bound {slope.bound:g}</text>'
+        )
+    line = [(n, slope.fit.at(n)) for n in 10.0 ** np.linspace(lefts, rights, 60)]
+    path = " L".join(f"{x(n):.1f},{y(value):.1f}" for n, value in line if value > 0.0)
+    parts.append(f'<path d="M{path}" fill="none" stroke="var(--a)" stroke-width="1.6"/>' if path else "")
+    parts += [
+        f'<circle cx="{x(n):.1f}" cy="{y(value):.1f}" r="4" fill="var(--d)"><title>{n:g}: {value:.4g}</title>'
+        "</circle>"
+        for n, value in slope.points
+        if value > 0.0
+    ]
+    line_is = f"{slope.fit.a:.4g} + {slope.fit.b:.4g} N, largest miss {slope.fit.miss:.0%}"
+    title = f"{slope.name}, {slope.unit}, by {slope.by} ({slope.how})"
+    colours = [("d", "found"), ("a", line_is), ("c", "bound")]
+    shown = key(*colours[: 3 if slope.bound else 2])
+    return f"<h2>{escape(title)}</h2>{shown}{drawing(HEIGHT, title, parts)}"
+
+
+def page(summary: dict, book: Book | None, slopes: Sequence[Slope] = ()) -> str:
     """Return the whole report of a run."""
     good = summary["code"] == 0
     word = "all that was expected holds" if good else "something was missed"
@@ -232,6 +280,7 @@
         parts.append(charts(book))
     for title, rows in summary["tables"]:
         parts.append(f"<h2>{escape(title)}</h2>" + table(rows))
+    parts += [slope_chart(slope) for slope in slopes]
     rows = [["figure", "value"]] + [[name, f"{value:.4g}"] for name, value in summary["figures"].items()]
     parts.append("<h2>Figures</h2>" + table(rows))
     shown = ", ".join(f"{name} {version}" for name, version in summary["versions"].items())
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,205 @@
+"""The rig of the size experiments: lines through points, what is refused, its end, hollow beside real."""
+
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from marlseam.experiment import report, size, slope
+from marlseam.experiment.file import FileError
+from marlseam.experiment.processes import Failed
+
+# Lines and bounds.
+
+
+def test_a_line_is_found_again_and_its_miss_is_none():
+    found = slope.fit([(n, 3.0 + 0.25 * n) for n in (300, 1000, 3000, 10000, 21000)])
+    assert found.a == pytest.approx(3.0) and found.b == pytest.approx(0.25)
+    assert found.miss == pytest.approx(0.0, abs=1e-9)
+
+
+def test_the_smallest_sizes_count_as_much_as_the_greatest():
+    points = [(n, 1.0 + 0.001 * n) for n in (10, 100, 1000)] + [(10000, 22.0)]
+    found = slope.fit(points)
+    assert abs(found.at(10) - 1.01) < 0.2  # plain least squares would follow the last point alone
+    assert found.miss > 0.1
+
+
+def test_a_curve_shows_as_a_miss():
+    assert slope.fit([(n, float(n * n)) for n in (100, 300, 1000, 3000, 10000)]).miss > 0.5
+
+
+def test_points_of_one_size_and_all_zero_are_flat():
+    assert slope.fit([(5, 2.0), (5, 2.0)]) == (2.0, 0.0, 0.0)
+    assert slope.fit([(5, 0.0), (50, 0.0)]) == (0.0, 0.0, 0.0)
+    with pytest.raises(ValueError):
+        slope.fit([])
+
+
+def made(bound=None, full=1000.0):
+    return slope.Slope("turn_ms", "ms", "hollow", [(10.0, 1.0), (100.0, 2.0), (1000.0, 12.0)], full, bound)
+
+
+def test_what_was_found_at_the_full_size_goes_before_the_line():
+    assert made().value == 12.0 and made().ratio is None
+    assert made(6.0).ratio == 2.0
+    assert made(full=10000.0).value == pytest.approx(made().fit.at(10000.0))
+
+
+def test_slopes_become_figures_and_rows_with_the_worst_first():
+    found = slope.figures([made(6.0)])
+    assert found["turn_ms_10"] == 1.0 and found["turn_ms_over"] == 2.0 and found["turn_ms_full"] == 12.0
+    rows = slope.rows([made(), made(24.0), made(6.0)])
+    assert [row[-1] for row in rows[1:]] == ["2", "0.5", "-"]
+
+
+def test_the_report_draws_points_line_and_bound():
+    drawn = report.slope_chart(made(6.0))
+    assert drawn.count("<circle") == 3 and "bound 6" in drawn and "largest miss" in drawn
+    assert "bound" not in report.slope_chart(made()) and "<svg" in report.slope_chart(made())
+    nothing = slope.Slope("none", "ms", "hollow", [(10.0, 0.0)], 100.0)
+    assert report.slope_chart(nothing) == ""
+
+
+# What is refused.
+
+
+def need(count):
+    return size.Need(0.5 * count, 20)
+
+
+def test_what_fits_is_played_and_what_does_not_is_refused_with_what_would():
+    assert size.afford("x.sizes", [100, 24576], need) == size.Need(12288.0, 20)
+    with pytest.raises(
+        FileError, match=r"x.sizes: 30000 needs 15000 MB and 20 processes, .*; 24576 would fit"
+    ):
+        size.afford("x.sizes", [100, 30000], need)
+
+
+def test_too_many_processes_are_refused_whatever_the_size():
+    with pytest.raises(FileError, match="no size would fit, ask for fewer real nodes"):
+        size.afford("x.sizes", [100], lambda count: size.Need(1.0, 301))
+
+
+# Its end.
+
+
+def test_a_play_that_is_not_over_in_time_fails():
+    before = signal.getsignal(signal.SIGTERM)
+    with pytest.raises(Failed, match="not over after 0.05 s"), size.limited(0.05):
+        signal.pause()
+    assert signal.getsignal(signal.SIGTERM) is before
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGHUP])
+def test_a_signal_to_end_unwinds_a_play_and_takes_its_folder_along(tmp_path, number):
+    with pytest.raises(KeyboardInterrupt), size.limited(), size.scratch(tmp_path) as folder:
+        (folder / "x").write_text("x")
+        os.kill(os.getpid(), number)
+        signal.pause()
+    assert list(tmp_path.iterdir()) == []
+
+
+def test_the_folder_stays_where_something_failed(tmp_path):
+    with pytest.raises(Failed), size.scratch(tmp_path) as folder:
+        (folder / "x").write_text("why")
+        raise Failed("x")
+    assert (tmp_path / "band" / "x").read_text() == "why"
+
+
+def test_a_call_apart_returns_and_its_failure_is_told():
+    assert size.apart(len, "abc") == 3
+    with pytest.raises(Failed, match="int: ValueError"):
+        size.apart(int, "x")
+    with pytest.raises(Failed, match="ended at once"):
+        size.apart(os._exit, 3)
+
+
+HOLDER = """
+import os, signal, sys, time
+from pathlib import Path
+from marlseam.experiment import size
+out = Path(sys.argv[1])
+if __name__ == "__main__":
+    if sys.argv[2] == "apart":
+        size.apart(os.execv, sys.executable, [sys.executable, sys.argv[3], sys.argv[1]])
+    band = size.Band(out)
+    node = band.start("n0", size.node_config("n0", "127.0.0.1:9", 1))
+    band.listens()
+    (out / "pid").write_text(str(node.process.pid))
+    signal.pause()
+"""
+SLEEPER = """
+import os, signal, sys
+from pathlib import Path
+Path(sys.argv[1], "pid").write_text(str(os.getpid()))
+signal.pause()
+"""
+
+
+def gone(pid, within_s=20.0):
+    """Return whether a process ends; one that is dead and not yet collected counts as ended."""
+    end = time.monotonic() + within_s
+    while time.monotonic() < end:
+        try:
+            if Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()[0] == "Z":
+                return True
+        except OSError:
+            return True
+        time.sleep(0.02)
+    return False
+
+
+@pytest.mark.parametrize("what", ["apart", "band"])
+def test_nothing_outlives_a_play_that_is_killed(tmp_path, what):
+    (tmp_path / "holder.py").write_text(HOLDER)
+    (tmp_path / "sleeper.py").write_text(SLEEPER)
+    words = [sys.executable, str(tmp_path / "holder.py"), str(tmp_path), what, str(tmp_path / "sleeper.py")]
+    env = os.environ | {"PYTHONPATH": str(Path(__file__).parent.parent)}
+    holder = subprocess.Popen(words, env=env)
+    try:
+        end = time.monotonic() + 60.0
+        while not (tmp_path / "pid").exists() or not (tmp_path / "pid").read_text():
+            assert holder.poll() is None and time.monotonic() < end
+            time.sleep(0.02)
+        pid = int((tmp_path / "pid").read_text())
+        os.kill(pid, 0)
+    finally:
+        holder.kill()
+        holder.wait()
+    assert gone(pid)
+
+
+# Hollow nodes.
+
+
+def test_the_virtual_clock_goes_on_by_processor_time_alone():
+    clock = size.Charged()
+    clock.wait(100.0)
+    assert clock.now() == 100.0
+    clock.do(time.sleep, 0.05)
+    assert clock.now() < 140.0  # what sleeps uses none
+    assert clock.do(sum, range(300000)) == sum(range(300000))
+    spent = clock.cpu_ms
+    assert clock.longest_ms > 0.5 and clock.now() == pytest.approx(100.0 + spent) and clock.turns == 2
+    assert clock.mark() == spent and clock.longest_ms == 0.0
+    clock.wait(50.0)
+    assert clock.now() == pytest.approx(100.0 + spent)
+
+
+def test_hollow_beside_real_tells_what_is_off():
+    rows, found = size.beside({"one_ms_300": (1.0, 1.2), "one_ms_21000": (1.0, 2.0)})
+    assert found == {"true_one_ms_300": pytest.approx(1 / 1.2), "true_one_ms_21000": 0.5}
+    assert [row[-1] for row in rows[1:]] == ["", "off by over a quarter"]
+    assert rows[2][:2] == ["one_ms", "21000"]
+
+
+def test_a_process_is_read_by_its_own_clock():
+    before = size.cpu_ms(os.getpid())
+    sum(range(2000000))
+    assert size.cpu_ms(os.getpid()) - before > 1.0
+    assert size.resident_mb() > 5.0
