size-roster and size-members: what a list and a membership cost by the size of the fleet

Change: size-roster gives a hollow node the list service's answers as bytes, through discovery's own code, h11 and the reducer with a socket that is none: whole list, single changes, a thousand gone and back in one answer, work units; and gives the same answers to a band of 20 real nodes on loopback in the same run. size-members plays a few whole members among puppets that answer, ping and bring the news of the operators' churn, then a zone's silence; and whole fleets up to 1,000. Machines are told due times, so counts are the same on every run; the virtual clock tells how late they would have been.

Tests: tests/test_size.py plays short forms twice with the same counts: one change looks at every entry (300 of 300, 1,000 of 1,000). A play that is interrupted or killed leaves no process and no folder. Full sizes: not measured yet.

--- a/marlseam/experiment/measures.py
+++ b/marlseam/experiment/measures.py
@@ -15,7 +15,7 @@
 from msgspec import Meta
 
 from marlseam import records
-from marlseam.experiment import compare, file, fleet, plays, recovering, versions
+from marlseam.experiment import compare, file, fleet, plays, recovering, size_members, size_roster, versions
 from marlseam.experiment.file import Experiment
 from marlseam.experiment.plays import Played, Say, play
 from marlseam.experiment.policies import POLICIES
@@ -429,3 +429,5 @@
     recovering.register()
     fleet.register()
     versions.register()
+    size_roster.register()
+    size_members.register()
--- a/marlseam/experiment/size.py
+++ b/marlseam/experiment/size.py
@@ -161,20 +161,22 @@
 class Charged:
     """A virtual clock, in ms, that goes on by the processor time used in what is done on it.
 
-    One a hollow node: what is due while the node is busy waits, as it would in its loop. What happens and in
-    which order must follow from due times alone, so that counts are the same on every run.
+    One a hollow node: what is due while the node is busy waits, as it would in its loop, and how late it was
+    is noted. Machines are told `due_ms`, not the time by this clock: what they do, and so every count, is
+    then the same on every run.
     """
 
     def __init__(self) -> None:
-        self.now_ms = self.cpu_ms = self.longest_ms = self.late_ms = 0.0
+        self.now_ms = self.due_ms = self.cpu_ms = self.longest_ms = self.late_ms = 0.0
         self.turns = 0
 
-    def now(self) -> float:
-        """Return the time."""
-        return self.now_ms
+    def due(self) -> float:
+        """Return when what is done now was due."""
+        return self.due_ms
 
     def wait(self, due_ms: float) -> None:
         """Let the time come, if it has not."""
+        self.due_ms = due_ms
         self.now_ms = max(self.now_ms, due_ms)
 
     def do(self, call: Callable[..., Any], *words: Any) -> Any:  # noqa: ANN401
@@ -187,6 +189,7 @@
             self.now_ms += spent
             self.cpu_ms += spent
             self.longest_ms = max(self.longest_ms, spent)
+            self.late_ms = max(self.late_ms, self.now_ms - self.due_ms)
             self.turns += 1
 
     def mark(self) -> float:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,5 +1,6 @@
 """The rig of the size experiments: lines through points, what is refused, its end, hollow beside real."""
 
+import json
 import os
 import signal
 import subprocess
@@ -8,10 +9,13 @@
 from pathlib import Path
 
 import pytest
+from click.testing import CliRunner
 
-from marlseam.experiment import report, size, slope
+from marlseam.__main__ import main
+from marlseam.experiment import report, size, size_roster, slope
 from marlseam.experiment.file import FileError
 from marlseam.experiment.processes import Failed
+from marlseam.net import protocol
 
 # Lines and bounds.
 
@@ -180,15 +184,24 @@
 def test_the_virtual_clock_goes_on_by_processor_time_alone():
     clock = size.Charged()
     clock.wait(100.0)
-    assert clock.now() == 100.0
+    assert clock.now_ms == clock.due() == 100.0
     clock.do(time.sleep, 0.05)
-    assert clock.now() < 140.0  # what sleeps uses none
+    assert clock.now_ms < 140.0  # what sleeps uses none
     assert clock.do(sum, range(300000)) == sum(range(300000))
     spent = clock.cpu_ms
-    assert clock.longest_ms > 0.5 and clock.now() == pytest.approx(100.0 + spent) and clock.turns == 2
+    assert clock.longest_ms > 0.5 and clock.now_ms == pytest.approx(100.0 + spent) and clock.turns == 2
     assert clock.mark() == spent and clock.longest_ms == 0.0
-    clock.wait(50.0)
-    assert clock.now() == pytest.approx(100.0 + spent)
+
+
+def test_what_is_due_while_a_hollow_node_is_busy_is_late_and_told_its_due_time():
+    clock = size.Charged()
+    clock.wait(100.0)
+    clock.do(sum, range(300000))
+    first = clock.late_ms
+    clock.wait(100.0)  # due at the same time as what went before it
+    clock.do(sum, range(300000))
+    assert clock.due() == 100.0 and clock.late_ms > first > 0.0
+    assert clock.late_ms == pytest.approx(clock.cpu_ms)
 
 
 def test_hollow_beside_real_tells_what_is_off():
@@ -203,3 +216,113 @@
     sum(range(2000000))
     assert size.cpu_ms(os.getpid()) - before > 1.0
     assert size.resident_mb() > 5.0
+
+
+# The plays, in a short form: what is counted, never times.
+
+ROSTER = """
+name = "size-roster"
+play = "size_roster"
+driver = "virtual"
+seed = 47
+[size_roster]
+sizes = [300, 1000]
+real = {real}
+changes = 9
+real_changes = 2
+units = 200
+[expect]
+whole_bytes_1000 = {{ most = 150000 }}
+one_bytes_1000 = {{ most = 300 }}
+touched_300 = {{ most = 300 }}
+touched_1000 = {{ most = 1000 }}
+reads_1000 = {{ most = 5100 }}
+sends_1000 = {{ least = 200, most = 200 }}
+probes_1000 = {{ most = 400 }}
+"""
+MEMBERS = """
+name = "size-members"
+play = "size_members"
+driver = "virtual"
+seed = 47
+[size_members]
+sizes = [300, 1000]
+members = 2
+seconds = 20
+whole = [30]
+watched_s = 30
+[expect]
+letter_most_1000 = { most = 1400 }
+letters_1000 = { most = 4.9 }
+bytes_s_1000 = { most = 6000 }
+zone_letters_1000 = { most = 4.9 }
+zone_bytes_s_1000 = { most = 6000 }
+gone_bound_s_1000 = { most = 2100 }
+whole_false_30 = { most = 0 }
+"""
+
+
+@pytest.fixture
+def counted(tmp_path):
+    """Return a function that runs an experiment file and returns what it counted, and its summary."""
+
+    def run(text):
+        path, out = tmp_path / "x.toml", tmp_path / f"out-{len(list(tmp_path.iterdir()))}"
+        path.write_text(text)
+        result = CliRunner().invoke(main, ["experiment", "run", str(path), "--out", str(out)])
+        assert result.exit_code == 0, result.output
+        summary = json.loads((out / "summary.json").read_text())
+        slopes = {row["name"]: row["points"] for row in summary["slopes"] if row["how"] == "counted"}
+        assert slopes and not (out / "band").exists()
+        assert "<svg" in (out / "report.html").read_text()
+        return slopes, summary
+
+    return run
+
+
+@pytest.mark.parametrize("text", [ROSTER.format(real=0), MEMBERS], ids=["roster", "members"])
+def test_the_short_forms_hold_and_count_the_same_twice(counted, text):
+    assert counted(text)[0] == counted(text)[0]
+
+
+def test_real_nodes_take_in_what_hollow_ones_do_and_both_are_set_side_by_side(counted):
+    slopes, summary = counted(ROSTER.format(real=2))
+    assert slopes["touched"] == [[300.0, 300.0], [1000.0, 1000.0]]
+    figures = summary["figures"]
+    assert figures["real_whole_ms_1000"] > 0.0 and figures["true_one_ms_300"] > 0.0
+    assert [title for title, _ in summary["tables"]] == ["Slopes", "Hollow beside 2 real nodes"]
+
+
+def test_a_list_that_would_not_fit_is_refused_with_what_would(tmp_path):
+    path = tmp_path / "x.toml"
+    path.write_text(ROSTER.format(real=20).replace("sizes = [300, 1000]", "sizes = [300, 300000]"))
+    result = CliRunner().invoke(main, ["experiment", "run", str(path), "--out", str(tmp_path / "out")])
+    assert result.exit_code == 2 and "size_roster.sizes: 300000 needs" in result.output
+    assert "would fit" in result.output and not (tmp_path / "out" / "band").exists()
+
+
+def test_a_whole_list_at_the_full_size_fits_what_a_node_takes():
+    listing = size_roster.Listing(size.FULL)
+    listing.fill()
+    assert len(listing.answer(0, True)) < protocol.LIST_MOST
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_play_that_is_interrupted_leaves_no_process_and_no_folder(tmp_path, number):
+    path, out = tmp_path / "x.toml", tmp_path / "out"
+    path.write_text(ROSTER.format(real=2).replace("real_changes = 2", "real_changes = 2000"))
+    words = [sys.executable, "-m", "marlseam", "experiment", "run", str(path), "--out", str(out)]
+    run = subprocess.Popen(words, stderr=subprocess.DEVNULL, cwd=Path(__file__).parent.parent)
+    try:
+        end, log = time.monotonic() + 60.0, out / "band" / "logs" / "n1.log"
+        while not log.exists() or "listens on" not in log.read_text():
+            assert run.poll() is None and time.monotonic() < end
+            time.sleep(0.02)
+        children = Path(f"/proc/{run.pid}/task/{run.pid}/children").read_text().split()
+        assert len(children) >= 2
+        run.send_signal(number)
+        assert run.wait(30.0) != 0
+    finally:
+        run.kill()
+        run.wait()
+    assert all(gone(pid) for pid in children) and not (out / "band").exists()
