--- a/marlseam/experiment/size_members.py
+++ b/marlseam/experiment/size_members.py
@@ -309,15 +309,15 @@
     return "virtual" if name.startswith("whole") else "counted" if name in COUNTED else "hollow"
 
 
-def slopes(by_size: dict[int, dict[str, float]]) -> list[Slope]:
-    """Return the figures by size."""
+def slopes(by_size: dict[int, dict[str, float]], full: int) -> list[Slope]:
+    """Return the figures by size, with the size at which they are wanted."""
     return [
         Slope(
             name,
             UNITS[name],
             how_of(name),
             [(float(count), figures[name]) for count, figures in by_size.items()],
-            float(size.FULL),
+            float(full),
             BOUNDS.get(name),
             "names",
         )
@@ -341,7 +341,8 @@
             say(f"{count} members, all whole")
             seen = size.apart(one_size, count, 0.0, seed, fleet)
             by_whole[count] = {shown: seen[name] for name, shown in SHOWN.items()}
-    drawn = slopes(by_size) + slopes(by_whole)
+    # Whole fleets are not carried on past the greatest that was played: they do not grow by a line.
+    drawn = slopes(by_size, size.FULL) + slopes(by_whole, max(by_whole, default=1))
     tables = [("Slopes", slope.rows(drawn))]
     return Played(slope.figures(drawn), tables=tables, driver="hollow and virtual", slopes=drawn)
 
