A client's end is seen behind more bytes than the system holds

Cause: of what a client sends ahead 2 KB are read and the rest is left with the system (Connection.waits). Once that has no room it takes neither bytes nor the end behind them: on loopback a client that sent 200,000 bytes ahead and closed or half-closed showed nothing (124,416 unread, a poll for its end empty); 100,000 showed it, as did a reset. Work of such a client went on, and was taken, for as long as it had time. Change: a client that sent more than 2 KB ahead is looked at every 20 ms, and any that sent ahead before its work is taken; past half of the system's room for unread bytes (64 KB at most) what is unread is thrown away from then on, 1 MB a look. The connection then ends with the answer in hand, which says so and is not reset. A second request of the largest size ahead is below that and is served. Tests: four holds, closing and half-closing, cancelling allowed or not, behind 1 MB ahead: seen within four looks, nothing begins; the same before work is taken; a client that floods and stays; a whole largest request ahead.

--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -17,7 +17,9 @@
 BITE = 4096  # bytes handed to the parser at a time, and in one turn of the loop
 HEAD_MOST = 16384  # bytes of a message's head
 AHEAD_MOST = 2048  # bytes kept of what a peer sends ahead of its turn
-LAST_READS = 16  # of SINK's size, before a connection is closed without a wait
+AHEAD_MS = 20.0  # how often a peer that sent as much is looked at for more
+FAR_SHARE = 0.5  # of the system's room for what is unread, up to SINK's size, past which an end may be hidden
+LAST_READS = 16  # of SINK's size, before a connection is closed without a wait, and in one look
 SINK = bytearray(65536)  # where bytes go that nobody wants
 Headers = list[tuple[str, str]]
 Steps = Generator[Wait, str, Any]
@@ -40,6 +42,7 @@
         self.buffer = Buffer()
         self.head = bytearray()  # of the message in hand, as it came
         self.messages, self.closed, self.eof = 0, False, False
+        self.shed = False  # whether something that came was thrown away, after which no message can follow
         self.fed = 0  # bytes handed to the parser since this connection last let others go on
         self.opened_ms = self.used_ms = loop.now()
         self.address: tuple[str, int] | None = None  # of the server, on our side of a call
@@ -133,9 +136,32 @@
     def waits(self) -> Wait:
         """Return the wait for a peer's end while its message is worked on; what it sends ahead is kept.
 
-        Past some bytes it is left with the system. The end is seen all the same: it is asked for by itself.
+        Past some bytes it is left with the system. The end is seen all the same: it is asked for by itself,
+        and what may hide it is looked for.
         """
-        return (self.sock.fileno(), END | (READ if len(self.buffer) < AHEAD_MOST else 0), inf)
+        if len(self.buffer) < AHEAD_MOST and not self.shed:
+            return (self.sock.fileno(), END | READ, inf)
+        return (self.sock.fileno(), END, self.loop.now() + AHEAD_MS)
+
+    def shed_ahead(self) -> None:
+        """Throw away what a peer has sent far ahead of its turn, and all behind it.
+
+        Guards against work for one that has gone: without room the system takes neither a peer's bytes nor
+        the end behind them, so that nothing shows it.
+        """
+        try:
+            if not self.shed:
+                room = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+                far = min(len(SINK), int(FAR_SHARE * room))
+                self.shed = self.sock.recv_into(SINK, far, socket.MSG_PEEK) == far
+            for _ in range(LAST_READS if self.shed else 0):
+                if not self.sock.recv_into(SINK):
+                    self.eof = True
+                    break
+        except ConnectionError:
+            self.eof = True
+        except OSError:
+            return  # nothing more is there
 
     def gone(self) -> bool:
         """Return whether the peer has ended its sending or reset, whatever of its bytes lies unread."""
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -12,7 +12,7 @@
 from marlseam.net import http, protocol
 from marlseam.net.connection import Connection, Ended, Headers, Steps
 from marlseam.net.log import Log, Reason
-from marlseam.net.loop import LATE, READ, READY, Cancelled, Coroutine, Loop, Task, Timer, sleep
+from marlseam.net.loop import LATE, READ, READY, WOKEN, Cancelled, Coroutine, Loop, Task, Timer, sleep
 from marlseam.net.protocol import Job, Malformed
 
 IDLE_MS = 300000.0  # how long a client may keep an unused connection
@@ -171,8 +171,11 @@
             self.drop(connection, Reason.DRAINING)
 
     def parting(self, connection: Connection) -> bool:
-        """Return whether a connection ends with the answer in hand: a drain is on, nothing more has come."""
-        return self.loop.now() >= self.close_ms and connection.quiet()
+        """Return whether a connection ends with the answer in hand: a drain is on, nothing more has come.
+
+        Or some of what came was thrown away.
+        """
+        return connection.shed or (self.loop.now() >= self.close_ms and connection.quiet())
 
     def stop_listening(self) -> None:
         """Take no more connections; where nobody else will, first those that the system has for us."""
@@ -251,11 +254,15 @@
         if self.parting(connection):
             headers = [*headers, ("Connection", "close")]
         yield from http.answer(connection, status, headers, body, self.loop.now() + WRITE_MS)
+        if connection.shed:
+            yield from connection.linger(self.loop.now() + http.LINGER_MS)
         return connection.again()
 
     def work_unit(self, connection: Connection, pending: Pending) -> Steps:
         """Hand a work unit to the node and wait for its answer, or for the client to go."""
         id = pending.job.id
+        if connection.ahead():
+            connection.shed_ahead()
         if connection.gone():  # guards against work for one that left while it waited to be read
             raise Ended(Reason.PEER_CLOSED)
         if id in self.ids:
@@ -275,9 +282,11 @@
         """Wait for a work unit's answer, or for its client to go."""
         while pending.answer is None:
             came = yield connection.waits()
-            if came == READY and pending.answer is None:
+            if came == LATE:
+                connection.shed_ahead()
+            if came != WOKEN and pending.answer is None:
                 try:
-                    gone = connection.gone() or (connection.fill() and connection.eof)
+                    gone = connection.gone() or (came == READY and connection.fill() and connection.eof)
                 except Ended:
                     gone = True
                 if gone:
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -27,10 +27,11 @@
 from test_net import JOB
 
 from marlseam.interface import Listing, State
-from marlseam.net.connection import Connection
+from marlseam.net.connection import AHEAD_MS, Connection
 from marlseam.net.executors import Order
 from marlseam.net.loop import READ as READ_MASK
 from marlseam.net.loop import READY
+from marlseam.net.protocol import BODY_MOST
 
 peers, settle, stand, turn = (
     test_endings.peers,
@@ -344,3 +345,86 @@
         act()
         node.loop.turn()
     goes_nowhere(scene, begun)
+
+
+# What a client sends far ahead hides its end: without room the system takes neither bytes nor the end.
+
+FAR = b"x" * (1 << 20)
+
+
+def floods(sock, data=FAR):
+    """Send as much as the system takes."""
+    try:
+        while data:
+            data = data[sock.send(data) :]
+    except BlockingIOError:
+        return
+
+
+def hidden(scene):
+    """Return whether the system shows nothing of the client's end."""
+    look = select.poll()
+    look.register(scene.door.sock.fileno(), select.POLLRDHUP)
+    return not look.poll(0)
+
+
+@CANCEL
+@pytest.mark.parametrize("goes", [socket.socket.close, half_close], ids=["closes", "half"])
+@pytest.mark.parametrize("name", ["a line", "a gate", "a probe", "an error"])
+def test_an_end_is_seen_behind_more_than_the_system_holds(name, goes, may_cancel, scene, node):
+    scene = scene(may_cancel)
+    act = HOLDS[name](scene)
+    begun = scene.begun
+    floods(scene.sock)
+    goes(scene.sock)
+    assert hidden(scene)
+    for _ in range(int(100.0 / AHEAD_MS) - 1):
+        scene.lead_ms += AHEAD_MS
+        scene.settle(3)
+    assert scene.door not in node.server.open
+    act()
+    goes_nowhere(scene, begun)
+
+
+@pytest.mark.parametrize("goes", [socket.socket.close, half_close], ids=["closes", "half"])
+def test_an_end_behind_more_than_is_held_is_seen_before_work_is_taken(goes, scene, node, client, turn):
+    scene = scene(True)
+    scene.list("e1")
+    units, sock = node.refs, client(b"")
+    turn(lambda: node.server.idle)
+    floods(sock, REQUEST + FAR)
+    goes(sock)  # the node reads it later
+    turn(lambda: not node.server.open)
+    assert node.refs == units and b"abc" not in scene.read()
+
+
+def test_a_client_that_floods_and_stays_has_its_answer_whole(scene, node, turn, reply):
+    scene = scene(True)
+    scene.list("e1")
+    scene.ask()
+    _, executor = scene.running()
+    floods(scene.sock)
+    turn(lambda: scene.door.shed)
+    executor.sendall(ANSWER)
+    data = reply(scene.sock)
+    assert data.startswith(b"HTTP/1.1 200 ") and b"\r\nConnection: close\r\n" in data
+    floods(scene.sock)  # what still comes resets nothing
+    scene.settle()
+    assert not scene.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    half_close(scene.sock)
+    turn(lambda: scene.door not in node.server.open)
+
+
+def test_a_whole_request_of_the_largest_size_ahead_is_served(scene, node, turn, reply):
+    scene = scene(True)
+    scene.list("e1")
+    size = b"Length: %d" % BODY_MOST
+    large = REQUEST.replace(b"9b", b"9c").replace(b"Length: 3", size).replace(b"abc", b"b" * BODY_MOST)
+    scene.ahead = large
+    scene.ask()
+    _, executor = scene.running()
+    scene.lead_ms += 10.0 * AHEAD_MS
+    scene.settle()
+    executor.sendall(ANSWER)
+    assert reply(scene.sock).startswith(b"HTTP/1.1 200 ")
+    assert scene.running(b"bbb")
