--- a/marlseam/experiment/size.py
+++ b/marlseam/experiment/size.py
@@ -192,6 +192,10 @@
             self.late_ms = max(self.late_ms, self.now_ms - self.due_ms)
             self.turns += 1
 
+    def rest(self) -> None:
+        """Let the node have done all that it had to do, and look anew for how late it is."""
+        self.now_ms, self.late_ms = self.due_ms, 0.0
+
     def mark(self) -> float:
         """Return the processor time used so far, and let the longest turn be looked for anew."""
         self.longest_ms = 0.0
--- a/marlseam/experiment/size_roster.py
+++ b/marlseam/experiment/size_roster.py
@@ -429,9 +429,9 @@
 
 def decisions(node: Hollow, table: Sizes) -> dict[str, float]:
     """Return what decisions cost: the reducer's processor time a work unit, and its longest turn."""
+    node.clock.rest()
     node.work(table.units // 10)  # what is learned and asked first is not the ordinary
     spent, probes, sends = node.clock.mark(), node.probes, node.sends
-    node.clock.late_ms = 0.0
     node.work(table.units)
     return {
         "decision_us": 1000.0 * (node.clock.cpu_ms - spent) / table.units,
