size-roster: what a work unit costs a real node by the length of its list

Cause: decisions were told of hollow nodes alone, and the rate of a core (700 a second) stood on 24 executors.

Change: one real node, alone on the list, is handed work units one after another; all its executors are one door that answers at once under the name it is called by. Its processor time, probes and sends a work unit are told, probes and sends beside the hollow node's, which takes the same units in the same order.

--- a/marlseam/experiment/size.py
+++ b/marlseam/experiment/size.py
@@ -268,6 +268,10 @@
                     raise Failed(f"node {name} did not start: {process.tail()}")
                 time.sleep(LOOK_S)
 
+    def address(self, name: str) -> str:
+        """Return where a node listens."""
+        return self.nodes[name].log.read_text().partition("listens on ")[2].split()[0]
+
     def cpu_ms(self) -> dict[str, float]:
         """Return each node's processor time so far."""
         return {name: cpu_ms(process.process.pid) for name, process in self.nodes.items()}
--- a/marlseam/experiment/size_roster.py
+++ b/marlseam/experiment/size_roster.py
@@ -9,6 +9,7 @@
 import contextlib
 import gc
 import heapq
+import http.client
 import json
 import socket
 import threading
@@ -43,7 +44,7 @@
 from marlseam.world.roster import Roster
 
 THOUSAND = 1000  # changes in one answer: a zone of 22, as the letter's faults go
-ARRIVE_MS, RUN_MS, WAY_MS = 2.0, 40.0, 1.0  # between work units, of a run, of a probe and its answer
+UNIT_MS, RUN_MS, WAY_MS = 5.0, 1.5, 1.0  # between work units, of a run, of a probe and its answer
 LAUNCH_MB, EACH_MB, ENTRY_MB = 120.0, 45.0, 0.0035  # of the play; of a node with its Python; of an entry
 ANSWERED_S = 60.0  # for the band to take an answer in
 
@@ -56,6 +57,7 @@
     changes: Count = 60  # single ones, one answer each, at the hollow node
     real_changes: Count = 12  # likewise, at the band
     units: Count = 2000  # work units whose decisions are counted
+    real_units: Count = 600  # likewise, at one real node, after as many that are not counted
 
 
 def need(table: Sizes, count: int) -> size.Need:
@@ -70,7 +72,9 @@
 class Listing:
     """The roster and its answers as bytes, the same for hollow and real nodes."""
 
-    def __init__(self, count: int) -> None:
+    def __init__(self, count: int, dial: str = "") -> None:
+        """Make one; `dial` is the address of all executors, one each where none is given."""
+        self.dial = dial
         self.count, self.turn, self.births = count, 0, 0
         self.roster = Roster([], 1e9, 1e9)
         self.whole = False  # whether the next answer is the whole list
@@ -109,7 +113,7 @@
         hosts = [
             {
                 "host": row.executor,
-                "dial": f"10.{row.cell >> 8 & 255}.{row.cell & 255}.{row.zone}:7070",
+                "dial": self.dial or f"10.{row.cell >> 8 & 255}.{row.cell & 255}.{row.zone}:7070",
                 "site": size.ZONES[row.zone], "class": size.KINDS[row.kind], "block": row.cell,
                 "health": HEALTH[row.state], "share": 1.0, "born_ms": row.born_ms or 0.0,
             }
@@ -360,12 +364,11 @@
         return max(len(places), len(keys)), places.total() + keys.total()
 
     def work(self, units: int) -> None:
-        """Take work units one after another, answered by executors that have room."""
+        """Take work units one after another, each once the one before has its answer, as a real node does."""
         for i in range(units):
-            self.until(self.clock.due_ms + ARRIVE_MS)
-            unit = WorkUnit(f"u{i}", i % 3, self.clock.due() + 5000.0)
+            unit = WorkUnit(f"u{i}", i % 2, self.clock.due() + 5000.0)
             self.clock.do(self.post, core.Arrival(unit))
-        self.until(self.clock.due_ms + 2.0 * RUN_MS)
+            self.until(self.clock.due_ms + UNIT_MS)
 
     def until(self, end_ms: float) -> None:
         """Let happen what is due."""
@@ -436,27 +439,96 @@
     return {
         "decision_us": 1000.0 * (node.clock.cpu_ms - spent) / table.units,
         "decision_turn_ms": node.clock.longest_ms, "decision_late_ms": node.clock.late_ms,
-        "probes": float(node.probes - probes), "sends": float(node.sends - sends),
+        "unit_probes": (node.probes - probes) / table.units, "unit_sends": (node.sends - sends) / table.units,
     }  # fmt: skip
 
 
 # Real nodes.
 
 
-def turn_ms(count: int, seed: int, out: Path) -> float:
-    """Return the longest turn of one real node that has the cores to itself, given the whole list."""
-    listing = Listing(count)
+class Executor:
+    """All executors on loopback: one door, which answers at once under the name that it is called by."""
+
+    def __init__(self) -> None:
+        self.door = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.address = "{}:{}".format(*self.door.getsockname())
+        self.probes = self.took = 0
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self) -> None:
+        """Take connections, a thread each."""
+        with contextlib.suppress(OSError):
+            while True:
+                sock, _ = self.door.accept()
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                threading.Thread(target=self.serve, args=(sock,), daemon=True).start()
+
+    def serve(self, sock: socket.socket) -> None:
+        """Answer probes and allocations; none has a body."""
+        with contextlib.suppress(OSError), sock:
+            rest = b""
+            while True:
+                while b"\r\n\r\n" not in rest:
+                    more = sock.recv(4096)
+                    if not more:
+                        return
+                    rest += more
+                head, _, rest = rest.partition(b"\r\n\r\n")
+                first, *lines = head.decode("latin-1").split("\r\n")
+                told = {name.lower(): text.strip() for name, _, text in (row.partition(":") for row in lines)}
+                if first.startswith("GET"):
+                    self.probes += 1
+                    body = b"TEXT backlog=0, x0=8"
+                else:
+                    self.took += 1
+                    row = {"id": told[protocol.ID.lower()], "from": told["host"]}
+                    rows = [row | {"state": "started"}, row | {"state": "done", "result": "x"}]
+                    body = b"".join(json.dumps(line).encode() + b"\n" for line in rows)
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    def close(self) -> None:
+        """End."""
+        self.door.close()
+
+
+def single(table: Sizes, count: int, seed: int, out: Path) -> dict[str, float]:
+    """Return the longest turn of one real node that is given the whole list, then what its work costs it."""
+    executor = Executor()
+    listing = Listing(count, executor.address)
     listing.change()
     service, band = Service(listing), size.Band(out)
     try:
-        band.start("single", size.node_config("single", service.address, 1, seed))
+        node = band.start("single", size.node_config("single", service.address, 1, seed))
         band.listens()
         service.settled(1, 1)
         service.publish(listing.fill, True, 1)
+        call = http.client.HTTPConnection(band.address("single"), timeout=10.0)
+        work(call, table.real_units)  # until there are as many connections as there may be
+        spent, probes, took = size.cpu_ms(node.process.pid), executor.probes, executor.took
+        work(call, table.real_units)
+        found = {
+            "unit_us": 1000.0 * (size.cpu_ms(node.process.pid) - spent) / table.real_units,
+            "unit_probes": (executor.probes - probes) / table.real_units,
+            "unit_sends": (executor.took - took) / table.real_units,
+        }
+        call.close()
     finally:
         service.close()
+        executor.close()
         band.end()
-    return band.turns_ms(1)[0]
+    return found | {"whole_turn_ms": band.turns_ms(1)[0]}
+
+
+def work(call: http.client.HTTPConnection, units: int) -> None:
+    """Hand a node work units, one after another."""
+    for i in range(units):
+        name = ("urgent", "task")[i % 2]
+        head = {protocol.ID: f"u{i}", protocol.TYPE: name, protocol.TIME_LEFT: "5"}
+        call.request("POST", f"/{name}", b"", head)
+        answer = call.getresponse()
+        answer.read()
+        if answer.status != 200:
+            raise Failed(f"a work unit was answered with {answer.status}")
 
 
 def real(table: Sizes, count: int, seed: int, out: Path) -> dict[str, float]:
@@ -492,8 +564,7 @@
         service.close()
         band.end()
     found["crowded_turn_ms"] = max(band.turns_ms(table.real))
-    found["whole_turn_ms"] = turn_ms(count, seed, out)
-    return found
+    return found | single(table, count, seed, out)
 
 
 # The play.
@@ -505,12 +576,24 @@
     "thousand_back_bytes",
     "touched",
     "reads",
-    "probes",
-    "sends",
+    "unit_probes",
+    "unit_sends",
 )
 # What the band shows too.
-SAME = ("whole_ms", "whole_turn_ms", "one_ms", "thousand_ms", "thousand_back_ms", "memory_mb")
-UNITS = {"touched": "entries", "reads": "of entries", "ms": "ms", "us": "us", "mb": "MB", "bytes": "bytes"}
+SAME = (
+    "whole_ms", "whole_turn_ms", "one_ms", "thousand_ms", "thousand_back_ms", "memory_mb", "unit_probes",
+    "unit_sends",
+)  # fmt: skip
+UNITS = {
+    "touched": "entries",
+    "reads": "of entries",
+    "probes": "a work unit",
+    "sends": "a work unit",
+    "ms": "ms",
+    "us": "us",
+    "mb": "MB",
+    "bytes": "bytes",
+}
 
 
 def bounds() -> dict[str, float]:
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -231,14 +231,15 @@
 changes = 9
 real_changes = 2
 units = 200
+real_units = 20
 [expect]
 whole_bytes_1000 = {{ most = 150000 }}
 one_bytes_1000 = {{ most = 300 }}
 touched_300 = {{ most = 300 }}
 touched_1000 = {{ most = 1000 }}
 reads_1000 = {{ most = 5100 }}
-sends_1000 = {{ least = 200, most = 200 }}
-probes_1000 = {{ most = 400 }}
+unit_sends_1000 = {{ least = 1, most = 1 }}
+unit_probes_1000 = {{ most = 2 }}
 """
 MEMBERS = """
 name = "size-members"
