size-changes: what changes of the configuration cost a node by its teams, before

What nodes do goes by a clock without processor time, so that counts are the same on two runs; a charged clock goes beside it, and times are taken from that. One play at full size lists 500 nodes in the content; in one more, notes overtake each other. 20 real nodes on loopback play the same work in the same run.

--- a/marlseam/experiment/measures.py
+++ b/marlseam/experiment/measures.py
@@ -15,7 +15,17 @@
 from msgspec import Meta
 
 from marlseam import records
-from marlseam.experiment import compare, file, fleet, plays, recovering, size_members, size_roster, versions
+from marlseam.experiment import (
+    compare,
+    file,
+    fleet,
+    plays,
+    recovering,
+    size_changes,
+    size_members,
+    size_roster,
+    versions,
+)
 from marlseam.experiment.file import Experiment
 from marlseam.experiment.plays import Played, Say, play
 from marlseam.experiment.policies import POLICIES
@@ -431,3 +441,4 @@
     versions.register()
     size_roster.register()
     size_members.register()
+    size_changes.register()
