Work whose one allocation has not begun at its limit is refused, not failed

`Handle.traces` counts whatever is out, so at its limit exclusive work, and receipted work of one group, was aborted (500) while its one allocation still stood at a dial or a gate, of which nothing had gone out and nothing ever would: `left` calls it off in the same turn.

Change: an abort names the allocations that alone stand against a deferral (`Abort.out`, reducer); the node, which knows what has begun, defers where none has. logic.py is as it was. test_core: the abort of what is out at the end now names it, one assertion as strict as before.

--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -236,10 +236,15 @@
 
 
 class Abort(NamedTuple):
-    """Give the final answer `aborted`; unfit where executors found nothing in it that they can use."""
+    """Give the final answer `aborted`; unfit where executors found nothing in it that they can use.
+
+    `out` are allocations that alone stand against a deferral: it is deferred, with advice, if none has begun.
+    """
 
     ref: str
     unfit: bool = False
+    out: tuple[int, ...] = ()
+    advice_ms: float = 0.0
 
 
 class Probe(NamedTuple):
@@ -355,8 +360,13 @@
         self.effects.append(Defer(wu.work.ref, advice_ms))
 
     def abort(self, wu: Handle) -> None:
-        """Give the final answer `aborted`."""
-        self.effects.append(Abort(wu.work.ref, wu.unfit))
+        """Give the final answer `aborted`, or `deferred` where all that is against it has not begun."""
+        out, node = tuple(i for i, a in enumerate(wu.allocs) if a.outcome is None), self.node
+        if len(out) == len(wu.traces()):
+            advice_ms = min(node.rest_ms, node.set.max_advice_ms) if out else 0.0
+            self.effects.append(Abort(wu.work.ref, wu.unfit, out, advice_ms))
+        else:
+            self.effects.append(Abort(wu.work.ref, wu.unfit))
 
     def probe(self, executor: int) -> None:
         """Ask an executor for its report."""
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -240,6 +240,11 @@
         if flight is not None and flight.task is not None and (begun or not flight.begun):
             flight.task.cancel()
 
+    def begun(self, ref: str, alloc: int) -> bool:
+        """Return whether an allocation has begun to go out, or is over."""
+        flight = self.out.get((ref, alloc))
+        return flight is None or flight.begun
+
     def allocation(self, order: Order, flight: Flight) -> Coroutine:
         """Carry one allocation from its sending to its outcome, which is told exactly once.
 
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -338,6 +338,13 @@
                 self.acting.ended(status)
             pending.give(status, headers, body)
 
+    def abort(self, effect: core.Abort) -> None:
+        """Tell a client that its work may have run, unless nothing of it has gone out: that is called off."""
+        if effect.out and not any(self.executors.begun(effect.ref, alloc) for alloc in effect.out):
+            self.answer(effect.ref, 503, protocol.advice(effect.advice_ms), b"")
+        else:
+            self.answer(effect.ref, 400 if effect.unfit else 500, [], b"")
+
     def timer(self, effect: core.Timer) -> None:
         """Bring back a mark later."""
         self.loop.at(self.loop.now() + effect.delay_ms, lambda: self.post(core.Due(effect.mark)))
@@ -431,7 +438,7 @@
     core.Cancel: lambda node, effect: node.executors.cancel(*effect),
     core.Complete: lambda node, effect: node.answer(effect.ref, 200, [], effect.result),
     core.Defer: lambda node, effect: node.answer(effect.ref, 503, protocol.advice(effect.advice_ms), b""),
-    core.Abort: lambda node, effect: node.answer(effect.ref, 400 if effect.unfit else 500, [], b""),
+    core.Abort: Node.abort,
     core.Probe: lambda node, effect: node.executors.probe(effect.executor),
     core.Timer: Node.timer,
     core.Remember: Node.remember,
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -97,7 +97,9 @@
     take(begun, "2", 1)
     timer = of(begun.reduce(3.0, core.Closing(100.0)), core.Timer)[-1]
     effects = begun.reduce(103.0, core.Due(timer.mark))
-    assert of(effects, core.Defer) == [core.Defer("1", 0.0)] and of(effects, core.Abort) == [core.Abort("2")]
+    assert of(effects, core.Defer) == [core.Defer("1", 0.0)] and of(effects, core.Abort) == [
+        core.Abort("2", out=(0,))  # of which nothing may have begun
+    ]
 
 
 def test_work_that_comes_while_closing_is_to_end_before_the_node(begun):
--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -4,19 +4,22 @@
 """
 
 import os
+import re
 import select
 import socket
+from contextlib import suppress
 from dataclasses import replace
 
 import h11
 import pytest
 import test_endings
 from conftest import ANSWER, OPTIONS
-from test_endings import NEVER, NO_PROBES, POSTING, REQUEST, ended, lines
+from test_endings import NEVER, NO_PROBES, POSTING, REQUEST, ended, full_queue, gated, lines, reset, tell
 from test_net import JOB
 
 from marlseam import core
-from marlseam.interface import Outcome, State
+from marlseam.config import deployment_from
+from marlseam.interface import Listing, Outcome, State
 from marlseam.net.connection import Ended
 from marlseam.net.executors import SECOND_MS, Order
 from marlseam.net.loop import LATE, READY
@@ -58,6 +61,17 @@
     return more
 
 
+def answer_all(peer, name):
+    """Have an executor of the test's complete all that it has been sent."""
+    while peer.accept():
+        pass
+    for sock in peer.held:
+        with suppress(BlockingIOError, ConnectionResetError):
+            for id in re.findall(rb"x-correlation-id: (\S+)", sock.recv(1 << 20), re.IGNORECASE):
+                last = b'{"id":"%b","from":"%b","state":"done","result":"r"}\n' % (id, name)
+                sock.sendall(line(last))
+
+
 def long(request):
     """Return a request with a body that fills small sockets."""
     return request.replace(b"Length: 3", b"Length: 65536").replace(b"abc", b"b" * 65536)
@@ -415,3 +429,194 @@
     lead(node.executors.take_ms + 1.0)
     flight.task.step(seen)
     assert reply(sock).startswith(b"HTTP/1.1 200 ") and node.counters.attempts == 1
+
+
+# From SIGTERM up to the end, on every connection that stays open.
+
+
+def test_what_comes_at_any_instant_between_sigterm_and_the_end_is_answered_or_never_read(
+    node, client, stand, turn, lead
+):
+    good, hanging = stand("e1", "e2", ceilings=NO_PROBES)
+    resting = [client(b"") for _ in range(200)]
+    turn(lambda: len(node.server.idle) == len(resting))
+    lead(NEW_MS)
+    asked, refs = [], node.refs
+
+    def ask(new):
+        i = len(asked)
+        data = (POSTING, REQUEST.replace(b"Left: 5", b"Left: 0.3"))[i % 2].replace(b"9b", b"w%d" % i)
+        with suppress(OSError):  # it was closed before, and nobody listens: its client goes elsewhere
+            if new:
+                asked.append(client(data))
+            elif resting:
+                asked.append(resting.pop())
+                asked[-1].sendall(data)
+
+    part, end = node.server.part, node.end
+    node.server.part = lambda: (ask(False), part())  # in the moment in which the drain looks
+    node.end = lambda at_ms: (ask(False), end(at_ms))
+    tell(node, {"e2": hanging.address})
+    for _ in range(8):
+        ask(False)
+    turn(lambda: node.refs - refs == len(asked))  # exclusive work of before hangs up to the end
+    tell(node, {"e1": good.address, "e2": hanging.address})
+    began = node.loop.now()
+    node.close()
+    while not node.loop.stopped:
+        ask(False)
+        ask(True)
+        for _ in range(4):
+            lead(6.0)
+            node.loop.at(node.loop.now(), lambda: None)
+            node.loop.turn()
+            answer_all(good, b"e1")
+    assert node.loop.now() - began < 3700.0 and not node.pending  # the earliest SIGKILL
+    node.loop.finish()
+    answers = []
+    for sock in asked:
+        with suppress(OSError):
+            answers.append(sock.recv(1 << 16))
+    given = [answer for answer in answers if answer]
+    assert {b"200", b"500"} <= {answer[9:12] for answer in given} <= {b"200", b"500", b"503"}
+    assert all(b"\r\n\r\n" in answer for answer in given)
+    assert len(given) == node.refs - refs and len(given) > 100
+
+
+# Work that was never sent on is refused, within its time and half a second.
+
+
+def nobody(node, peer):
+    node.post(core.Roster(Listing.FULL, []))
+
+
+def all_drain(node, peer):
+    tell(node, {"e1": peer.address}, State.DRAINING)
+
+
+def refuses(node, peer):
+    tell(node, {"e1": ("127.0.0.1", 1)})
+
+
+def dials_hang(node, peer):
+    full_queue(peer)
+
+
+def at_a_gate(node, peer):
+    gated(node)
+
+
+def probes_hang(node, peer):
+    node.adopt(replace(node.config, deployment=deployment_from(OPTIONS | {"requestClasses": EFFECTS})))
+
+
+EFFECTS = [
+    row | {"aimStretch": 20} for row in OPTIONS["requestClasses"]
+] + [KEYED | {"name": "payment", "dedupScope": "cell", "memorySpanUs": 1000000}]  # fmt: skip
+PAYMENT = PAYING.replace(b"statement", b"payment")
+
+
+@pytest.mark.parametrize("why", [nobody, all_drain, refuses, dials_hang, at_a_gate, probes_hang])
+@pytest.mark.parametrize(
+    "request_", [REQUEST, POSTING, PAYMENT], ids=["rerunnable", "exclusive", "receipted"]
+)
+@pytest.mark.parametrize("late_ms", [1.0, 450.0], ids=["in time", "late"])
+def test_work_that_was_never_sent_on_is_refused_by_half_a_second_after_its_time(
+    node, client, stand, turn, lead, why, request_, late_ms
+):
+    (peer,) = stand("e1", backlog=0, ceilings=NO_PROBES, requestClasses=EFFECTS)
+    why(node, peer)
+    sock = client(request_.replace(b"Left: 5", b"Left: 0.9"))
+    turn(lambda: node.refs)
+    began, answer = node.loop.now(), b""
+    while not answer:
+        for _ in range(10):
+            node.loop.at(node.loop.now(), lambda: None)
+            node.loop.turn()
+        with suppress(BlockingIOError):
+            answer = sock.recv(1 << 16)
+            break
+        assert node.loop.now() - began < 900.0 + 500.0 + 50.0
+        lead(late_ms if late_ms > 1.0 else 20.0)
+    assert answer.startswith(b"HTTP/1.1 503 ") and node.loop.now() - began < 900.0 + 500.0
+    assert not node.counters.attempts
+
+
+# Floods.
+
+
+def test_clients_that_send_much_at_once_and_go_cost_others_nothing(node, client, stand, turn, settle):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    settle()
+    before = len(os.listdir("/proc/self/fd"))
+    much = REQUEST * 200 + b"x" * 100000
+    flood = [client(b"") for _ in range(60)]
+    for i, sock in enumerate(flood):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 1 << 20)
+        with suppress(BlockingIOError):
+            sock.sendall(much.replace(b"9b", b"f%d" % i) if i % 2 else b"\x00" * 100000)
+    settle(3)  # some are being read, some not yet accepted
+    for i, sock in enumerate(flood):
+        (reset if i % 3 else socket.socket.close)(sock)
+    good = client(REQUEST)
+    turn(lambda: any(p.job.id == "9b" for p in node.pending.values()))
+    turn(lambda: len(node.server.open) == 1)
+    assert len(node.pending) == 1 and len(node.core.open) == 1
+    turn(lambda: b"9b" in executor.read())
+    for sock in executor.held:
+        with suppress(OSError):
+            sock.sendall(ANSWER)
+    turn(lambda: not node.pending)
+    assert good.recv(1 << 16).startswith(b"HTTP/1.1 200 ")
+    good.close()
+    turn(lambda: not node.server.open and not node.executors.out)
+    node.executors.close()
+    for sock in executor.held:
+        sock.close()
+    assert len(os.listdir("/proc/self/fd")) <= before and not sum(node.server.held.values())
+
+
+def test_a_burst_of_clients_that_leave_takes_all_its_work_along(node, client, stand, turn, settle):
+    executors = stand("e1", "e2", "e3", ceilings=NO_PROBES)
+    socks = [client(REQUEST.replace(b"9b", b"w%d" % i)) for i in range(120)]
+    turn(lambda: node.refs == len(socks))
+    settle()
+    assert node.core.node.lines and node.executors.out
+    for executor in executors:
+        executor.read()
+    for i, sock in enumerate(socks):
+        (reset if i % 2 else socket.socket.close)(sock)
+    turn(lambda: not node.pending)
+    attempts = node.counters.attempts
+    settle(100)
+    assert not node.core.open and not node.core.node.lines and not node.executors.out
+    assert node.counters.attempts == attempts and not any(b"POST" in e.read() for e in executors)
+
+
+# Slow dials.
+
+
+@pytest.mark.parametrize(
+    "request_", [REQUEST, POSTING, PAYMENT], ids=["rerunnable", "exclusive", "receipted"]
+)
+def test_a_dial_that_does_not_come_up_holds_nothing_else_and_never_ran(
+    node, client, stand, turn, settle, lead, reply, request_
+):
+    slow, good = stand("e1", "e2", backlog=0, ceilings=NO_PROBES, requestClasses=EFFECTS)
+    release = full_queue(slow)
+    tell(node, {"e1": slow.address})  # all go there first
+    sock = client(request_)
+    turn(lambda: node.executors.out)
+    tell(node, {"e1": slow.address, "e2": good.address})
+    node.core.node.full[node.core.index["e1"]] = True  # the next goes elsewhere
+    second = client(request_.replace(b"9b", b"9c").replace(b"-Key: k", b"-Key: l"))
+    turn(lambda: b"abc" in good.read())  # and is served while the first waits
+    good.held[0].sendall(ANSWER.replace(b'"e1"', b'"e2"').replace(b"9b", b"9c"))
+    assert reply(second).startswith(b"HTTP/1.1 200 ") and node.executors.out
+    lead(node.config.deployment.connect_ms)
+    turn(lambda: b"abc" in good.read())
+    good.held[-1].sendall(ANSWER.replace(b'"e1"', b'"e2"'))
+    assert reply(sock).startswith(b"HTTP/1.1 200 ")
+    release()
+    settle()
+    assert b"POST" not in slow.read() and node.counters.attempts == 2
