An attempt whose first byte the system does not take yet has not begun

Cause: an attempt counted as begun right before its bytes were handed to the system (Executors.allocation), also where a kept connection took none, as its executor had not read what came before: it then waited past the look at its client, and where settings forbid cancelling neither its client's leaving nor a drain called it off. And with a rest before what may not run twice uses a connection again, two holds of test_left no longer sent in the same turn, so that they forced nothing any more. Change: `Connection.takes` waits for room on a kept connection before the last looks. The holds let that rest pass first (led clock). Tests: a first byte that waits, and its client closes, half-closes, or its executor drains: fails 3 of 3 on the code before.

--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -173,6 +173,14 @@
 
     # Writing.
 
+    def takes(self, until_ms: float) -> Steps:
+        """Wait until the system takes bytes at once: a peer may not have read what it was sent before."""
+        look = select.poll()
+        look.register(self.sock.fileno(), select.POLLOUT)
+        while not look.poll(0):
+            if (yield (self.sock.fileno(), WRITE, until_ms)) == LATE:
+                raise Ended(Reason.TIMED_OUT)
+
     def write(self, data: bytes, until_ms: float) -> Steps:
         """Write all of some bytes; none once the time is over, also where there is room just then."""
         view = memoryview(data)
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -279,6 +279,9 @@
             rest_ms = SECOND_MS if job.once else -inf
             connection = yield from self.acquire(peer, self.limit(), until, rest_ms)
             kept = connection.messages > 0
+            if kept:
+                # Guards the looks below, and what may be called off, against a wait behind them.
+                yield from connection.takes(until)
             acting = order.stands.goes() if order.stands is not None else ""
             if order.stands is not None and not acting:
                 self.release(peer, connection)
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -5,8 +5,13 @@
 in front, or the end in the middle of a turn that is late.
 """
 
+import json
+import os
 import select
+import signal
 import socket
+import subprocess
+import sys
 from dataclasses import replace
 from math import inf
 
@@ -19,6 +24,7 @@
     NEVER,
     POSTING,
     REQUEST,
+    Peer,
     half_close,
     lines,
     reset,
@@ -28,7 +34,7 @@
 
 from marlseam.interface import Listing, State
 from marlseam.net.connection import AHEAD_MS, Connection
-from marlseam.net.executors import Order
+from marlseam.net.executors import SECOND_MS, Order
 from marlseam.net.loop import READ as READ_MASK
 from marlseam.net.loop import READY
 from marlseam.net.protocol import BODY_MOST
@@ -87,6 +93,7 @@
                 sock.sendall(ANSWER.replace(b'"e1"', b'"%b"' % name.encode()))
             self.turn(lambda name=name: len(self.node.executors.peers[name].idle) == 2)
         assert self.read().count(b"abc") == 2 * len(names)
+        self.lead_ms += SECOND_MS  # what may not run twice uses no connection before
 
     def ask(self, request=REQUEST, read=True):
         """Have the client that will go send its request; `read` what it sends ahead as far as a node does."""
@@ -428,3 +435,144 @@
     executor.sendall(ANSWER)
     assert reply(scene.sock).startswith(b"HTTP/1.1 200 ")
     assert scene.running(b"bbb")
+
+
+# Many at once, what stands behind, a first byte that waits, and a process.
+
+
+def test_a_burst_that_leaves_from_a_line_goes_nowhere(scene, node, turn):
+    scene = scene(False)
+    scene.list("e1")
+    at = {"e1": scene.executors["e1"].address}
+    tell(node, at, State.DRAINING, Listing.DELTA)
+    doors = []
+    for i in range(30):
+        scene.ask(REQUEST.replace(b"9b", b"w%d" % i))
+        doors.append((scene.sock, scene.door))
+    ring = scene.bell(lambda: tell(node, at, State.READY, Listing.DELTA))
+    begun = scene.begun
+    ring()
+    comes(node.loop.poll.fileno())
+    for scene.sock, scene.door in doors:
+        scene.leave(socket.socket.close)
+    node.loop.turn()
+    goes_nowhere(scene, begun)
+    assert not node.server.open
+
+
+def test_what_found_its_client_gone_leaves_no_record_and_gives_its_keys_turn_on(scene, node, turn):
+    keyed = PATIENT[0] | {
+        "semantics": "keyed", "dedupScope": "cell", "memorySpanUs": 30000000, "oneAtATime": True,
+        "aimStretch": 20,
+    }  # fmt: skip
+    scene = scene(False)
+    scene.list("e1", requestClasses=[keyed])
+    for connection, _ in node.executors.peers["e1"].idle:
+        connection.eof = True  # closed by its executor: a new one is dialled
+    asked = REQUEST.replace(b"/statement", b"/statement?user=u").replace(
+        b"Host: h", b"Host: h\r\nIdempotency-Key: k%d"
+    )
+    scene.ask(asked % 1, read=False)
+    (flight,) = node.executors.out.values()
+    first = scene.sock, scene.door
+    scene.client((asked % 2).replace(b"9b", b"9c"))
+    flight.task.rest()  # its dial is not heard of until the next has come
+    turn(lambda: node.refs == 2)
+    assert node.core.receipts.known("k1", node.loop.now())
+    begun = scene.begun
+    scene.sock, scene.door = first
+    scene.leave(socket.socket.close)
+    flight.task.step(READY)
+    assert not node.core.receipts.known("k1", node.loop.now())  # it provably never ran
+    assert node.core.receipts.known("k2", node.loop.now())
+    turn(lambda: scene.begun > begun)
+    data = scene.read()
+    assert b"k2" in data and b"k1" not in data and scene.begun == begun + 1
+    turn(lambda: scene.door not in node.server.open)
+
+
+@pytest.mark.parametrize("end", [socket.socket.close, half_close, "drains"], ids=["closes", "half", "drains"])
+def test_a_first_byte_that_the_system_does_not_take_has_not_begun(end, scene, node, turn):
+    scene = scene(False)
+    scene.list("e1")
+    (connection, _), (other, _) = node.executors.peers["e1"].idle
+    for each in (connection, other):  # as if an executor had answered what it did not read
+        floods(each.sock, b"x" * (1 << 24))
+    scene.ask(read=False)
+    (flight,) = node.executors.out.values()
+    assert not flight.task.done and scene.read().count(b"x") > 0
+    if end == "drains":
+        tell(node, {"e1": scene.executors["e1"].address}, State.DRAINING, Listing.DELTA)
+    else:
+        scene.leave(end)
+    turn(lambda: flight.task.done)
+    turn(lambda: end == "drains" or not node.server.open)
+    data = scene.read()
+    while more := scene.read():
+        data += more
+    assert b"abc" not in data
+
+
+@pytest.mark.parametrize("answer", [ERROR, NEVER, b""], ids=["an error", "unprocessed", "a reset"])
+def test_a_process_that_stood_still_sends_nothing_again_for_clients_that_left(peers, tmp_path, answer):
+    peers |= {"e1": Peer(), "e2": Peer()}
+    hosts = [
+        {"host": name, "dial": "{}:{}".format(*peer.address), "health": "active", "site": "here",
+         "class": "plain", "block": 0} for name, peer in peers.items()
+    ]  # fmt: skip
+    limits = OPTIONS["ceilings"] | {"mayProbe": False, "cancel": False, "keepaliveUs": 30000000}
+    settings = OPTIONS | {"requestClasses": PATIENT, "ceilings": limits}
+    values = {
+        "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings,
+        "known": {"seq": 1, "whole": True, "hosts": hosts},
+    }  # fmt: skip
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps(values))
+    command = [sys.executable, "-m", "marlseam", "serve", "--config", str(path)]
+    process = subprocess.Popen(command, stderr=subprocess.PIPE, text=True)
+    clients, held = [], {}  # and executors' sides of connections, with their names
+
+    def asks():
+        """Have a client ask; return where that came."""
+        clients.append(socket.create_connection(listen))
+        clients[-1].sendall(REQUEST.replace(b"9b", b"w%d" % len(clients)))
+        while True:
+            ready, _, _ = select.select([*held, *(peer.sock for peer in peers.values())], [], [], 10.0)
+            for name, peer in peers.items():
+                if peer.sock in ready:
+                    held[peer.sock.accept()[0]] = name
+            for sock in held.keys() & ready:
+                assert b"abc" in sock.recv(1 << 16)
+                return sock
+
+    try:
+        while "listens on" not in (line := process.stderr.readline()):
+            assert line
+        listen = "127.0.0.1", int(line.rpartition(":")[2])
+        used = [asks()]
+        while len(set(held.values())) < 2:  # at once, so that each executor has a kept connection
+            used.append(asks())
+        for sock in used:
+            number = b"w%d" % (used.index(sock) + 1)
+            sock.sendall(ANSWER.replace(b"9b", number).replace(b'"e1"', b'"%b"' % held[sock].encode()))
+        for sock in clients:
+            assert sock.recv(1 << 16).startswith(b"HTTP/1.1 200 ")
+        sock = asks()
+        process.send_signal(signal.SIGSTOP)
+        os.waitid(os.P_PID, process.pid, os.WSTOPPED | os.WNOWAIT)
+        sock.sendall(answer) if answer else reset(sock)
+        clients[-1].close()
+        process.send_signal(signal.SIGCONT)
+        while "client ended code=peer-closed" not in (line := process.stderr.readline()):
+            assert line
+        process.send_signal(signal.SIGTERM)
+        assert "ends with 0 work units open" in process.stderr.read()
+        assert process.wait(timeout=20.0) == 0
+        for other in held.keys() - {sock}:
+            assert other.recv(1 << 16) == b""
+        assert not any(peer.accept() for peer in peers.values())
+    finally:
+        process.kill()
+        process.communicate()
+        for sock in (*clients, *held):
+            sock.close()
