--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -33,6 +33,7 @@
 from test_net import JOB
 
 from marlseam.interface import Listing, State
+from marlseam.net import protocol
 from marlseam.net.connection import AHEAD_MS, Connection
 from marlseam.net.executors import SECOND_MS, Order
 from marlseam.net.loop import READ as READ_MASK
@@ -576,3 +577,21 @@
         process.communicate()
         for sock in (*clients, *held):
             sock.close()
+
+
+def test_a_fault_at_each_attempt_ends_with_the_cap(scene, node, client, turn, monkeypatch):
+    # Each ends as void. If the cap left out what is void, the next would go out at once, without end.
+    scene = scene(True)
+    scene.list("e1", "e2")
+    tried = []
+
+    def faulty(*given):
+        tried.append(given)
+        assert len(tried) <= node.core.node.set.max_allocs
+        raise KeyError("a fault")
+
+    monkeypatch.setattr(protocol, "job_headers", faulty)
+    scene.ask(read=False)
+    turn(lambda: not node.pending)
+    assert len(tried) == node.core.node.set.max_allocs
+    over(node)
