size-roster: the list's service ends a watch without news when its time is over

Change: a watch is answered without news at the end of the time that it asks for, as the platform's is.

--- a/marlseam/experiment/size_roster.py
+++ b/marlseam/experiment/size_roster.py
@@ -167,15 +167,23 @@
                 with self.holds:
                     self.asked[number], self.versions[number] = since, time.monotonic()
                     self.holds.notify_all()
-                    while "since=" in target and self.listing.roster.version() <= since and not self.over:
-                        self.holds.wait()
-                    data = self.data(since, self.listing.whole or "since=" not in target)
+                    whole = "since=" not in target or not self.newer(since, target)
+                    data = self.data(since, whole)
                 sock.sendall(data)
                 self.sent += len(data)
         with self.holds:
             self.asked.pop(number, None)
             self.holds.notify_all()
 
+    def newer(self, since: int, target: str) -> bool:
+        """Wait for what is newer, as long as a call asks; return whether the answer tells changes alone."""
+        wait_ms = float(target.partition("timeout_ms=")[2].partition("&")[0] or 0.0)
+        end = time.monotonic() + wait_ms / 1000.0
+        while self.listing.roster.version() <= since and not self.over:
+            if not self.holds.wait(end - time.monotonic()):
+                return True
+        return not self.listing.whole
+
     def data(self, since: int, whole: bool) -> bytes:
         """Return an answer, made once for all."""
         key = (since, whole)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,5 +1,6 @@
 """The rig of the size experiments: lines through points, what is refused, its end, hollow beside real."""
 
+import http.client
 import json
 import os
 import signal
@@ -327,3 +328,21 @@
         run.kill()
         run.wait()
     assert all(gone(pid) for pid in children) and not (out / "band").exists()
+
+
+def test_the_service_ends_a_watch_without_news_in_the_time_asked_for():
+    listing = size_roster.Listing(3)
+    listing.change()
+    service = size_roster.Service(listing)
+    try:
+        call = http.client.HTTPConnection(service.address, timeout=10.0)
+        call.request("GET", f"{protocol.LIST_PATH}?since=1&timeout_ms=50")
+        answer = json.loads(call.getresponse().read())
+        assert answer == {
+            "seq": 1,
+            "whole": False,
+            "hosts": [],
+        }  # a node would give the watch up, and ask anew
+        call.close()
+    finally:
+        service.close()
