--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -33,6 +33,7 @@
 
 from marlseam import core
 from marlseam.config import deployment_from
+from marlseam.core import Entry
 from marlseam.interface import Listing, Outcome, State
 from marlseam.net import node as node_module
 from marlseam.net.connection import Ended
@@ -809,3 +810,74 @@
     rest = made[0][0].core.node.backoff
     most = max(sum(at <= other < at + 0.1 * rest for other in due) for at in due)
     assert most <= len(due) // 3  # of 24 in a tenth of the span; evenly it would be 3
+
+
+# Clients that come again at once, executors that hang.
+
+
+@pytest.mark.parametrize("cancel", [True, False], ids=["cancelled", "runs on"])
+def test_a_client_that_comes_again_at_once_finds_the_pods_of_its_first_try(
+    node, client, stand, turn, lead, cancel
+):
+    ceilings = NO_PROBES | {"cancel": cancel}
+    first, other = stand("e1", "e2", ceilings=ceilings, requestClasses=EFFECTS)
+    entries = [Entry(name, State.READY, 0, 0, cell, None) for cell, name in enumerate(("e1", "e2"))]
+    node.post(core.Roster(Listing.FULL, entries[:1]))
+    sock = client(PAYMENT)
+    turn(lambda: b"abc" in first.read())  # it may run from here on
+    for i in range(2):
+        sock.close()
+        turn(lambda: not node.pending)
+        node.post(core.Roster(Listing.FULL, entries))  # the other cell is free
+        lead(100.0)
+        sock = client(PAYMENT.replace(b"9b", b"a%d" % i).replace(b"Key: k", b"Key: k\r\nX-Repeat: 1"))
+        turn(lambda: b"abc" in first.read())
+        assert b"abc" not in other.read()
+
+
+@pytest.mark.parametrize(
+    ("request_", "copied"),
+    [(REQUEST, True), (POSTING, False), (PAYMENT, True)],
+    ids=["rerunnable", "exclusive", "receipted"],
+)
+def test_where_copies_are_allowed_exclusive_work_still_has_one_out(
+    node, client, stand, turn, settle, lead, request_, copied
+):
+    types = [row | {"aimUs": 1000000} for row in EFFECTS]  # so that no patience ends
+    first, other = stand("e1", "e2", ceilings=NO_PROBES | {"secondCopies": True}, requestClasses=types)
+    node.post(core.Roster(Listing.FULL, [Entry("e1", State.READY, 0, 0, 0, None)]))
+    client(request_)
+    turn(lambda: b"abc" in first.read())
+    tell(node, {"e1": first.address, "e2": other.address})
+    node.post(core.Probed("e1", Outcome.TIMED_OUT, 0.0, None))  # it seems lost, with what it has
+    for _ in range(8):  # past the next look at what stands in line
+        lead(100.0)
+        settle(5)
+    out = [flight for flight in node.executors.out.values() if flight.begun]
+    assert len(out) == 1 + copied and not ended(first.held[0])
+    assert (b"abc" in other.read()) is copied
+
+
+@pytest.mark.parametrize("late_ms", [20.0, 450.0], ids=["in time", "late"])
+@pytest.mark.parametrize(
+    ("request_", "status"),
+    [(REQUEST, b"503"), (POSTING, b"500"), (PAYMENT, b"500")],
+    ids=["rerunnable", "exclusive", "receipted"],
+)
+def test_work_that_hangs_at_its_executor_is_answered_by_half_a_second_after_its_time(
+    node, client, stand, turn, lead, request_, status, late_ms
+):
+    (executor,) = stand("e1", ceilings=NO_PROBES, requestClasses=EFFECTS)
+    sock = client(request_.replace(b"Left: 5", b"Left: 0.9"))
+    turn(lambda: b"abc" in executor.read())
+    began, answer = node.loop.now(), b""
+    while not answer:
+        assert node.loop.now() - began < 900.0 + 500.0
+        for _ in range(10):
+            node.loop.at(node.loop.now(), lambda: None)
+            node.loop.turn()
+        with suppress(BlockingIOError):
+            answer = sock.recv(1 << 16)
+            break
+        lead(late_ms)
+    assert answer[9:12] == status
