The listener's last moment and a client that does not read are forced, not only told

Both can be forced: a connection made and written to between the last accept and the listener's close, and an answer of 3 MB to a client that reads nothing while the clock is led past the time for writing. The first cannot be saved; the test shows that its client sees a reset at once and that nothing of it was read.

--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -39,7 +39,7 @@
 from marlseam.net.connection import Ended
 from marlseam.net.executors import SECOND_MS, Order
 from marlseam.net.loop import LATE, READY
-from marlseam.net.server import NEW_MS
+from marlseam.net.server import NEW_MS, WRITE_MS
 
 peers, settle, stand, turn = (
     test_endings.peers,
@@ -881,3 +881,45 @@
             break
         lead(late_ms)
     assert answer[9:12] == status
+
+
+# What no order of the node's can save, shown.
+
+
+def test_what_comes_in_the_listeners_last_moment_is_reset_not_left_silent(node, stand, settle, monkeypatch):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    address, close, crossed = node.server.sock.getsockname(), node.loop.close, []
+
+    def closes(sock):
+        if sock is node.server.sock:  # after the last look at its queue
+            crossed.append(socket.create_connection(address))
+            crossed[0].sendall(REQUEST)
+        close(sock)
+
+    monkeypatch.setattr(node.loop, "close", closes)
+    node.server.stop_listening()
+    with pytest.raises(ConnectionResetError):
+        crossed[0].recv(1)  # its client knows at once; no bytes were read, nothing was sent on
+    settle()
+    assert not node.refs and not executor.accept()
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(address)
+    crossed[0].close()
+
+
+def test_a_client_that_does_not_read_its_answer_is_let_go_and_its_work_is_not_repeated(
+    node, client, stand, turn, settle, lead, small
+):
+    (executor,) = stand("e1", ceilings=NO_PROBES)
+    node.server.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)  # as what it accepts has
+    small()
+    sock = client(REQUEST)
+    turn(lambda: b"abc" in executor.read())
+    (door,) = node.server.open
+    node.answer("1", 200, [], b"r" * 3000000)
+    settle()
+    assert node.server.open
+    lead(WRITE_MS + 1.0)
+    turn(lambda: not node.server.open)
+    assert door.closed and node.refs == 1 and b"abc" not in executor.read()
+    sock.close()
