A drain is told within 4 s of a SIGHUP that moves discovery, forced at three instants

New: a node that watches, rests at the longest back-off or waits for an answer that never comes is told a new address; the other discovery's list, with an older version and 100 ms late, says that an executor drains. Asked and pushed, two graces, the longest rests, led clock.

--- a/tests/test_standing.py
+++ b/tests/test_standing.py
@@ -923,3 +923,57 @@
     turn(lambda: not node.server.open)
     assert door.closed and node.refs == 1 and b"abc" not in executor.read()
     sock.close()
+
+
+# SIGHUP moves discovery.
+
+
+def watching(node, roster):
+    roster.held[0].sendall(answer(listing(5, "active")))
+    node.turns()
+    node.turns(lead_ms=node.discovery.gap_ms)
+    assert b"since=5" in roster.read()
+
+
+def resting(node, roster):
+    """Fail calls until the rest between them is longest, and stop in the middle of one."""
+    for _ in range(8):
+        while roster.held:
+            reset(roster.held.pop())
+        while not roster.accept():
+            node.turns(2, lead_ms=10.0)
+    reset(roster.held.pop())
+    node.turns()
+    assert node.discovery.task is None and node.core.node.backoff == node.core.node.set.renew_ms
+
+
+def calling(node, roster):
+    assert node.discovery.task is not None  # and nobody answers
+
+
+@pytest.mark.parametrize("when", [watching, resting, calling])
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+@pytest.mark.parametrize("grace_us", [400000, 20000000])
+def test_a_drain_is_told_within_four_seconds_of_a_sighup_that_moves_discovery(
+    followed, peers, when, mode, grace_us
+):
+    node, roster = followed(registryMode=mode, guarantees={"stopSendingWithinUs": grace_us})
+    node.core.node.chance = lambda: 1.0 - 1e-9  # the longest rests
+    roster.read()
+    when(node, roster)
+    moved = peers["moved"] = Peer()
+    path = Path(node.config.path)
+    held = json.loads(path.read_text()) | {"discovery": "{}:{}".format(*moved.address)}
+    path.write_text(json.dumps(held))
+    node.reload()
+    began = node.loop.now()
+    while not moved.accept():
+        assert node.loop.now() - began < 4000.0
+        node.turns(2, lead_ms=10.0)
+    node.turns()
+    assert moved.read().startswith(b"GET /api/targets HTTP")
+    node.turns(lead_ms=100.0)  # lists come late
+    moved.held[0].sendall(answer(listing(1, "leaving")))  # another discovery's versions
+    node.turns()
+    assert node.core.node.state[node.core.index["e1"]] is State.DRAINING
+    assert node.loop.now() - began < 4000.0 and not any(not ended(sock) for sock in roster.held)
