A test of a slow disk waits until all that was handed over is written

Change: the test waits until both are answered, and then wants the store to serve and the record to be there: no less than before.

--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -479,7 +479,8 @@
     until(lambda: seen)
     assert seen == [("a", False)] and not part.serves()  # the old code let it go out unrecorded
     part.process.send_signal(signal.SIGCONT)
-    until(lambda: part.serves())
+    until(lambda: part.done == part.sent)  # also where the first message alone was answered before
+    assert part.serves()
     assert "code=slow" in capsys.readouterr().err and on_disk(part) == {"a"}
 
 
