What stands in the middle of its bytes is cut as its client leaves or has its answer

Cause: an executor begins a request when its last byte has come, so the bound on what begins after a client's end counts from there. An attempt counted as begun before its first byte (Executors.allocation): in the middle of its bytes, at an executor that reads slowly, neither its client's end nor its final answer called it off where settings forbid cancelling, and it began whenever the executor read on. Change: begun is what has had its last byte go out; the look at the client stands in `Connection.write`, right before the first byte and each further part. What is cut never ran and ends as void. A drain, a move and a cold return cut it likewise. Two tests of others asserted `begun` of an attempt in the middle of its bytes: they assert the opposite now, beside what they had; one wrapped `Connection.message` and passes the new argument on. Tests: 18 cases: closes, resets, half, rerunnable and exclusive, cancelling forbidden: the end alone, room for more before the end in one turn, the final answer.

--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -214,7 +214,7 @@
 
 
 class Cancel(NamedTuple):
-    """Stop waiting for an allocation; where not `begun`, only if nothing of it has gone out."""
+    """Stop waiting for an allocation; where not `begun`, only if its last byte has not gone out."""
 
     ref: str
     alloc: int
--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -4,7 +4,7 @@
 import errno
 import select
 import socket
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from math import inf
 from typing import Any
 
@@ -181,10 +181,15 @@
             if (yield (self.sock.fileno(), WRITE, until_ms)) == LATE:
                 raise Ended(Reason.TIMED_OUT)
 
-    def write(self, data: bytes, until_ms: float) -> Steps:
-        """Write all of some bytes; none once the time is over, also where there is room just then."""
+    def write(self, data: bytes, until_ms: float, left: Callable[[], bool] | None = None) -> Steps:
+        """Write all of some bytes; none once the time is over, also where there is room just then.
+
+        Nor once `left` says that whom they are for has gone, which is asked right before each part.
+        """
         view = memoryview(data)
         while view:
+            if left is not None and left():
+                raise Ended(Reason.WITHDRAWN)
             try:
                 view = view[self.sock.send(view) :]
             except (BlockingIOError, InterruptedError):
@@ -194,13 +199,19 @@
             except OSError:
                 raise Ended(Reason.PEER_RESET) from None
 
-    def message(self, head: h11.Request | h11.Response, body: bytes, until_ms: float) -> Steps:
-        """Write a whole message."""
+    def message(
+        self,
+        head: h11.Request | h11.Response,
+        body: bytes,
+        until_ms: float,
+        left: Callable[[], bool] | None = None,
+    ) -> Steps:
+        """Write a whole message, or as much as may go out."""
         data = self.http.send(head)
         if body:
             data += self.http.send(h11.Data(data=body))
         data += self.http.send(h11.EndOfMessage())
-        yield from self.write(data, until_ms)
+        yield from self.write(data, until_ms, left)
         self.messages += 1
         self.used_ms = self.loop.now()
 
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -62,7 +62,10 @@
 
 @dataclass
 class Flight:
-    """An allocation until its outcome is told, and whether it has begun to go out."""
+    """An allocation until its outcome is told, and whether it has begun: its last byte has gone out.
+
+    An executor begins a request then.
+    """
 
     executor: str
     task: Task | None = None
@@ -235,13 +238,13 @@
         flight.task = self.loop.spawn(self.allocation(order, flight))
 
     def cancel(self, ref: str, alloc: int, begun: bool = True) -> None:
-        """Give up an allocation; where not `begun`, only if nothing of it has gone out."""
+        """Give up an allocation; where not `begun`, only if its last byte has not gone out."""
         flight = self.out.get((ref, alloc))
         if flight is not None and flight.task is not None and (begun or not flight.begun):
             flight.task.cancel()
 
     def begun(self, ref: str, alloc: int) -> bool:
-        """Return whether an allocation has begun to go out, or is over."""
+        """Return whether an allocation has begun, or is over."""
         flight = self.out.get((ref, alloc))
         return flight is None or flight.begun
 
@@ -294,14 +297,10 @@
                 raise Ended(Reason.TIMED_OUT)
             headers = protocol.job_headers(job, peer.name, order.expires_ms - now, acting)
             request = h11.Request(method="POST", target=job.target, headers=headers)
-            if order.left is not None and order.left():
-                # Guards against work for nobody: the client's end may be handled later in this turn, or have
-                # come since it began.
-                reason = Reason.WITHDRAWN
-                return
-            flight.begun = True
-            yield from connection.message(request, job.body, goes_until)  # it begins with its last byte
-            written = True
+            # It begins with its last byte. The look at its client guards against work for nobody: the end may
+            # be handled later in this turn, or have come since that began.
+            yield from connection.message(request, job.body, goes_until, order.left)
+            written = flight.begun = True
             if order.stands is not None:
                 order.stands.went()
             self.counters.attempts += 1
@@ -325,7 +324,7 @@
         except Ended as ended:
             reason = ended.reason
             if not written:
-                outcome = Outcome.UNREACHABLE
+                outcome = Outcome.VOID if reason is Reason.WITHDRAWN else Outcome.UNREACHABLE
             elif reason is Reason.TIMED_OUT:
                 outcome = Outcome.TIMED_OUT
             else:
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -339,7 +339,7 @@
             pending.give(status, headers, body)
 
     def abort(self, effect: core.Abort) -> None:
-        """Tell a client that its work may have run, unless nothing of it has gone out: that is called off."""
+        """Tell a client that its work may have run, unless none of it has begun: that is called off."""
         if effect.out and not any(self.executors.begun(effect.ref, alloc) for alloc in effect.out):
             self.answer(effect.ref, 503, protocol.advice(effect.advice_ms), b"")
         else:
