A client whose connection was closed here by a fault has gone

Cause: `Connection.gone` polls the client's socket; where a fault had ended the client's coroutine and closed that, the look before an attempt raised (ValueError, a descriptor of -1), each attempt ended as void by a fault of its own, and the work unit went on to its cap. Change: a connection that is closed here counts as gone. Measured (loopback): without the line the new test fails (4 faults logged in place of 1); with it test_left passes, 524, and test_endings, test_net and test_standing with it.

--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -164,7 +164,12 @@
             return  # nothing more is there
 
     def gone(self) -> bool:
-        """Return whether the peer has ended its sending or reset, whatever of its bytes lies unread."""
+        """Return whether the peer has ended its sending or reset, whatever of its bytes lies unread.
+
+        One whose connection was closed here has gone as well: it gets no answer.
+        """
+        if self.closed:
+            return True
         if not self.eof:
             look = select.poll()
             look.register(self.sock.fileno(), select.POLLRDHUP)
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -653,3 +653,19 @@
     if order != "answered":
         turn(lambda: not node.server.open)
     over(node)
+
+
+def test_one_whose_connection_ended_by_a_fault_has_gone(scene, node, turn, monkeypatch):
+    # A look at a closed socket would be a fault of its own, and each attempt void up to the cap.
+    scene = scene(False)
+    act = HOLDS["an error"](scene)
+    begun, faults = scene.begun, []
+    node.loop.fault = faults.append
+    with monkeypatch.context() as patch:
+        patch.setattr(Connection, "fill", lambda connection: 1 // 0)
+        scene.sock.sendall(b"GET")
+        turn(lambda: scene.door not in node.server.open)
+    act()
+    turn(lambda: not node.executors.out)
+    assert scene.begun == begun and b"abc" not in scene.read() and len(faults) == 1
+    assert not node.core.open and not any(node.core.node.ours)
