A change is told 6 s after discovery is back, however calls before it failed

`Node.roster` began the rest at a failed call's end and drew up to 1.5 times `renew_ms` (2 s): a call accepted before the return took 2 s (`Discovery.call_ms`), the rest 3 s, and the list what discovery took for it. A second failure just after the return added as much again. And `Discovery.follow` gave up every call after `call_ms`, so that a discovery which takes longer than that for its answers (0.2 s where one must ask each second, or lists are pushed with a grace of 0.4 s) was never heard.

The rest counts from the beginning of the call and is `renew_ms` at most; a call that hung has rested, and the next follows after 0.05 to 0.15 of that. Only a watch's answer ends the back-off: one that is up for long owes none, and where lists come and watches fail at once calls grow no denser. A call for the list that is overdue is told as failed, and still listened to beside those after it (three times its limit, 2 s at least). A watch's wait is over with its answer's first byte. A connection's last answer is taken in before it counts as ended. Where lists are pushed, the longest rest is what it was (0.375 of the grace).

--- a/marlseam/config.py
+++ b/marlseam/config.py
@@ -37,10 +37,11 @@
 REPORTS = {"none": False, "probe": False, "answers": True}
 WORTH = {"request": False, "work": True}
 REQUIRED = object()
-RENEW_SHARE = 0.2  # the longest rest between two calls for the list, in times after which one must ask
-RENEW_MOST_MS = 2000.0  # and at most: what a watch missed counts as told so long after its time
+# The longest rest between two calls for the list, from the beginning of one to the beginning of the next, in
+# times after which one must ask; and at most, of the 6 s after which a change counts as told (docs/node.md).
+RENEW_SHARE, RENEW_MOST_MS = 0.2, 2000.0
 # Likewise, where changes count as told when they are made, in times within which sends have to stop.
-RENEW_PUSHED = 0.25
+RENEW_PUSHED = 0.375
 GRACE_LEAST_MS = 100.0  # that time, where the settings give none or less
 
 
--- a/marlseam/interface.py
+++ b/marlseam/interface.py
@@ -122,7 +122,7 @@
     share: float = 1.0  # of what the node may do that is this process's, where several serve as one node
     turn_gap_ms: float = 0.0  # how long a key rests after an allocation that may still be running
     drain_binds_alone: bool = False  # one that the list calls gone, or leaves out, may still be sent to
-    renew_ms: float = 2000.0  # the longest rest between two calls for the roster
+    renew_ms: float = 2000.0  # the longest time from one call for the roster to the next
 
     @property
     def urgent_ms(self) -> float:
--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -353,9 +353,7 @@
         # Heaps by (further allocation, kind needed, slots, rank): until when one can be in time, a number.
         self.lines: dict[tuple[bool, int, float, float], list[tuple[float, int, Handle]]] = {}
         self.aside: list[tuple[float, int, Handle]] | None = None  # looked in vain, while others do
-        self.count_lined = 0
-        self.next_ask = 0.0
-        self.awake = False
+        self.count_lined, self.next_ask, self.awake = 0, 0.0, False
         self.looking: Handle | None = None  # of those in line, whose home is being asked
         self.turns: dict[str, Line] = {}  # by key
         self.unlisted: dict[int, None] = {}  # used though the list calls them gone
@@ -380,17 +378,19 @@
 
     def roster(self, listing: Listing, members: list[Member], doubt: float = 0.0) -> None:
         """Take in the roster's news; doubt is the chance that an entry of an old list is no longer true."""
+        now = self.port.now()
         if listing is Listing.FAILED:
-            self.backoff = min(2.0 * self.backoff or 0.1 * self.set.renew_ms, self.set.renew_ms)
-            at = self.next_ask = self.port.now() + self.backoff * (0.5 + self.chance())
-            self.port.after(at - self.port.now(), lambda: self.call(at))
+            first, part = 0.1 * self.set.renew_ms, 0.5 + self.chance()
+            self.backoff = min(2.0 * self.backoff or first, self.set.renew_ms)
+            rest = min(part * self.backoff, self.set.renew_ms)  # what a call took counts in it
+            at = self.next_ask = max(now + part * first, min(now, self.next_ask) + rest)
+            self.port.after(at - now, lambda: self.call(at))
             return
-        self.backoff *= listing is Listing.CACHED
+        self.backoff *= listing is not Listing.DELTA  # guards against a storm where watches fail at once
         if listing is not Listing.DELTA:
             gone = set(range(len(self.state))) - {m.executor for m in members}
             self.leave({e for e in gone if not self.doubts_leave(e)})
         members = [m for m in members if m.state is not State.GONE or not self.doubts_leave(m.executor)]
-        now = self.port.now()
         if self.set.live_weights and listing is Listing.DELTA:
             self.period_ms += (min(now - self.listed_ms, 2.0 * self.period_ms) - self.period_ms) / 5.0
             self.listed_ms = now
--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -95,6 +95,12 @@
                 self.head += data
             self.http.receive_data(data)  # none for the end of the stream
 
+    def begins(self, until_ms: float) -> Steps:
+        """Wait for the first byte of an answer, or for the peer's end."""
+        while not (self.eof or self.ahead() or self.fill()):
+            if (yield (self.sock.fileno(), READ, until_ms)) == LATE:
+                raise Ended(Reason.TIMED_OUT)
+
     def answer(self, until_ms: float) -> Steps:
         """Return the head of a server's answer."""
         while True:
--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 import h11
@@ -16,10 +17,14 @@
 from marlseam.net.loop import Cancelled, Coroutine, Loop, Task, sleep
 from marlseam.net.protocol import Malformed
 
-CALL_SHARE = 0.2  # how long a call may take beyond its wait, in times after which one must ask
+# How long a call may take beyond its wait before it counts as failed, in times after which one must ask.
+CALL_SHARE = 0.2
 # At most, of the 6 s after which what is missed counts as told, and of the 2 s that this takes after the wait
 # of a watch: the list is fetched in the rest.
 CALL_MOST_MS, LATE_MOST_MS = 2000.0, 1000.0
+# How long a call for the list is listened to in all, in times after which it counts as failed; at least as
+# long as a call may take at most, whatever the settings.
+OVERDUE = 3.0
 CALL_PUSHED = 0.5  # likewise where lists are pushed, in times within which sends have to stop
 GAP_MS = 100.0  # least time between two calls of a watch, which goes on for 200 ms without one
 GAP_SHARE = 0.1  # or less, likewise
@@ -40,6 +45,8 @@
         self.held: dict[str, Entry] = {}
         self.heard: Callable[[bool], None] = lambda changed: None  # told of each word of discovery's
         self.task: Task | None = None
+        self.overdue: set[Task] = set()  # calls for the list that were told as failed and may yet be answered
+        self.listed_ms = -inf  # when the call began that brought the list
         self.set(config)
 
     def set(self, config: Config) -> None:
@@ -52,6 +59,7 @@
             # Guards against a call begun while the agent was down, which may never be answered: what the
             # agent has at its return counts as told at once.
             self.call_ms = min(self.call_ms, CALL_PUSHED * grace_ms)
+        self.hear_ms = max(OVERDUE * self.call_ms, CALL_MOST_MS)
         self.gap_ms = min(GAP_MS, GAP_SHARE * grace_ms)
         # Guards against a watch that falls silent and is missed for long; large fleets make fewer calls each.
         share = min(max(WATCH_LEAST, WATCH_SHARE * settings.nodes), WATCH_MOST)
@@ -70,12 +78,14 @@
         old, new = before.deployment, config.deployment
         if before.discovery == config.discovery and (old.zones, old.kinds) == (new.zones, new.kinds):
             return
+        self.over = Reason.FORGOTTEN
+        for task in tuple(self.overdue):
+            task.cancel()
         if self.task is None or self.task.done:
             self.post(Roster(Listing.FAILED, []))
         else:
-            self.over = Reason.FORGOTTEN
             self.task.cancel()
-            self.over = Reason.DRAINING
+        self.over = Reason.DRAINING
 
     def begin(self, known: dict[str, Any] | None = None, doubt: float = 0.0) -> None:
         """Take in the list that the configuration holds, or another that was saved.
@@ -97,16 +107,18 @@
         connection: Connection | None = None
         reason = Reason.FAULT
         try:
-            until = self.loop.now() + self.call_ms
+            began = self.loop.now()
+            until = began + self.call_ms
             connection = yield from connect(self.loop, self.log, self.config.discovery, "discovery", until)
-            yield from self.call(connection, protocol.LIST_PATH, until)
+            yield from self.fetch(connection, began)
             while True:
                 began = self.loop.now()
                 target = protocol.watch_target(self.version, self.wait_ms)
                 until = began + self.wait_ms + min(self.call_ms, LATE_MOST_MS)
-                if not (yield from self.call(connection, target, until)):
+                news = yield from self.call(connection, target, until)
+                if not self.heed(connection, news):
                     until = self.loop.now() + self.call_ms
-                    yield from self.call(connection, protocol.LIST_PATH, until)
+                    self.heed(connection, (yield from self.call(connection, protocol.LIST_PATH, until)))
                 # Guards discovery against a storm of calls where it answers watches without waiting.
                 yield from sleep(began + self.gap_ms)
         except Ended as ended:
@@ -120,25 +132,68 @@
         finally:
             if connection is not None:
                 connection.close(reason)
-            self.task = None
-            self.post(Roster(Listing.FAILED, []))
+            if self.loop.current in self.overdue:
+                self.overdue.remove(self.loop.current)
+            else:
+                self.fail()
+
+    def fail(self) -> None:
+        """Tell that the list is not followed now."""
+        self.task = None
+        self.post(Roster(Listing.FAILED, []))
+
+    def fetch(self, connection: Connection, began: float) -> Steps:
+        """Call for the whole list, and take it in unless a later call has brought one.
+
+        One that is overdue is told as failed, and still listened to beside those that follow it. Guards a
+        fleet against a discovery that answers more slowly than calls are given up: all its time would go
+        into answers that nobody waits for.
+        """
+        task, over = self.loop.current, self.overdue
+
+        def give_up() -> None:
+            over.add(task)
+            self.fail()
+
+        timer = self.loop.at(began + self.call_ms, give_up)
+        try:
+            news = yield from self.call(connection, protocol.LIST_PATH, began + self.hear_ms)
+        finally:
+            self.loop.drop(timer)
+        if began < self.listed_ms:
+            raise Ended(Reason.DONE)
+        self.listed_ms = began
+        self.heed(connection, news)
+        if task in over:
+            if self.task is not None and not self.task.done:
+                raise Ended(Reason.DONE)
+            over.remove(task)
+            self.task = task
 
     def call(self, connection: Connection, target: str, until: float) -> Steps:
-        """Make one call, take in what it says, and return whether that follows on what is held."""
+        """Make one call and return what it says."""
         host = f"{self.config.discovery[0]}:{self.config.discovery[1]}"
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         yield from connection.message(request, b"", until)
+        yield from connection.begins(until)
+        # A watch's wait is over once its answer begins. Guards against one that is cut off in it and missed
+        # only after all of its wait, which is long in large fleets.
+        until = min(until, self.loop.now() + self.call_ms)
         answer = yield from connection.answer(until)
         body = yield from connection.body(protocol.LIST_MOST, until)
         if answer.status_code != 200:
             raise Ended(Reason.DECLINED)
-        if not connection.again():
-            raise Ended(Reason.DONE)
         try:
-            value = json.loads(body)
+            return json.loads(body)
         except (ValueError, RecursionError):
             raise Malformed("the answer is no JSON") from None
-        return self.take(value)
+
+    def heed(self, connection: Connection, news: Any) -> bool:  # noqa: ANN401
+        """Take in a whole answer, also a connection's last, and return whether it follows on what is held."""
+        fits = self.take(news)
+        if not connection.again():
+            raise Ended(Reason.DONE)
+        return fits
 
     def rows(self) -> list[dict[str, Any]]:
         """Return the list as it is held, as the roster writes it."""
--- /dev/null
+++ b/tests/test_told.py
@@ -0,0 +1,300 @@
+"""A change of the list is told 6 s after discovery had it and could be reached (docs/node.md).
+
+Each way in which a call can fail is played on real sockets under a led clock, at its worst instant: chance
+of the module is at its worst, the back-off at its longest, and the call that fails last begins right before
+discovery is back, or fails right then. The clock moves when the test says so, in steps that make each wait of
+the loop end late; how busy the machine is changes nothing.
+"""
+
+import json
+import select
+import socket
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+from conftest import OPTIONS
+from test_endings import HEAD, full_queue, reset
+
+from marlseam import logic
+from marlseam.net import node as node_module
+
+TOLD_MS = 6000.0  # what the page allows
+LATE_MS = 50.0  # how late a loop may be at each wait: the clock moves in such steps
+ONE_MS, TWO_MS = 1900.0, 800.0  # how long discovery takes for its answer, after one failed call and after two
+FAILURES = 7  # after which the back-off is at its longest
+OLD, NEW = b'{"seq":5,"whole":true,"hosts":[]}', b'{"seq":6,"whole":true,"hosts":[]}'
+SETS = {
+    "asked": {"registryMode": "subscribe"},
+    "asked, often": {"registryMode": "subscribe", "guarantees": {"mustAskInUs": 1000000}},
+    "pushed": {"registryMode": "automatic", "guarantees": {"stopSendingWithinUs": 20000000}},
+    "pushed, soon": {"registryMode": "automatic", "guarantees": {"stopSendingWithinUs": 400000}},
+}
+
+
+def whole(body: bytes) -> bytes:
+    return HEAD % len(body) + body
+
+
+class Service:
+    """Discovery, which the test ends and brings back at one address."""
+
+    def __init__(self, listens: bool = True) -> None:
+        self.sock = socket.socket()
+        self.sock.bind(("127.0.0.1", 0))
+        self.address = self.sock.getsockname()
+        self.held: list[socket.socket] = []
+        self.lost: list[socket.socket] = []
+        if listens:
+            self.up()
+
+    def up(self, backlog: int = 64) -> None:
+        self.sock.listen(backlog)
+        self.sock.setblocking(False)
+
+    def down(self) -> None:
+        """End with all connections; the address stays taken, and refuses."""
+        self.drop(reset)
+        self.sock.close()
+        self.sock = socket.socket()
+        self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.sock.bind(self.address)
+
+    def drop(self, how: Callable[[socket.socket], None] = socket.socket.close) -> None:
+        for sock in self.held:
+            how(sock)
+        self.held.clear()
+
+    def asked(self) -> socket.socket | None:
+        """Return the connection on which a call has come that was not seen yet."""
+        while select.select([self.sock], [], [], 0)[0]:
+            sock, _ = self.sock.accept()
+            sock.setblocking(False)
+            self.held.append(sock)
+        for sock in select.select(self.held, [], [], 0)[0]:
+            if b"\r\n\r\n" in sock.recv(4096):
+                return sock
+        return None
+
+    def lose(self) -> None:
+        """Forget all calls that have come: they stay silent, also those still in the queue."""
+        self.asked()
+        self.lost += self.held
+        self.held = []
+
+    def close(self) -> None:
+        for sock in (self.sock, *self.held, *self.lost):
+            sock.close()
+
+
+class Led:
+    """A node whose clock the test leads."""
+
+    def __init__(self, node: node_module.Node, service: Service) -> None:
+        self.node, self.service = node, service
+        self.clock = node.loop.now()
+        node.loop.now = lambda: self.clock
+        self.calls = 0
+        watch = node.discovery.watch
+
+        def counted() -> None:
+            self.calls += 1
+            watch()
+
+        node.discovery.watch = counted
+
+    def turn(self) -> None:
+        self.node.loop.at(self.clock, lambda: None)
+        self.node.loop.turn()
+
+    def settle(self, holds: Callable[[], object]) -> object:
+        """Turn the loop with the clock standing until something holds that the sockets bring."""
+        end = time.monotonic() + 20.0
+        while not (found := holds()):
+            assert time.monotonic() < end, "it did not come"
+            self.turn()
+        return found
+
+    def lead(self, holds: Callable[[], object], most_ms: float = 60000.0) -> None:
+        """Lead the clock until something holds."""
+        end = self.clock + most_ms
+        while not holds():
+            assert self.clock < end, "it did not come"
+            self.clock += LATE_MS
+            self.turn()
+
+    def next_call(self) -> None:
+        """Lead the clock up to the next call."""
+        calls = self.calls
+        self.lead(lambda: self.calls > calls)
+
+    def failed(self) -> bool:
+        task = self.node.discovery.task
+        return task is None or task.done
+
+    def version(self) -> int:
+        return self.node.discovery.version
+
+
+@pytest.fixture
+def led(node, monkeypatch):
+    """Return a maker of nodes that know discovery's list, and discovery."""
+    made = []
+    monkeypatch.setattr(logic.Node, "chance", lambda self: 1.0 - 2.0**-32)  # the longest rests
+
+    def begin(listens: bool = True, **settings: object) -> Led:
+        service = Service(listens)
+        values = {"settings": OPTIONS | settings, "discovery": "{}:{}".format(*service.address)}
+        path = Path(node.config.path)
+        path.write_text(json.dumps(json.loads(path.read_text()) | values))
+        config = replace(node_module.configuration.load(node.config.path, {}), admin=None)
+        made.append(Led(node_module.Node(config), service))
+        return made[-1]
+
+    yield begin
+    for one in made:
+        one.node.busy = True
+        one.node.loop.finish()
+        one.service.close()
+
+
+# How a call can fail. Each takes a node whose call has just begun; where it hangs, time alone ends the call.
+
+
+def answers(data: bytes, ends: Callable[[socket.socket], None] | None = None) -> Callable[[Led], None]:
+    """Return a way in which discovery reads a call, says something, and maybe ends the connection."""
+
+    def play(led: Led) -> None:
+        sock = led.settle(led.service.asked)
+        if data:
+            sock.sendall(data)
+        if ends is not None:
+            led.service.held.remove(sock)
+            ends(sock)
+
+    return play
+
+
+def nothing(led: Led) -> None:
+    """Nobody does anything: the call is refused, or hangs in its connecting or in the listener's queue."""
+
+
+ERROR = b"HTTP/1.1 %d -\r\nContent-Length: 0\r\n\r\n"
+QUICK = {
+    "refused": nothing,
+    "reset": answers(b"", reset),
+    "closed": answers(b"", socket.socket.close),
+    "half a head, closed": answers(HEAD[:9], socket.socket.close),
+    "half a list, reset": answers(whole(OLD)[:-9], reset),
+    "half a list, closed": answers(whole(OLD)[:-9], socket.socket.close),
+    "500": answers(ERROR % 500),
+    "503": answers(ERROR % 503),
+    "no http": answers(b"\x00\xff nonsense\r\n\r\n"),
+    "no json": answers(whole(b'{"seq":')),
+    "no list": answers(whole(b'{"seq":7,"hosts":8}')),
+    "too deep": answers(whole(b"[" * 100000)),
+}
+HUNG = {
+    "connecting": nothing,
+    "in the queue": nothing,
+    "silent": answers(b""),
+    "half a head": answers(HEAD[:9]),
+    "half a list": answers(whole(OLD)[:-9]),
+}
+WAYS = QUICK | HUNG
+
+
+def go_down(led: Led, way: str) -> Callable[[], None]:
+    """Have discovery go down in some way, and return what brings it back."""
+    service = led.service
+    if way == "refused":
+        service.down()
+        return service.up
+    service.drop(reset)  # "When discovery goes down, watches end"
+    if way == "connecting":
+        service.sock.listen(0)
+        empty = full_queue(service)
+
+        def back() -> None:
+            empty()
+            service.sock.listen(64)
+            service.asked()
+
+        return back
+    return service.lose
+
+
+def outage(led: Led, way: str) -> Callable[[], None]:
+    """Have a node follow discovery, and then fail until its back-off is longest; return what ends that."""
+    led.settle(led.service.asked).sendall(whole(OLD))
+    led.settle(lambda: led.version() == 5)
+    led.lead(led.service.asked, 1000.0)  # the watch
+    back = go_down(led, way)
+    led.settle(led.failed)
+    for _ in range(FAILURES):
+        led.next_call()
+        WAYS[way](led)
+        fails(led, way)
+    return back
+
+
+def fails(led: Led, way: str) -> None:
+    """Go on until a call under way has failed."""
+    if way in HUNG:
+        led.lead(led.failed, 2500.0)
+    else:
+        led.settle(led.failed)
+
+
+def told(led: Led, answer_ms: float) -> None:
+    """Have discovery answer all calls from now on, each after a time, until the change is told."""
+    due: list[tuple[float, socket.socket]] = []
+
+    def serve() -> None:
+        while (sock := led.service.asked()) is not None:
+            due.append((led.clock + answer_ms, sock))
+        while due and due[0][0] <= led.clock:
+            try:
+                due.pop(0)[1].sendall(whole(NEW))
+            except OSError:
+                continue  # the node has given it up
+
+    calls = led.calls
+    while led.version() != 6:
+        if led.calls > calls:
+            calls = led.calls
+            led.settle(lambda: serve() or due)
+        serve()
+        for _ in range(5):
+            led.turn()
+        if led.version() != 6:
+            if due and due[0][0] <= led.clock + LATE_MS:
+                led.clock = due[0][0]
+                serve()
+                led.settle(lambda: led.version() == 6)
+            else:
+                led.clock += LATE_MS
+        assert led.clock < 1e6
+
+
+@pytest.mark.parametrize("settings", SETS.values(), ids=SETS)
+@pytest.mark.parametrize("second", [None, "500", "silent"], ids=["one", "two, 500", "two, silent"])
+@pytest.mark.parametrize("way", WAYS)
+def test_a_change_is_told_in_time_after_failed_calls(led, way, second, settings):
+    one = led(**settings)
+    back = outage(one, way)
+    one.next_call()
+    WAYS[way](one)
+    if way not in HUNG:
+        one.settle(one.failed)
+    returned = one.clock
+    back()
+    fails(one, way)
+    if second is not None:
+        one.next_call()
+        WAYS[second](one)
+        fails(one, second)
+    told(one, ONE_MS if second is None else TWO_MS)
+    assert one.clock - returned < TOLD_MS
