Each other end of a call for the list is forced, and the calls of a fleet in an outage

The rows beside the plain failures: a watch that stops in its answer, one that is held through an outage, one that is silent for good, a new configuration in the middle of a call, a rest or a watch, overdue answers, an answer whose connection ends with it, and how many calls a fleet of 200 makes.

--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -6,6 +6,7 @@
 the loop end late; how busy the machine is changes nothing.
 """
 
+import heapq
 import json
 import select
 import socket
@@ -13,12 +14,14 @@
 from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
+from zlib import crc32
 
 import pytest
-from conftest import OPTIONS
+from conftest import OPTIONS, SETTINGS
 from test_endings import HEAD, full_queue, reset
 
 from marlseam import logic
+from marlseam.interface import Listing
 from marlseam.net import node as node_module
 
 TOLD_MS = 6000.0  # what the page allows
@@ -26,6 +29,7 @@
 ONE_MS, TWO_MS = 1900.0, 800.0  # how long discovery takes for its answer, after one failed call and after two
 FAILURES = 7  # after which the back-off is at its longest
 OLD, NEW = b'{"seq":5,"whole":true,"hosts":[]}', b'{"seq":6,"whole":true,"hosts":[]}'
+NEAR, FAR = range(1, 201), [crc32(b"n%d" % i) for i in range(200)]  # seeds of 200 nodes
 SETS = {
     "asked": {"registryMode": "subscribe"},
     "asked, often": {"registryMode": "subscribe", "guarantees": {"mustAskInUs": 1000000}},
@@ -298,3 +302,198 @@
         fails(one, second)
     told(one, ONE_MS if second is None else TWO_MS)
     assert one.clock - returned < TOLD_MS
+
+
+def follow(led: Led) -> socket.socket:
+    """Have a node take in the list and watch; return the watch's connection."""
+    led.settle(led.service.asked).sendall(whole(OLD))
+    led.settle(lambda: led.version() == 5)
+    led.lead(led.service.asked, 1000.0)
+    return led.service.held[-1]
+
+
+@pytest.mark.parametrize("settings", SETS.values(), ids=SETS)
+@pytest.mark.parametrize("says", [HEAD[:9], whole(NEW)[:-9]], ids=["half a head", "half a list"])
+def test_a_change_is_told_in_time_after_a_watch_that_stops_in_its_answer(led, says, settings):
+    one = led(**settings, fleetSize=200)  # a watch may wait for long
+    watch = follow(one)
+    watch.sendall(says)
+    began = one.clock
+    told(one, ONE_MS)
+    assert one.clock - began < TOLD_MS
+
+
+@pytest.mark.parametrize("settings", SETS.values(), ids=SETS)
+@pytest.mark.parametrize("ends", [socket.socket.close, reset], ids=["closed", "reset"])
+@pytest.mark.parametrize("part", [0.0, 0.9])
+def test_a_change_is_told_in_time_after_a_watch_that_was_held_through_an_outage(led, part, ends, settings):
+    one = led(**settings, fleetSize=200)
+    watch = follow(one)
+    end = one.clock + part * one.node.discovery.wait_ms
+    one.lead(lambda: one.clock >= end)  # discovery is gone without a word, and back
+    one.service.held.remove(watch)
+    ends(watch)  # as its machine hears of it again
+    returned = one.clock
+    one.settle(one.failed)
+    told(one, ONE_MS)
+    assert one.clock - returned < TOLD_MS
+
+
+@pytest.mark.parametrize("settings", SETS.values(), ids=SETS)
+def test_a_watch_that_stays_silent_for_good_costs_two_seconds_past_its_wait(led, settings):
+    one = led(**settings, fleetSize=200)
+    follow(one)
+    over = one.clock + one.node.discovery.wait_ms
+    one.service.lose()
+    told(one, 500.0)
+    assert one.clock - over < 2000.0
+
+
+@pytest.mark.parametrize("settings", SETS.values(), ids=SETS)
+@pytest.mark.parametrize("moves", ["address", "zones"])
+@pytest.mark.parametrize("way", [*HUNG, "resting", "watch"])
+def test_a_change_is_told_in_time_after_a_new_configuration(led, way, moves, settings):
+    one = led(**settings)
+    before = one.service
+    if way == "watch":
+        follow(one)
+    else:
+        outage(one, "refused" if way == "resting" else way)
+        if way != "resting":
+            one.next_call()
+            WAYS[way](one)
+    if moves == "address" or way in ("connecting", "in the queue"):
+        one.service = Service()
+    elif way == "resting":
+        before.up()
+    values = json.loads(Path(one.node.config.path).read_text())
+    values["discovery"] = "{}:{}".format(*one.service.address)
+    if moves == "zones":
+        values["settings"]["dcs"] = ["here", "there", "yonder"]
+    Path(one.node.config.path).write_text(json.dumps(values))
+    if one.service is before:
+        before.lose()
+    changed = one.clock
+    one.node.reload()
+    told(one, ONE_MS)
+    before.close()
+    assert one.clock - changed < TOLD_MS
+
+
+@pytest.mark.parametrize("settings", SETS.values(), ids=SETS)
+def test_an_overdue_answer_is_taken_in_and_followed(led, settings):
+    one = led(**settings)
+    call = one.settle(one.service.asked)
+    one.lead(one.failed, 2500.0)
+    assert not one.node.discovery.told
+    call.sendall(whole(OLD))
+    one.settle(lambda: one.version() == 5)
+    assert not one.failed()  # it goes on to watch, and nobody calls beside it
+    calls = one.calls
+    one.lead(one.service.asked, 1000.0)
+    end = one.clock + one.node.discovery.wait_ms
+    one.lead(lambda: one.clock >= end)
+    assert not one.service.asked() and len(one.service.held) == 1 and one.calls <= calls + 1
+
+
+@pytest.mark.parametrize("settings", SETS.values(), ids=SETS)
+@pytest.mark.parametrize("first", ["the old", "the new"])
+def test_an_overdue_answer_replaces_nothing_newer(led, first, settings):
+    one = led(**settings)
+    old = one.settle(one.service.asked)
+    one.lead(one.failed, 2500.0)
+    one.next_call()
+    new = one.settle(one.service.asked)
+    if first == "the old":
+        old.sendall(whole(OLD))
+        one.settle(lambda: one.version() == 5)
+        assert not one.failed()
+        new.sendall(whole(NEW))
+        one.settle(lambda: one.version() == 6)
+    else:
+        new.sendall(whole(NEW))
+        one.settle(lambda: one.version() == 6)
+        old.sendall(whole(OLD))
+    one.settle(lambda: not one.node.discovery.overdue)
+    assert one.version() == 6 and not one.failed()
+
+
+def test_no_more_calls_are_listened_to_than_their_time_allows(led):
+    for settings in SETS.values():
+        one = led(**settings)
+        end = one.clock + 30000.0
+        while one.clock < end:
+            one.clock += LATE_MS
+            one.turn()
+            one.service.asked()
+            open_calls = len(one.node.discovery.overdue) + 1
+            assert open_calls <= 10 < node_module.OWN_SOCKETS / 2
+
+
+@pytest.mark.parametrize("settings", SETS.values(), ids=SETS)
+def test_a_list_on_a_connection_that_ends_with_it_is_taken_in_and_makes_no_storm(led, settings):
+    last = whole(NEW).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n")
+    one = led(**settings)
+    rest_ms = one.node.core.node.set.renew_ms
+    served = 0
+    end = one.clock + 20.0 * rest_ms
+    while one.clock < end:
+        one.clock += rest_ms / 40.0
+        calls = one.calls
+        for _ in range(3):
+            one.turn()
+        if one.calls > calls or not one.failed():
+            sock = one.settle(one.service.asked)
+            sock.sendall(last)
+            one.settle(one.failed)
+            served += 1
+    assert one.version() == 6 and 18 <= served <= 28
+
+
+@pytest.mark.parametrize("seeds", [NEAR, FAR], ids=["near", "far"])
+@pytest.mark.parametrize(("takes_ms", "most"), [(1.0, 120.0), (2000.0, 95.0)], ids=["refused", "hung"])
+def test_a_fleet_makes_no_storm_of_calls_in_an_outage(takes_ms, most, seeds):
+    fleet = Fleet(seeds, takes_ms)
+    fleet.run(61000.0)
+    assert 50.0 * most > sum(at >= 11000.0 for at in fleet.calls) > 0.5 * 50.0 * most
+
+
+class Fleet:
+    """Modules of many nodes in virtual time, whose watches end at 1 s and whose calls fail then."""
+
+    def __init__(self, seeds, takes_ms: float) -> None:
+        self.clock, self.takes_ms, self.count = 0.0, takes_ms, 0
+        self.due: list[tuple[float, int, Callable[[], None]]] = []
+        self.calls: list[float] = []
+        settings = replace(SETTINGS, nodes=len(seeds))
+        self.nodes = [logic.Node(settings, seed, Seat(self, i)) for i, seed in enumerate(seeds)]
+
+    def at(self, at: float, call: Callable[[], None]) -> None:
+        self.count += 1
+        heapq.heappush(self.due, (at, self.count, call))
+
+    def call(self, i: int) -> None:
+        self.calls.append(self.clock)
+        fails = self.clock + self.takes_ms
+        self.at(max(fails, 1000.0), lambda: self.nodes[i].roster(Listing.FAILED, []))
+
+    def run(self, until: float) -> None:
+        while self.due[0][0] <= until:
+            self.clock, _, call = heapq.heappop(self.due)
+            call()
+
+
+class Seat:
+    """One module's port to the fleet."""
+
+    def __init__(self, fleet: Fleet, i: int) -> None:
+        self.fleet, self.i = fleet, i
+
+    def now(self) -> float:
+        return self.fleet.clock
+
+    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+        self.fleet.at(self.fleet.clock + delay_ms, call)
+
+    def subscribe(self) -> None:
+        self.fleet.call(self.i)
