--- a/marlseam/experiment/size_roster.py
+++ b/marlseam/experiment/size_roster.py
@@ -347,7 +347,12 @@
         """Ask for what is newer, and take in an answer, each wait of that a turn's end."""
         self.stream.come = memoryview(data)
         target = protocol.watch_target(self.discovery.version, self.discovery.wait_ms)
-        self.steps(self.discovery.call(self.connection, target, 1e18))
+
+        def asked() -> Generator:
+            news = yield from self.discovery.call(self.connection, target, 1e18)
+            self.discovery.heed(self.connection, news)
+
+        self.steps(asked())
 
     def steps(self, steps: Generator) -> None:
         """Go through a coroutine."""
