Where no descriptor is left, idle clients give up theirs; spares are held for the node

Cause: the node counts what it opens against the lower of its settings and its own limit; where the system has fewer (descriptors inherited, a limit lowered, a full system) nothing was given up but by the clients' listener: `connect` (discovery, sends), the operators' listener, the reading of a new configuration and the start of the writing process failed for as long as idle clients stood, up to five minutes. That listener took one connection in 20 ms, and took the descriptors that the taken work's sends needed. Under a flood of silent connections their ends used up the log's allowance: a line on a new configuration was never printed. A new client whose request came a moment later was closed before those who had rested for minutes, and each time the listener woke with no room one more was closed for nobody.

What opens is tried again after one connection that nothing is owed on was given up; four spares serve discovery, operators, files and the writing process where nobody has any. A lack makes room for clients half of what there is, for 10 s at a time. Who makes room: clients that said nothing for 0.25 s, then who rests, then new ones; new ones first where they are over a quarter. The ends of connections leave half of the log's allowance to all else. The listener looks whether somebody waits before it makes room.

--- a/marlseam/net/admin.py
+++ b/marlseam/net/admin.py
@@ -32,15 +32,19 @@
     def make_room(self, short: bool) -> bool:
         """Close the connection of the caller who has waited longest where there are too many.
 
-        Guards usual callers against those that connect and finish no call.
+        Guards usual callers against those that connect and finish no call. Where the system has no descriptor
+        left, clients that are owed nothing give up theirs first.
         """
+        if short and self.loop.descriptors.free(own=not self.open):
+            return True
         while len(self.open) >= self.places or (short and self.open):
             connection, task = next(iter(self.open.items()))
             del self.open[connection]
             connection.close(Reason.CROWDED)
             task.cancel()
-            short = False
-        return True
+            if short:
+                return True
+        return not short
 
     def taken(self, sock: socket.socket) -> None:
         """Serve a connection."""
--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -270,10 +270,13 @@
             self.log.ended(self.what, reason, self.messages)
 
 
-def connect(loop: Loop, log: Log, address: tuple[str, int], what: str, until_ms: float) -> Steps:
-    """Open a connection to a server."""
+def connect(
+    loop: Loop, log: Log, address: tuple[str, int], what: str, until_ms: float, own: bool = False
+) -> Steps:
+    """Open a connection to a server; `own`: it is for the node itself, which has spare descriptors."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
     try:
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_STREAM)
+        sock = loop.descriptors.opened(lambda: socket.socket(family, socket.SOCK_STREAM), own)
     except OSError:
         log.ended(what, Reason.NO_SOCKETS, 0)
         raise Ended(Reason.NO_SOCKETS) from None
--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -109,7 +109,8 @@
         try:
             began = self.loop.now()
             until = began + self.call_ms
-            connection = yield from connect(self.loop, self.log, self.config.discovery, "discovery", until)
+            address = self.config.discovery
+            connection = yield from connect(self.loop, self.log, address, "discovery", until, True)
             yield from self.fetch(connection, began)
             while True:
                 began = self.loop.now()
--- a/marlseam/net/handover.py
+++ b/marlseam/net/handover.py
@@ -14,7 +14,8 @@
 
 from marlseam import core
 from marlseam.net import protocol
-from marlseam.net.loop import READ, WRITE, Cancelled, Coroutine, Task
+from marlseam.net.http import PAUSE_MS
+from marlseam.net.loop import READ, WRITE, Cancelled, Coroutine, Task, sleep
 from marlseam.recovery import handover as form
 from marlseam.recovery.handover import Hello, Item, Listed, Never, Odd, Over, Proof, Sent, Whole
 from marlseam.recovery.receipts import Trace, told
@@ -125,17 +126,22 @@
 
     def accept(self) -> Coroutine:
         """Take in later processes."""
+        descriptors = self.loop.descriptors
         while True:
             yield (self.sock.fileno(), READ, inf)
-            with suppress(OSError):
-                sock, _ = self.sock.accept()
-                sock.setblocking(False)
-                if len(self.peers) >= PEERS_MOST:
-                    sock.close()
-                    continue
-                self.count += 1
-                self.join(Peer(sock, False, f"caller {self.count}"))
-                self.node.share()
+            try:
+                sock, _ = descriptors.opened(self.sock.accept, own=True)
+            except OSError:
+                # Guards against a busy loop: who calls still stands there where nothing can be taken.
+                yield from sleep(self.loop.now() + PAUSE_MS)
+                continue
+            sock.setblocking(False)
+            if len(self.peers) >= PEERS_MOST:
+                sock.close()
+                continue
+            self.count += 1
+            self.join(Peer(sock, False, f"caller {self.count}"))
+            self.node.share()
 
     def join(self, peer: Peer) -> None:
         """Begin to talk with another process."""
--- a/marlseam/net/http.py
+++ b/marlseam/net/http.py
@@ -1,6 +1,7 @@
 """What both doors share: a listener, one request read whole, one answer, and words on a bad request."""
 
 import errno
+import select
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -11,6 +12,7 @@
 
 from marlseam.net import protocol
 from marlseam.net.connection import Connection, Ended, Headers, Steps
+from marlseam.net.descriptors import NOTHING_LEFT
 from marlseam.net.log import Reason
 from marlseam.net.loop import READ, Coroutine, Loop, sleep
 from marlseam.net.protocol import Head, Malformed
@@ -18,7 +20,6 @@
 ACCEPTS = 16  # connections accepted in one turn of the loop
 BACKLOG = 512
 LINGER_MS = 1000.0  # how long it is read on after a complaint
-NOTHING_LEFT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # in this process or the system
 PAUSE_MS = 20.0  # how long what finds no room waits before it looks again
 
 
@@ -54,7 +55,7 @@
     """Accepts connections for as long as it is open.
 
     `room` returns whether another connection may be had and makes room for it where it can, told whether the
-    system has no descriptor left.
+    system has no descriptor left: then, whether one was given up.
     """
 
     def __init__(
@@ -74,22 +75,31 @@
 
     def accept(self) -> Coroutine:
         """Accept connections, some in each turn of the loop."""
+        waiting = select.poll()
+        waiting.register(self.sock, select.POLLIN)
         while True:
             yield (self.sock.fileno(), READ, inf)
+            made = False  # whether room was made and is not used yet
             for _ in range(ACCEPTS):
+                if not waiting.poll(0):
+                    break  # before room is made: for nobody a connection would be closed
                 while not self.room(False):
                     # Guards against losing work units: what is not accepted yet waits, what is would be lost.
                     yield from sleep(self.loop.now() + PAUSE_MS)
                 try:
                     self.one()
+                    made = False
                 except BlockingIOError:
                     break
                 except OSError as error:
-                    if error.errno in NOTHING_LEFT:
-                        # Guards against a busy loop: the listener stays readable while nothing can be taken.
-                        self.room(True)
+                    if error.errno not in NOTHING_LEFT:
+                        continue
+                    if made or not self.room(True):
+                        # Guards against a busy loop: the listener stays readable while nothing can be taken;
+                        # and connections, where the whole system is short and giving up ours does not help.
                         yield from sleep(self.loop.now() + PAUSE_MS)
                         break
+                    made = True
 
     def one(self) -> None:
         """Accept one connection; OSError where there is none, it is gone already, or nothing can be had."""
--- a/marlseam/net/log.py
+++ b/marlseam/net/log.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 BURST, PER_S = 200.0, 50.0  # lines at once, and lines a second after that
+KEPT = 100.0  # of the lines at once, kept from the ends of connections for all else
 
 
 class Reason(Enum):
@@ -35,12 +36,12 @@
         self.name, self.now = name, now
         self.allowance, self.at_ms, self.dropped = BURST, now(), 0
 
-    def line(self, text: str) -> None:
-        """Print a line, or count it as dropped."""
+    def line(self, text: str, kept: float = 0.0) -> None:
+        """Print a line, or count it as dropped where it would take from what is kept for others."""
         now = self.now()
         self.allowance = min(BURST, self.allowance + (now - self.at_ms) * PER_S / 1000.0)
         self.at_ms = now
-        if self.allowance < 1.0:
+        if self.allowance < 1.0 + kept:
             self.dropped += 1
             return
         if self.dropped:
@@ -50,8 +51,11 @@
         self.write(text)
 
     def ended(self, what: str, reason: Reason, messages: int) -> None:
-        """Print the one line of a connection that has ended, with how many messages it carried out."""
-        self.line(f"{what} ended code={reason.value} messages={messages}")
+        """Print the one line of a connection that has ended, with how many messages it carried out.
+
+        Guards what staff wait for, as that a new configuration holds, against floods of connections.
+        """
+        self.line(f"{what} ended code={reason.value} messages={messages}", KEPT)
 
     def write(self, text: str) -> None:
         """Print a line at once; a closed standard error is no reason to stop."""
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -15,6 +15,8 @@
 from collections.abc import Callable, Generator, Mapping
 from math import inf
 
+from marlseam.net.descriptors import Descriptors
+
 READ, WRITE, END = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
 READY, LATE, WOKEN = "ready", "late", "woken"
 LOOK_MS = 5.0  # how often within a turn those that go first are looked for
@@ -124,7 +126,7 @@
     """Waits for sockets and timers, and runs what is due."""
 
     def __init__(self, fault: Callable[[str], None]) -> None:
-        self.clock, self.fault = Clock(), fault
+        self.clock, self.fault, self.descriptors = Clock(), fault, Descriptors()
         self.now = self.clock.now
         self.poll, self.first = select.epoll(), select.epoll()
         self.poll.register(self.first.fileno(), READ)
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -28,6 +28,8 @@
 OPERATORS = 16  # connections of operators, beside all others
 PLACES_LEAST = 16  # connections, however tight the limits: fewer could not serve
 CLIENT_SHARE = 0.5  # of the other descriptors, for clients
+CLIENTS_LEAST = 2  # however few descriptors the system has
+LACK_MS = 10000.0  # after a lack, until the settings' limit is tried again
 CONTENT_MOST = 512 << 10  # bytes of a fleet's settings as an operator sends them
 LISTEN_MS = 600.0  # how long new connections may still come after SIGTERM
 PART_MS = 300.0  # how long clients may go on using the connections that they have, once out of service
@@ -115,6 +117,8 @@
             self.server = server.Server(
                 self.loop, self.log, config, clients, self.ready, self.take, self.left
             )
+        descriptors, self.regrows = self.loop.descriptors, self.loop.at(self.loop.now(), lambda: None)
+        descriptors.givers, descriptors.lacks = [self.server.make_room, self.executors.make_room], self.lacks
         self.admin = None
         if config.admin is not None:
             # Imported here: a node without such a door needs nothing of it.
@@ -220,15 +224,33 @@
         if not self.waits:
             self.server.listen()
 
+    def processes(self) -> int:
+        """Return how many processes serve as this node."""
+        return self.handover.processes() if self.handover is not None else 1
+
     def share(self) -> None:
         """Keep to this process's part of the node's limits and budgets, as others come and go."""
-        processes = self.handover.processes() if self.handover is not None else 1
-        deployment = self.config.deployment
+        deployment, processes = self.config.deployment, self.processes()
         clients, places = room(self.config, processes)
         self.post(core.Renewed(alone(deployment.settings, processes)))
         self.server.configure(deployment, clients)
         self.executors.configure(deployment, places)
 
+    def lacks(self) -> None:
+        """Take fewer clients for a while: the system has fewer descriptors than the settings say.
+
+        Guards the sends of what was taken, which need as many again as clients have.
+        """
+        has = len(self.server.open) + self.executors.open()
+        self.server.lacks(max(CLIENTS_LEAST, int(CLIENT_SHARE * has)))
+        self.loop.drop(self.regrows)
+        self.regrows = self.loop.at(self.loop.now() + LACK_MS, self.regrow)
+
+    def regrow(self) -> None:
+        """Take as many clients again as the settings say: other processes may have given back."""
+        self.loop.descriptors.whole()
+        self.server.configure(self.config.deployment, room(self.config, self.processes())[0])
+
     def tell_watch(self) -> None:
         """Log what the settings watched would have decided otherwise so far, and again after a while."""
         for line in self.watch.lines():
@@ -239,6 +261,7 @@
         """Serve until told to end."""
         calls = {signal.SIGTERM: self.close, signal.SIGINT: self.close, signal.SIGHUP: self.reload}
         self.loop.on_signals(calls)
+        self.loop.descriptors.hold()
         # As bound: a configured port 0 leaves the choice to the system.
         self.log.line("listens on {}:{}".format(*self.server.sock.getsockname()[:2]))
         self.loop.run()
@@ -249,6 +272,7 @@
         if self.peers is not None:
             self.peers.close()
         self.loop.finish()
+        self.loop.descriptors.let_go()
         if self.memory is not None:
             self.memory.keeper.close()
 
@@ -353,6 +377,7 @@
 
     def reload(self) -> None:
         """Read the configuration anew: a good one is applied whole, of a bad one nothing."""
+        self.loop.descriptors.ensure()
         try:
             config = configuration.load(self.config.path, before=self.config)
             if self.acting is not None and self.acting.published() and not self.config.fleet.local:
--- a/marlseam/net/peers.py
+++ b/marlseam/net/peers.py
@@ -67,7 +67,8 @@
         if self.closed:
             return
         address = self.settings.members[self.name]
-        sock = socket.socket(socket.AF_INET6 if ":" in address[0] else socket.AF_INET, socket.SOCK_DGRAM)
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        sock = self.loop.descriptors.opened(lambda: socket.socket(family, socket.SOCK_DGRAM), own=True)
         try:
             sock.setblocking(False)
             sock.bind(address)
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from http import HTTPStatus
 from math import inf
 
@@ -17,7 +17,8 @@
 
 IDLE_MS = 300000.0  # how long a client may keep an unused connection
 LOOK_MS = 20.0  # how often a drain looks for unused connections
-NEW_MS = 250.0  # how long it leaves a new one that has said nothing yet
+NEW_MS = 250.0  # how long it, and whoever makes room, leaves a new one that has said nothing yet
+NEW_SHARE = 0.25  # of the room for clients, which new ones may have before they make room themselves
 READ_MS = (
     2500.0  # how long a request may take to come: the first from connecting, others from their first byte
 )
@@ -89,9 +90,20 @@
         """Begin to accept connections."""
         self.listener = http.Listener(self.loop, self.sock, self.has_room, self.taken)
 
+    def lacks(self, most: int) -> None:
+        """Take so many clients at most until it is configured anew; those there are stay while they can."""
+        self.room = replace(self.room, clients=min(self.room.clients, most))
+
     def has_room(self, short: bool) -> bool:
         """Return whether another connection may be had; others without taken work give up theirs for it."""
-        return (not short and len(self.open) < self.room.clients) or self.make_room()
+        if short:
+            return self.loop.descriptors.free()
+        while len(self.open) >= self.room.clients:
+            if not self.make_room():
+                return False
+        # Guards the node's own needs: what becomes free is held for them again before clients have it.
+        descriptors = self.loop.descriptors
+        return descriptors.whole() or (self.make_room() and descriptors.whole())
 
     def taken(self, sock: socket.socket) -> None:
         """Serve a connection; without room, as the listener closes, what came on it is refused at once."""
@@ -106,9 +118,15 @@
     def make_room(self) -> bool:
         """Close a connection without taken work, if there is one; those that sent nothing good go first.
 
-        Guards usual clients against floods of connections that say nothing, or nothing good.
+        Guards usual clients against floods of connections that say nothing, or nothing good; and new ones,
+        whose request comes some moments after them, against giving way to each other while others rest.
         """
-        return any(self.drop(connection, Reason.CROWDED) for connection in {**self.unproven, **self.idle})
+        few = len(self.unproven) <= NEW_SHARE * self.room.clients
+        new_ms = self.loop.now() - (NEW_MS if few else 0.0)
+        first = [connection for connection in self.unproven if connection.opened_ms <= new_ms]
+        resting = [connection for connection in self.idle if connection not in self.unproven]
+        found = dict.fromkeys((*first, *resting, *self.unproven))
+        return any(self.drop(connection, Reason.CROWDED) for connection in found)
 
     def drop(self, connection: Connection, reason: Reason) -> bool:
         """Close a connection unless it was idle and a request has begun to come; return whether it is.
--- a/marlseam/store/scribe.py
+++ b/marlseam/store/scribe.py
@@ -104,12 +104,14 @@
 
     def follow(self) -> Coroutine:
         """Keep a helper for as long as the node runs; one that ends is followed by another, with back-off."""
+        descriptors = self.loop.descriptors
         while True:
             try:
-                self.lock = lock(self.path) if self.lock is None else self.lock
+                if self.lock is None:
+                    self.lock = descriptors.opened(lambda: lock(self.path), own=True)
                 if not self.known:
                     yield from self.read()
-                self.start()
+                descriptors.opened(self.start, own=True)
             except OSError as error:
                 self.fail(code_of(error), error.strerror or str(error))
                 if self.lock is None and error.errno == errno.EAGAIN:
@@ -205,7 +207,7 @@
         if not self.out:
             return
         # A copy of the descriptor: the loop knows one task a socket, and another reads the answers.
-        copy = channel.dup()
+        copy = self.loop.descriptors.opened(channel.dup, own=True)
         try:
             while self.out and channel is self.channel:
                 try:
