--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -13,6 +13,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from math import inf
 from pathlib import Path
 from zlib import crc32
 
@@ -23,10 +24,12 @@
 from marlseam import logic
 from marlseam.interface import Listing
 from marlseam.net import node as node_module
+from marlseam.net.discovery import OVERDUE
 
 TOLD_MS = 6000.0  # what the page allows
 LATE_MS = 50.0  # how late a loop may be at each wait: the clock moves in such steps
 ONE_MS, TWO_MS = 1900.0, 800.0  # how long discovery takes for its answer, after one failed call and after two
+CALL_MS = 2000.0  # the limit of a call
 FAILURES = 7  # after which the back-off is at its longest
 OLD, NEW = b'{"seq":5,"whole":true,"hosts":[]}', b'{"seq":6,"whole":true,"hosts":[]}'
 NEAR, FAR = range(1, 201), [crc32(b"n%d" % i) for i in range(200)]  # seeds of 200 nodes
@@ -451,20 +454,36 @@
 
 
 @pytest.mark.parametrize("seeds", [NEAR, FAR], ids=["near", "far"])
-@pytest.mark.parametrize(("takes_ms", "most"), [(1.0, 120.0), (2000.0, 95.0)], ids=["refused", "hung"])
+@pytest.mark.parametrize(("takes_ms", "most"), [(1.0, 120.0), (CALL_MS, 95.0)], ids=["refused", "hung"])
 def test_a_fleet_makes_no_storm_of_calls_in_an_outage(takes_ms, most, seeds):
     fleet = Fleet(seeds, takes_ms)
     fleet.run(61000.0)
     assert 50.0 * most > sum(at >= 11000.0 for at in fleet.calls) > 0.5 * 50.0 * most
 
 
+@pytest.mark.parametrize("seeds", [NEAR, FAR], ids=["near", "far"])
+@pytest.mark.parametrize("takes_ms", [1.0, CALL_MS], ids=["refused", "hung"])
+@pytest.mark.parametrize(("per_s", "within_ms"), [(40.0, 7500.0), (100.0, TOLD_MS), (1e9, TOLD_MS)])
+def test_a_fleet_is_told_by_a_discovery_that_works_through_calls_in_turn(per_s, within_ms, takes_ms, seeds):
+    for back in range(9000, 11500, 250):
+        fleet = Fleet(seeds, takes_ms, float(back), per_s)
+        fleet.run(back + 30000.0)
+        assert len(fleet.told) == len(fleet.nodes) and max(fleet.told.values()) - back < within_ms
+
+
 class Fleet:
-    """Modules of many nodes in virtual time, whose watches end at 1 s and whose calls fail then."""
+    """Modules of many nodes in virtual time, whose watches all end at 1 s, as discovery goes down.
+
+    Back, it serves so many calls a second in turn, given-up ones too; nodes listen to these as long as
+    `Discovery.fetch` does.
+    """
 
-    def __init__(self, seeds, takes_ms: float) -> None:
+    def __init__(self, seeds, takes_ms: float, back: float = inf, per_s: float = 1.0) -> None:
         self.clock, self.takes_ms, self.count = 0.0, takes_ms, 0
+        self.back, self.cost_ms, self.busy = back, 1000.0 / per_s, back
         self.due: list[tuple[float, int, Callable[[], None]]] = []
         self.calls: list[float] = []
+        self.told: dict[int, float] = {}
         settings = replace(SETTINGS, nodes=len(seeds))
         self.nodes = [logic.Node(settings, seed, Seat(self, i)) for i, seed in enumerate(seeds)]
 
@@ -473,12 +492,24 @@
         heapq.heappush(self.due, (at, self.count, call))
 
     def call(self, i: int) -> None:
+        if i in self.told:
+            return  # it follows already
         self.calls.append(self.clock)
-        fails = self.clock + self.takes_ms
-        self.at(max(fails, 1000.0), lambda: self.nodes[i].roster(Listing.FAILED, []))
+        if self.clock < self.back:
+            fails = self.clock + self.takes_ms if self.clock else 1000.0  # the watch's end
+            self.at(fails, lambda: self.fail(i))
+            return
+        self.busy = max(self.busy, self.clock) + self.cost_ms
+        if self.busy - self.clock < OVERDUE * CALL_MS:
+            self.at(self.busy, lambda: self.told.setdefault(i, self.clock))
+        if self.busy - self.clock > CALL_MS:
+            self.at(self.clock + CALL_MS, lambda: self.fail(i))
+
+    def fail(self, i: int) -> None:
+        self.nodes[i].roster(Listing.FAILED, [])
 
     def run(self, until: float) -> None:
-        while self.due[0][0] <= until:
+        while self.due and self.due[0][0] <= until:
             self.clock, _, call = heapq.heappop(self.due)
             call()
 
