A long list that comes slowly is heard to its end where calls have little time

`Discovery.call` gave every answer the limit of a call from its first byte on: 0.2 s where one must ask each second, or lists are pushed with a grace of 0.4 s. A list of thousands, read 4 KB a turn of the loop, may take longer, at every call. Before, connecting and answer had that time together.

The limit from the first byte on is a watch's alone; a call for the list has the time for which it is listened to, 2 s at least.

--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -116,7 +116,9 @@
                 began = self.loop.now()
                 target = protocol.watch_target(self.version, self.wait_ms)
                 until = began + self.wait_ms + min(self.call_ms, LATE_MOST_MS)
-                news = yield from self.call(connection, target, until)
+                # A watch's wait is over once its answer begins. Guards against one that is cut off in it and
+                # missed only after all of its wait, which is long in large fleets.
+                news = yield from self.call(connection, target, until, self.call_ms)
                 if not self.heed(connection, news):
                     until = self.loop.now() + self.call_ms
                     self.heed(connection, (yield from self.call(connection, protocol.LIST_PATH, until)))
@@ -171,15 +173,13 @@
             over.remove(task)
             self.task = task
 
-    def call(self, connection: Connection, target: str, until: float) -> Steps:
-        """Make one call and return what it says."""
+    def call(self, connection: Connection, target: str, until: float, within: float = inf) -> Steps:
+        """Make one call, which ends at some time, or so long after its answer began; return what it says."""
         host = f"{self.config.discovery[0]}:{self.config.discovery[1]}"
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         yield from connection.message(request, b"", until)
         yield from connection.begins(until)
-        # A watch's wait is over once its answer begins. Guards against one that is cut off in it and missed
-        # only after all of its wait, which is long in large fleets.
-        until = min(until, self.loop.now() + self.call_ms)
+        until = min(until, self.loop.now() + within)
         answer = yield from connection.answer(until)
         body = yield from connection.body(protocol.LIST_MOST, until)
         if answer.status_code != 200:
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -421,6 +421,17 @@
     assert one.version() == 6 and not one.failed()
 
 
+@pytest.mark.parametrize("settings", SETS.values(), ids=SETS)
+def test_a_list_that_comes_slowly_is_heard_to_its_end(led, settings):
+    one = led(**settings)
+    call = one.settle(one.service.asked)
+    call.sendall(whole(OLD)[:-9])
+    end = one.clock + ONE_MS  # longer than the limit of a call where that is short
+    one.lead(lambda: one.clock >= end)
+    call.sendall(whole(OLD)[-9:])
+    one.settle(lambda: one.version() == 5)
+
+
 def test_no_more_calls_are_listened_to_than_their_time_allows(led):
     for settings in SETS.values():
         one = led(**settings)
