A second answer is doubted where it may be one, in place of new connections for such work

Change: the connection is used, and an answer that names no work unit, within 50 ms of the end of an earlier answer on it, is taken for a break: it may have run, and the connection is closed. A refusal on a new or rested connection is believed as before. A second answer still costs exclusive work its chance, as it did; it proves nothing.

--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -180,24 +180,19 @@
         self.end(peer, connection, Reason.CROWDED)
         return True
 
-    def checked_out(self, peer: Peer, rest_ms: float = -inf) -> Connection | None:
-        """Take the unused connection that was used last, of those that have rested for some time."""
-        before = self.loop.now() - rest_ms
-        for i in reversed(range(len(peer.idle))):
-            if peer.idle[i][0].used_ms <= before:
-                connection, watch = peer.idle.pop(i)
-                watch.cancel()
-                return connection
-        return None
+    def checked_out(self, peer: Peer) -> Connection:
+        """Take the unused connection that was used last."""
+        connection, watch = peer.idle.pop()
+        watch.cancel()
+        return connection
 
-    def acquire(self, peer: Peer, places: int, until_ms: float, rest_ms: float = -inf) -> Steps:
-        """Return a connection: one that is unused, has rested for some time and is open, else a new one."""
-        while (connection := self.checked_out(peer, rest_ms)) is not None:
+    def acquire(self, peer: Peer, places: int, until_ms: float, fresh: bool = False) -> Steps:
+        """Return a connection: one that is unused and still open, else or if wished a new one."""
+        while peer.idle and not fresh:
+            connection = self.checked_out(peer)
             if connection.quiet():
                 return connection
             self.end(peer, connection, Reason.PEER_CLOSED)
-        if peer.count >= places and peer.idle:
-            self.end(peer, self.checked_out(peer), Reason.CROWDED)  # which may not be used yet
         if peer.address is None or peer.count >= places:
             raise Ended(Reason.NO_SOCKETS)
         if self.open() >= self.places and not self.make_room():
@@ -277,11 +272,9 @@
             if order.gate is not None and not (yield from order.gate()):
                 unkept()
                 return
-            # Guards what may not run twice against a second answer to what its connection carried before:
-            # one that says "never ran" names no work unit, and would be believed.
-            rest_ms = SECOND_MS if job.once else -inf
-            connection = yield from self.acquire(peer, self.limit(), until, rest_ms)
+            connection = yield from self.acquire(peer, self.limit(), until)
             kept = connection.messages > 0
+            doubt_until = connection.used_ms + SECOND_MS if kept and job.once else -inf
             if kept:
                 # Guards the looks below, and what may be called off, against a wait behind them.
                 yield from connection.takes(until)
@@ -312,7 +305,12 @@
                 tell(outcome, line.report, line.result)
             else:
                 report = protocol.report_from(head.get(protocol.LOAD), self.deployment.report_names)
-                outcome = protocol.refusal(answer.status_code, head)
+                said = protocol.refusal(answer.status_code, head)
+                if said is not Outcome.UNFIT and self.loop.now() < doubt_until:
+                    # Guards what may not run twice: this names no work unit, and may be a second answer to
+                    # what the connection carried before.
+                    raise Malformed("perhaps a second answer")
+                outcome = said
                 tell(outcome, report)
             yield from connection.body(protocol.BODY_MOST, self.loop.now() + self.end_ms)
             reason = Reason.DONE
@@ -401,7 +399,7 @@
     def look(self, peer: Peer, until: float, fresh: bool = False) -> Steps:
         """Make one call for a report; return how it ended, and the report."""
         reason, places = Reason.FAULT, self.limit() + PROBE_PLACES
-        connection = yield from self.acquire(peer, places, until, inf if fresh else -inf)
+        connection = yield from self.acquire(peer, places, until, fresh)
         try:
             request = h11.Request(method="GET", target=protocol.LOAD_PATH, headers=[("Host", peer.name)])
             yield from connection.message(request, b"", until)
