--- a/marlseam/experiment/size_members.py
+++ b/marlseam/experiment/size_members.py
@@ -254,6 +254,7 @@
 def door(names: list[str]) -> dict[str, float]:
     """Return what the operators' door tells of so many members: its bytes, and the turn that it takes."""
     loop, clock = Loop(print), size.Charged()
+    loop.now = lambda: 10.0 * PERIOD_MS  # ages are told, and would have other lengths on each run
     # Nobody listens at the others' address, and one tick is all that is said there.
     members = dict.fromkeys(names, ("127.0.0.1", 9)) | {names[0]: ("127.0.0.1", 0)}
     peers = Peers(loop, Log("door", loop.now), FleetSettings("size", members, PERIOD_MS), names[0], 1)
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,6 +1,7 @@
 """The rig of the size experiments: lines through points, what is refused, its end, hollow beside real."""
 
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -13,7 +14,7 @@
 from click.testing import CliRunner
 
 from marlseam.__main__ import main
-from marlseam.experiment import report, size, size_roster, slope
+from marlseam.experiment import report, size, size_members, size_roster, slope
 from marlseam.experiment.file import FileError
 from marlseam.experiment.processes import Failed
 from marlseam.net import protocol
@@ -346,3 +347,9 @@
         call.close()
     finally:
         service.close()
+
+
+def test_the_door_tells_as_many_bytes_however_long_it_takes(monkeypatch):
+    names, clock = size_members.Cohort(40, 1, 1).names, itertools.count()
+    monkeypatch.setattr("marlseam.net.loop.time.monotonic", lambda: 1e-3 * next(clock) ** 2)
+    assert len({size_members.door(names)["door_bytes"] for _ in range(3)}) == 1
