--- a/marlseam/experiment/fleet.py
+++ b/marlseam/experiment/fleet.py
@@ -114,6 +114,7 @@
         self.told: list[tuple[float, str, str, str, int]] = []  # when, by whom, of whom, what, life
         self.acted: list[tuple[float, str, str]] = []  # when, who: the version, "in", or why out
         self.published: list[tuple[float, str, str]] = []  # when asked for, by whom, what came of it
+        self.contents: dict[str, dict[str, int]] = {}  # in which form contents came to a node, as last asked
         self.replace: dict[str, str] = {}  # folders to be set back, or lost, before their node starts again
         logs = {name: out / "logs" / f"{name}.log" for name in names}
         # From here on: the folder may hold what nodes of an earlier run have logged.
--- a/marlseam/experiment/versions.py
+++ b/marlseam/experiment/versions.py
@@ -34,6 +34,7 @@
         wrong.append("a publication is under way")
     acting = {name: told.get("acting", {}) for name, told in said.items() if told is not None}
     newest = max((a.get("version", 0) for a in acting.values()), default=0)
+    rig.contents = {name: a.get("contents", {}) for name, a in acting.items()}
     for name, a in acting.items():
         well = a.get("acting") == newest and a["serving"] and a["proved"]
         out = name in rig.table.older and a.get("code") == "unfit" and not a["serving"]
@@ -129,7 +130,8 @@
     figures |= {
         "faults": float(len(rig.spells)), "not_struck": float(len(rig.strikes)),
         "alike_s": healed[0] / 1000.0 if healed else inf,
-    }  # fmt: skip
+    } | {f"came_{what}": float(sum(told.get(what, 0) for told in rig.contents.values()))
+         for what in ("whole", "chains", "edits", "changes", "digest")}  # fmt: skip
     for text in truth.audit.wrong:
         say(f"WRONG {text}")
     return rig, truth, played, figures
@@ -161,7 +163,7 @@
         ]
     ]
     worst: dict[str, float] = {}
-    sums = ("allocations", "differences", "unknown", *NONE_OF)
+    sums = ("allocations", "differences", "unknown", "came_chains", "came_whole", "came_changes", *NONE_OF)
     most = ("alike_s", "nearest_stale", "not_struck")
     for seed in range(experiment.head.seed, experiment.head.seed + table.seeds):
         _, _, played, figures = under_faults(experiment, table, seed, out / f"{seed}", say)
--- a/marlseam/fleet/content.py
+++ b/marlseam/fleet/content.py
@@ -65,13 +65,49 @@
 
 def meaning(settings: Mapping[str, Any]) -> str:
     """Return the digest of what settings mean to the fleet."""
-    text = json.dumps(plain(shared(settings)), separators=(",", ":"), ensure_ascii=True)
-    return digest(text.encode())
+    return digest(in_text(plain(shared(settings))).encode())
+
+
+class Part:
+    """An object of settings, what it means as text, and the objects in it."""
+
+    def __init__(self, key: str, value: Mapping[str, Any], before: "Part | None") -> None:
+        self.value, self.parts = value, dict[str, Part]()
+        rows = []
+        for inner_key in sorted(key for key in value if not key.startswith(COMMENTS)):
+            inner = value[inner_key]
+            if isinstance(inner, Mapping):
+                part = before.parts.get(inner_key) if before is not None else None
+                # The same object as before means the same: changed settings share what was not changed.
+                if part is None or part.value is not inner:
+                    part = Part(inner_key, inner, part)
+                self.parts[inner_key] = part
+                rows.append(part.row)
+            else:
+                rows.append(f"{in_text(inner_key)}:{in_text(plain(inner))}")
+        self.text = "{" + ",".join(rows) + "}"
+        self.row = f"{in_text(key)}:{self.text}"
+
+
+class Meaning:
+    """Digests of the meaning of settings that follow each other: only objects that are others are read."""
+
+    def __init__(self) -> None:
+        self.part: Part | None = None
+
+    def of(self, settings: Mapping[str, Any]) -> str:
+        """Return the digest of what settings mean to the fleet, as `meaning` does."""
+        self.part = Part("", shared(settings), self.part)
+        return digest(self.part.text.encode())
+
+
+in_text = json.JSONEncoder(separators=(",", ":"), ensure_ascii=True).encode  # a value, for its digest
 
 
 def write(content: Content) -> bytes:
-    """Return a content as bytes, its settings in plain form; raises Unfit where it is too large."""
-    whole = msgspec.structs.replace(content, settings=plain(shared(content.settings)))
+    """Return a content as bytes, settings in plain form, all keys in order; raises Unfit if too large."""
+    members = dict(sorted(content.members.items()))
+    whole = msgspec.structs.replace(content, settings=plain(shared(content.settings)), members=members)
     data = msgspec.json.encode(whole)
     if len(data) > CONTENT_MOST:
         raise Unfit(f"{len(data)} bytes, {CONTENT_MOST} at most were expected")
@@ -99,6 +135,22 @@
         found = DECODER.decode(data)
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise Unfit(f"no content: {error}"[:TEXT_MOST]) from None
+    fitting(found, members)
+    return found
+
+
+def of_document(document: Mapping[str, Any], members: frozenset[str]) -> Content:
+    """Return a content that is there as a document; what is in its settings is not copied. Raises Unfit."""
+    try:
+        found = msgspec.convert(document, Content)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise Unfit(f"no content: {error}"[:TEXT_MOST]) from None
+    fitting(found, members)
+    return found
+
+
+def fitting(found: Content, members: frozenset[str]) -> None:
+    """Raise Unfit where a content cannot be used here."""
     if found.format != FORMAT:
         raise Unfit(f"format {found.format}, this program reads {FORMAT}")
     if found.number < 1 or not (0 < len(found.why) <= TEXT_MOST and len(found.by) <= NAME_MOST):
@@ -108,4 +160,3 @@
     wrong = voters_fit(found.voters, frozenset(found.members) or members)
     if wrong:
         raise Unfit(wrong)
-    return found
--- a/marlseam/fleet/says.py
+++ b/marlseam/fleet/says.py
@@ -63,19 +63,24 @@
 
 
 class Want(msgspec.Struct, array_like=True, frozen=True, tag="want"):
-    """Give me a content, from some byte on."""
+    """Give me a content, from some byte on; or the changes to it from one that I hold, where these are fewer.
+
+    A program that knows no `have` leaves it out or reads past it, and gives the whole.
+    """
 
     id: str
     at: int
+    have: str = ""
 
 
 class Piece(msgspec.Struct, array_like=True, frozen=True, tag="piece"):
-    """A part of a content, and the size of all of it; the number and id that it is of."""
+    """A part of a content, and the size of all of it; or of the changes that lead to it from `have`."""
 
     id: str
     size: int
     at: int
     data: bytes
+    have: str = ""
 
 
 Say = Ask | Tell | Vote | Want | Piece
@@ -132,6 +137,8 @@
             say.kind in VOTES and all(0 <= n <= NUMBER_MOST for n in numbers) and len(say.value) in (0, ID)
         )
         return whole and max(len(say.place), len(say.other_place)) <= PLACE_MOST and len(say.why) <= TEXT_MOST
+    if len(say.have) not in (0, ID):
+        return False
     if type(say) is Want:
         return len(say.id) == ID and 0 <= say.at < CONTENT_MOST
     inside = 0 <= say.at <= say.size <= CONTENT_MOST and say.at + len(say.data) <= say.size
--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -2,13 +2,15 @@
 
 Numbers 1, 2, 3... each have one content: voters that the number before names agree on it (`agree`). A voter
 accepts only what it holds, durably, and what passes its own check. Whoever holds a number tells it to those
-that lag, and these fetch its content.
+that lag, and these fetch its content: the changes to it from the one that they hold, where these are fewer
+bytes, else the whole (`changes`). Either way it is held as a whole, and has the id that was asked for.
 
 Proof: a voter asks all voters; once most of them, each with its memory whole, have said that they accepted
 nothing above a number, no higher one was chosen when it asked, as any choice needs one of them. Others take
 over a proof with its age. A proof is good for a lease, counted from when it was asked for on one's own clock.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import ceil, inf, log10
@@ -16,7 +18,7 @@
 from zlib import crc32
 
 from marlseam.chance import Chance
-from marlseam.fleet import agree, says
+from marlseam.fleet import agree, changes, says
 from marlseam.fleet.agree import (
     NONE,
     Accept,
@@ -28,7 +30,8 @@
     Proposer,
     Refused,
 )
-from marlseam.fleet.content import Content, Unfit, digest, read
+from marlseam.fleet.changes import Document, Link, Wrong
+from marlseam.fleet.content import Content, Unfit, digest, of_document
 from marlseam.fleet.ledger import Barred, Entry, Handed, Held, Kept, Promises, Stored
 from marlseam.fleet.says import Ask, Piece, Say, Tell, Vote, Want
 
@@ -42,6 +45,7 @@
 PATIENCE = 40.0  # periods after which a publication is given up
 BACK = 2.0  # periods that a node must be well before it acts again
 SEQS_MOST = 64  # asks whose answers are waited for
+STALLED = 3  # periods in a row without a new piece after which a fetch begins anew
 
 
 class Terms(NamedTuple):
@@ -114,9 +118,43 @@
     id: str
     number: int  # 0: to vote on
     source: str
+    have: str  # the content from which changes will do, none for the whole
     data: bytearray = field(default_factory=bytearray)
-    size: int = 0
-    seen: int = 0  # bytes at the last tick
+    form: tuple[int, str] | None = None  # of what is coming: its size, and from which content it leads
+    ahead: dict[int, bytes] = field(default_factory=dict)  # pieces of the window that came before their turn
+    until: int = 0  # up to where pieces were asked for
+    fresh: bool = False  # whether a piece has come since the last tick
+    stalled: int = 0  # ticks in a row without one
+
+    def want(self) -> Want:
+        """Ask for what is next."""
+        self.until = len(self.data) + WINDOW * says.PIECE
+        return Want(self.id, len(self.data), self.have if self.form is None else self.form[1])
+
+    def anew(self, have: str) -> None:
+        """Drop what has come."""
+        self.have, self.form, self.stalled = have, None, 0
+        self.data.clear()
+        self.ahead.clear()
+
+    def take(self, piece: Piece) -> str:
+        """Take in a piece; return why not, or nothing."""
+        form = piece.size, piece.have
+        if piece.have not in ("", self.have) or self.form not in (None, form):
+            return "other-form"
+        if piece.at < len(self.data) or piece.at in self.ahead:
+            return "repeated"
+        end = len(self.data) + WINDOW * says.PIECE
+        if (
+            piece.at >= end
+            or piece.at % says.PIECE
+            or len(piece.data) < min(says.PIECE, piece.size - piece.at)
+        ):
+            return "out-of-turn"
+        self.form, self.fresh, self.ahead[piece.at] = form, True, piece.data
+        while len(self.data) in self.ahead:
+            self.data += self.ahead.pop(len(self.data))
+        return ""
 
 
 @dataclass
@@ -184,6 +222,11 @@
         self.others = sorted(members - {name})
         self.chance, self.check = Chance(seed), check
         self.contents: dict[str, bytes] = dict(kept.contents)
+        self.documents: dict[str, Document] = {}  # of contents, as they were last read
+        self.links: dict[str, Link] = {}  # changes, by the id that they lead to, the earliest first
+        self.links_bytes = 0
+        self.content: Content | None = None  # of the version held, where it can be read here
+        self.came: Counter[str] = Counter()  # contents as a whole, chains, edits; pieces left out, by code
         self.acceptor = Acceptor(name, dict(kept.promises))
         self.durable = dict(kept.promises)  # what has been written of them
         self.bar = kept.bar  # votes on no number up to it; None: on none until it is known
@@ -280,11 +323,12 @@
         for old in [n for n in self.acceptor.kept if n <= number]:
             del self.acceptor.kept[old]
             self.durable.pop(old, None)
+        self.content = None
         try:
-            content = read(self.contents[id], self.members)
+            content = self.content = self.content_of(id)
             self.voters = frozenset(content.voters)
             self.unfit = self.check(content)
-            if content.members and not self.unfit:
+            if content.members and not self.unfit and content.members.keys() != self.members:
                 self.members = frozenset(content.members)
                 self.others = sorted(self.members - {self.name})
                 self.peers = {name: peer for name, peer in self.peers.items() if name in self.members}
@@ -292,12 +336,32 @@
             # Who votes on the next number is not known: the voters of an earlier one would prove what is
             # not so, and others would take that over.
             self.unfit, self.voters = str(error), frozenset()
+        effects = self.overtaken(number, id)
         self.let_go(number)
         self.open_ms = None
         if self.unfit:
-            return [Log(f"fleet code=unfit: version {number} cannot be used here: {self.unfit}")]
+            return [*effects, Log(f"fleet code=unfit: version {number} cannot be used here: {self.unfit}")]
         self.acting = number
-        return [Apply(number, id, content)]
+        return [*effects, Apply(number, id, content)]
+
+    def overtaken(self, number: int, id: str) -> list[Effect]:
+        """End a publication whose number was agreed on by another proposer's doing.
+
+        Its voters vote on that number no more, so it would stand in the way of the next until it is given up.
+        """
+        publication = self.publication
+        if publication is None or publication.proposer.number > number:
+            return []
+        if publication.proposer.number == number:
+            return self.ended(self.came_to(number, id, publication), publication)
+        later = f"not known whether it became version {publication.proposer.number}: {number} is held"
+        return self.ended(later, publication)
+
+    def came_to(self, number: int, id: str, publication: Publication) -> str:
+        """Return what came of a publication whose number has a content."""
+        if id == publication.id:
+            return f"version {number} is {id[:12]}"
+        return f"beaten: another content was chosen as version {number}, {id[:12]}"
 
     def let_go(self, number: int) -> None:
         """Forget contents, fetches and questions that nothing above a number needs."""
@@ -305,6 +369,8 @@
         if self.publication is not None:
             wanted.add(self.publication.id)
         self.contents = {key: data for key, data in self.contents.items() if key in wanted}
+        self.documents = {key: found for key, found in self.documents.items() if key in wanted}
+        self.trim()
         self.fetches = {key: fetch for key, fetch in self.fetches.items() if fetch.number > number}
         self.accepts = {key: row for key, row in self.accepts.items() if row[1].number > number}
 
@@ -383,10 +449,16 @@
         self.next_ms = now + self.terms.period_ms * (0.75 + 0.5 * self.chance())
         effects = self.ask(now)
         for fetch in list(self.fetches.values()):
-            if fetch.seen == len(fetch.data):
+            if not fetch.fresh:
                 fetch.source = (self.some(1) or [fetch.source])[0]
-            fetch.seen = len(fetch.data)
-            effects.append(To(fetch.source, Want(fetch.id, len(fetch.data))))
+                fetch.stalled += 1
+                if fetch.stalled >= STALLED:
+                    # Whoever began is gone and others know fewer changes, or it said a size that is not so.
+                    fetch.anew(self.place_for(fetch))
+            elif fetch.stalled:
+                fetch.stalled = 0
+            fetch.fresh = False
+            effects.append(To(fetch.source, fetch.want()))
         return effects + self.push_on(now)
 
     def ask(self, now: float) -> list[Effect]:
@@ -439,9 +511,11 @@
         if self.publication is not None and self.publication.by_operator:
             self.result = "busy: a publication is under way here"
             return []
-        self.contents[digest(data)] = data
+        id = digest(data)
+        self.contents[id] = data
+        self.compare(id)
         self.result = "open"
-        return self.propose(now, digest(data), True)
+        return self.propose(now, id, True)
 
     def propose(self, now: float, id: str, by_operator: bool) -> list[Effect]:
         """Begin to have a content agreed on."""
@@ -515,11 +589,7 @@
     def chosen(self, now: float, publication: Publication) -> list[Effect]:
         """Learn what was chosen."""
         id, number = publication.proposer.chosen, publication.proposer.number
-        if id == publication.id:
-            text = f"version {number} is {id[:12]}"
-        else:
-            text = f"beaten: another content was chosen as version {number}, {id[:12]}"
-        effects = self.ended(text, publication)
+        effects = self.ended(self.came_to(number, id, publication), publication)
         if id in self.contents:
             return effects + self.learn(now, number, id)
         return effects + self.fetch(id, number, (self.some(1) or [self.name])[0])
@@ -576,7 +646,7 @@
     def wrong(self, vote: Vote) -> str:
         """Return what is wrong with a content that is to be accepted, or nothing."""
         try:
-            content = read(self.contents[vote.value], self.members)
+            content = self.content_of(vote.value)
         except Unfit as error:
             return str(error)
         if content.number != vote.number or content.before != self.id:
@@ -594,7 +664,7 @@
         if number <= self.number or self.learning is not None and self.learning[0] >= number:
             return []
         try:
-            whole = read(self.contents[id], self.members).number == number
+            whole = self.content_of(id).number == number
         except Unfit:
             whole = True  # cannot be read here, and that is said once it is held
         if not whole:
@@ -625,40 +695,130 @@
             if old.number >= number:
                 return []
             del self.fetches[old.id]
-        self.fetches[id] = Fetch(id, number, source)
-        return [To(source, Want(id, 0))]
+        fetch = self.fetches[id] = Fetch(id, number, source, self.id if self.id in self.contents else "")
+        return [To(source, fetch.want())]
+
+    def place_for(self, fetch: Fetch) -> str:
+        """Return from which content on changes will do, after what has come of a fetch was dropped."""
+        return self.id if fetch.have and self.id in self.contents else ""
 
     def pieces(self, sender: str, want: Want) -> list[Effect]:
-        """Send some of a content."""
+        """Send some of a content, or of the changes to it."""
         data = self.contents.get(want.id)
         if data is None:
             return []
+        chain = self.chain(want.have, want.id) if want.have else None
+        data, have = (data, "") if chain is None else (chain, want.have)
         starts = range(want.at, min(len(data), want.at + WINDOW * says.PIECE), says.PIECE)
-        return [To(sender, Piece(want.id, len(data), at, data[at : at + says.PIECE])) for at in starts]
+        return [To(sender, Piece(want.id, len(data), at, data[at : at + says.PIECE], have)) for at in starts]
 
     def piece(self, now: float, sender: str, piece: Piece) -> list[Effect]:
         """Take in some of a content; go on once it is whole and what it should be."""
         fetch = self.fetches.get(piece.id)
-        if fetch is None or piece.at != len(fetch.data) or fetch.size not in (0, piece.size):
+        why = "unasked" if fetch is None else fetch.take(piece)
+        if why:
+            self.came[why] += 1
             return []
-        fetch.size, fetch.source = piece.size, sender
-        fetch.data += piece.data
-        if len(fetch.data) < fetch.size:
-            again = len(fetch.data) % (WINDOW * says.PIECE) == 0
-            return [To(sender, Want(fetch.id, len(fetch.data)))] if again else []
-        data = bytes(fetch.data)
-        if digest(data) != fetch.id:
-            fetch.data, fetch.size = bytearray(), 0
+        fetch.source = sender
+        if len(fetch.data) < fetch.form[0]:
+            return [To(sender, fetch.want())] if len(fetch.data) >= fetch.until else []
+        data, have = bytes(fetch.data), fetch.form[1]
+        if have and have not in self.contents:
+            # Let go meanwhile, as a later number is held.
+            self.came["gone"] += 1
+            fetch.anew(self.id if self.id in self.contents else "")
+            return [To(sender, fetch.want())]
+        if have:
+            try:
+                data = self.followed(have, data, fetch.id)
+            except Wrong as wrong:
+                self.came["changes"] += 1
+                fetch.anew("")
+                fetch.source = (self.some(1) or [sender])[0]
+                text = f"fleet code=changes: what {sender} sent to lead to {fetch.id[:12]} does not: {wrong}"
+                return [Log(text), To(fetch.source, fetch.want())]
+        elif digest(data) != fetch.id:
+            self.came["digest"] += 1
+            fetch.anew("")
             return [Log(f"fleet code=digest: what {sender} sent is not the content {fetch.id[:12]}")]
         del self.fetches[fetch.id]
         if len(self.contents) >= CONTENTS_MOST:
             self.let_go(self.number)
         self.contents[fetch.id] = data
+        if not have:
+            self.came["whole"] += 1
+            self.compare(fetch.id)
         effects = self.learn(now, fetch.number, fetch.id) if fetch.number else []
         if fetch.id in self.accepts:
             effects += self.asked_to_vote(now, *self.accepts.pop(fetch.id))
         return effects
 
+    # Changes.
+
+    def document(self, id: str) -> Document:
+        """Return a content that is here as a document; raises Wrong."""
+        found = self.documents.get(id)
+        if found is None:
+            found = self.documents[id] = changes.document(self.contents[id])
+        return found
+
+    def content_of(self, id: str) -> Content:
+        """Return a content that is here; raises Unfit."""
+        try:
+            return of_document(self.document(id), self.members)
+        except Wrong as wrong:
+            raise Unfit(str(wrong)[: says.TEXT_MOST]) from None
+
+    def link(self, id: str, link: Link) -> None:
+        """Keep a change, to be passed on."""
+        if id not in self.links:
+            self.links[id] = link
+            self.links_bytes += len(link.data)
+            self.trim()
+
+    def trim(self) -> None:
+        """Let go of the earliest changes: those that are more than the whole are never passed on."""
+        while self.links_bytes > len(self.contents.get(self.id, b"")):
+            self.links_bytes -= len(self.links.pop(next(iter(self.links))).data)
+
+    def compare(self, id: str) -> None:
+        """Find the change to a content that came as a whole from the one before it, where that is here."""
+        try:
+            after = self.document(id)
+            before = after.get("before")
+            if id in self.links or before not in self.contents:
+                return
+            found = changes.change(self.document(before), self.contents[id], after)
+        except (Wrong, TypeError, RecursionError):
+            return  # of a document that no operator writes: the whole is sent
+        if found is not None:
+            data, self.documents[id] = found
+            self.link(id, Link(before, data))
+
+    def chain(self, have: str, id: str) -> bytes | None:
+        """Return the changes from one content to another, None where they are not here or not fewer bytes."""
+        found, at, left = list[Link](), id, len(self.contents[id]) - 1
+        while at != have:
+            link = self.links.get(at)
+            if link is None:
+                return None
+            left -= len(link.data) + 1
+            if left <= 0:
+                return None
+            found.append(link)
+            at = link.before
+        return changes.chain(found[::-1]) if found else None
+
+    def followed(self, have: str, data: bytes, id: str) -> bytes:
+        """Return the content that changes lead to, and keep them; raises Wrong."""
+        found = changes.follow(self.document(have), have, data, id)
+        self.documents[id] = found.document
+        for key, link in found.links.items():
+            self.link(key, link)
+        self.came["chains"] += 1
+        self.came["edits"] += found.edits
+        return found.data
+
     def tell(self, now: float, to: str, seq: int) -> list[Effect]:
         """Tell what is held here."""
         if to == self.name:
--- a/marlseam/net/acting.py
+++ b/marlseam/net/acting.py
@@ -19,7 +19,17 @@
 from marlseam import __version__
 from marlseam.config import ConfigError, FleetSettings, member_address
 from marlseam.fleet import says
-from marlseam.fleet.content import FORMAT, Content, Unfit, meaning, read, stepwise, voters_fit, write
+from marlseam.fleet.content import (
+    FORMAT,
+    Content,
+    Meaning,
+    Unfit,
+    meaning,
+    read,
+    stepwise,
+    voters_fit,
+    write,
+)
 from marlseam.fleet.ledger import ACTS, Ended, Entry, Held, Kept, Life, Mark, encode
 from marlseam.fleet.ledger import Acting as Interval
 from marlseam.fleet.versions import Apply, Effect, Keep, Stand, Terms, To, Versions
@@ -102,7 +112,9 @@
         self.flying: deque[tuple[int, tuple[int, ...]]] = deque()  # marks likewise, and of which intervals
         self.listed = -1  # the list that the last look saw
         self.noted: object = None  # the settings in force, and the digest of their meaning
-        self.meant = ""
+        self.meant, self.meanings = "", Meaning()
+        self.shared: tuple[Content | None, str] = (None, "")  # the version held, and its settings' digest
+        self.grouped: Mapping[str, str] = {}  # members that the node was last told of
         self.pages = Pages(loop, log, Path(settings.folder), name, self.take_in)
         self.main: Pages | None = None  # the node's ledger, while another process has it
         self.timer = loop.at(loop.now(), lambda: None)
@@ -129,7 +141,7 @@
 
     def held(self) -> Content:
         """Return the content of the version held; raises Unfit."""
-        return read(self.machine.contents[self.machine.id], self.machine.members)
+        return self.machine.content or self.machine.content_of(self.machine.id)
 
     def go_beside(self) -> bool:
         """Write beside the ledger while an old process of this node has it; return whether that can be."""
@@ -195,8 +207,7 @@
         self.unsaid.append((0, self.lived(now)))
         if self.machine.acting:
             content = self.held()
-            if content.members:
-                self.regroup(content.members)
+            self.group(content.members)
             if self.ready:
                 self.port.apply(content.settings)
 
@@ -291,13 +302,18 @@
                 self.loop.spawn(self.keep(effect))
             elif type(effect) is Apply:
                 self.port.apply(effect.content.settings)
-                if effect.content.members:
-                    self.regroup(effect.content.members)
+                self.group(effect.content.members)
                 self.log.line(f"acts on version {effect.number}, {effect.id[:12]}: {effect.content.why}")
                 self.until_ms = 0.0
             elif type(effect) is Said:
                 self.log.line(effect.text)
 
+    def group(self, members: Mapping[str, str]) -> None:
+        """Tell the node who belongs by a version, where that names members, and others than before."""
+        if members and members != self.grouped:
+            self.grouped = members
+            self.regroup(members)
+
     def keep(self, keep: Keep) -> Coroutine:
         """Have entries durable, and tell the machine."""
         number = 0
@@ -338,7 +354,7 @@
         held, stood, listed = self.interval, self.stood, port.listed()
         settings, self.listed = port.settings(), listed
         if self.noted is not settings:
-            self.noted, self.meant = settings, meaning(settings)
+            self.noted, self.meant = settings, self.meanings.of(settings)
         if (
             held is None
             or (held.number, held.meaning, held.listed) != (machine.acting, self.meant, listed)
@@ -530,6 +546,7 @@
             "votes": machine.votes(machine.number + 1),
             "unfit": machine.unfit, "hand": machine.hand, "disk": machine.disk,
             "local": bool(machine.acting) and held.meaning != self.shared_meaning(),
+            "contents": dict(machine.came),
             "ledger": str(self.pages.path), "publication": machine.result, "agreeing": open_id,
             "acts": dict(zip(ACTS, acts, strict=True)),
             "peers": {name: {"version": p.number, "acting": p.acting, "serving": p.serving, "code": p.code,
@@ -540,9 +557,12 @@
     def shared_meaning(self) -> str:
         """Return the digest of the meaning of the version held."""
         try:
-            return meaning(self.held().settings)
+            held = self.held()
         except Unfit:
             return ""
+        if self.shared[0] is not held:
+            self.shared = held, meaning(held.settings)
+        return self.shared[1]
 
 
 class Order:
