An expected figure that is inf is told as missed, not by a traceback

Cause: summary.json has null for inf (JSON has no word for it), and the command line put it through a number's format: a run of changes-cut whose nodes never were alike ended with a TypeError in `text`, its report written.

Change: null is told as inf.

Measured: test_a_figure_for_what_never_came_is_told_as_missed fails without it (TypeError) and passes with it; test_experiment.py passes.

--- a/marlseam/cli/experiment.py
+++ b/marlseam/cli/experiment.py
@@ -97,10 +97,10 @@
             for row in table
         ]
     for row in summary["expected"]:
-        rows.append(
-            f"  {'holds ' if row['holds'] else 'MISSED'} {row['figure']}: {row['expected']}, "
-            f"seen {row['seen']:.4g}"
-        )
+        # What never came is inf, for which JSON has no word.
+        seen = "inf" if row["seen"] is None else f"{row['seen']:.4g}"
+        verdict = "holds " if row["holds"] else "MISSED"
+        rows.append(f"  {verdict} {row['figure']}: {row['expected']}, seen {seen}")
     return "\n".join(rows)
 
 
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -96,6 +96,14 @@
         assert summary["code"] == code and summary["versions"]["numpy"] and summary["seed"] == 1
 
 
+def test_a_figure_for_what_never_came_is_told_as_missed(run, monkeypatch):
+    endless = plays.Played({"heal_s": float("inf")})
+    monkeypatch.setitem(plays.PLAYS, "endless", lambda experiment, out, say: endless)
+    result, _ = run("[expect]\nheal_s = { most = 5 }", play="endless")
+    assert result.exit_code == 1 and "MISSED heal_s: at most 5, seen inf" in result.output
+    assert "Traceback" not in result.output and isinstance(result.exception, SystemExit)
+
+
 @pytest.mark.parametrize(("play", "text"), [("dya", "play: 'dya' is none, the nearest is day"), ('day"', "")])
 def test_a_wrong_play_or_a_file_that_is_no_toml_ends_with_2(run, play, text):
     result, _ = run(play=play)
