--- a/marlseam/experiment/measures.py
+++ b/marlseam/experiment/measures.py
@@ -20,6 +20,7 @@
     file,
     fleet,
     plays,
+    ready,
     recovering,
     size_changes,
     size_members,
@@ -442,3 +443,4 @@
     size_roster.register()
     size_members.register()
     size_changes.register()
+    ready.register()
