What is published while the version before it is being written waits, and is not lost

Cause: a publisher has a number chosen, then writes it down, then holds it. What an operator published in between was put to the vote for that same number again (`publish` looked only at `publication`, which is over by then): beaten by the one before it, or, where most voters held the number already and so voted on it no more, open for 40 periods, with all that followed refused as busy.

Change: `Versions.busy` says why nothing can be published at this moment, also while a chosen number is being written; the door answers 409 with it and leaves the result of the publication before it to be read.

--- a/marlseam/fleet/versions.py
+++ b/marlseam/fleet/versions.py
@@ -506,10 +506,21 @@
 
     # Agreement: this node as a proposer.
 
-    def publish(self, now: float, content: Content, data: bytes) -> list[Effect]:
-        """Have a content agreed on under the next number; `result` tells what came of it."""
+    def busy(self) -> str:
+        """Return why nothing can be published here at this moment, or nothing."""
         if self.publication is not None and self.publication.by_operator:
-            self.result = "busy: a publication is under way here"
+            return "busy: a publication is under way here"
+        if self.learning is not None:
+            # It was agreed on and is held in a moment: what follows goes behind it, not for the same number.
+            return f"busy: version {self.learning[0]} is being written here"
+        return ""
+
+    def publish(self, now: float, content: Content, data: bytes) -> list[Effect]:
+        """Have a content agreed on under the next number; `result` tells what came of it.
+
+        Nothing happens while this node is busy.
+        """
+        if self.busy():
             return []
         id = digest(data)
         self.contents[id] = data
--- a/marlseam/net/acting.py
+++ b/marlseam/net/acting.py
@@ -491,8 +491,11 @@
             wrong = str(error)
         if wrong:
             return 400, f"{wrong}\n"
+        busy = machine.busy()
+        if busy:
+            return 409, f"version {number}: {busy}\n"
         self.act(machine.publish(self.loop.now(), content, data))
-        return (409 if machine.result.startswith("busy") else 202), f"version {number}: {machine.result}\n"
+        return 202, f"version {number}: {machine.result}\n"
 
     def members(self) -> dict[str, str]:
         """Return the members that the version held names, if it names any."""
--- a/tests/test_versions.py
+++ b/tests/test_versions.py
@@ -309,6 +309,30 @@
     assert {(vote.kind, vote.round) for vote in after} == {("prepare", 6)}
 
 
+def test_what_is_published_while_a_chosen_number_is_being_written_waits_for_it():
+    # It was put to the vote for the same number again: beaten by the one before it, or open for 40 periods:
+    # voters vote no more on a number that they hold.
+    operator, data = versions("d"), write(content())
+    operator.publish(0.0, content(), data)
+    for kind in ("promise", "accepted"):
+        for name in "ab":
+            vote = Vote(kind, 1, 1, "d/1", value=digest(data) if kind == "accepted" else "")
+            effects = operator.answered(0.0, name, vote)
+    keep = next(effect for effect in effects if type(effect) is Keep)
+    assert (
+        operator.publication is None and operator.number == 0 and operator.result.startswith("version 1 is")
+    )
+    following = content(settings={"x": 2})
+    assert operator.publish(1.0, following, write(following)) == []
+    assert operator.busy() == "busy: version 1 is being written here" and operator.publication is None
+    assert operator.result.startswith("version 1 is")  # which whoever published it still waits to read
+    operator.kept(2.0, keep.token)
+    following = content(2, operator.id)
+    operator.publish(3.0, following, write(following))
+    assert operator.result == "open" and operator.publication.proposer.number == 2
+    assert operator.busy() == "busy: a publication is under way here"
+
+
 @pytest.mark.parametrize(
     ("mine", "number", "result"), [(True, 1, "version 1 is"), (False, 1, "beaten"), (False, 2, "not known")]
 )
