The clock of test_left goes by turns of the loop, not by the machine's time

Cause: 1 of 49 repeats of test_left on one core beside other work failed: nothing had come by 2 s, the clock stood at 2.6 s, one call for the list was logged where several are due in that time, and the run took 19 s in place of 8 to 9. The process most likely stood still; not proved. Change: in test_left the node's clock goes on by a millisecond a turn, and each turn waits as long for news.

--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -79,8 +79,18 @@
         self.begun = 0  # attempts
         self.sock = self.within = None  # `within`: what a late turn handles by itself
         self.late_ms = LATE_MS
-        real, self.lead_ms = node.loop.now, 0.0
-        node.loop.now = lambda: real() + self.lead_ms
+        # The clock goes on by a millisecond a turn, which waits as long for news: a machine that stands still
+        # for seconds ends no wait of the node's.
+        self.lead_ms, once = node.loop.now(), node.loop.turn
+        node.loop.now = lambda: self.lead_ms
+
+        def step():
+            if node.loop.pause_s():
+                select.select([node.loop.poll.fileno()], [], [], 0.001)
+            self.lead_ms += 1.0
+            once()
+
+        node.loop.turn = step
 
     def list(self, *names, probes=False, **options):
         """List executors with two kept connections each, so that what is chosen goes out in the same turn."""
