size-cold: what cold executors get from all processes, against N + 2 root N + 2

Cause: nothing measured the sum of what all nodes send to a cold executor against the renewed bound.

--- a/marlseam/experiment/measures.py
+++ b/marlseam/experiment/measures.py
@@ -23,6 +23,7 @@
     ready,
     recovering,
     size_changes,
+    size_cold,
     size_members,
     size_roster,
     versions,
@@ -444,3 +445,4 @@
     size_members.register()
     size_changes.register()
     ready.register()
+    size_cold.register()
