A cold executor that takes less than a mean unit in a window still takes small ones

Cause: Node.warm asks whether a unit's size is within the window's plan; Node.usable, which asks for no unit, had it ask for one of mean size, so that an executor whose plan is under one was out of use for all while it was cold. Change: usable asks for the tokens alone; fits, which knows the size, asks for both.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -703,7 +703,7 @@
         """Return a work unit's size in mean work units."""
         return self.run[work.type] * work.slots / self.mean_area
 
-    def warm(self, e: int, size: float = 1.0) -> bool:
+    def warm(self, e: int, size: float = 0.0) -> bool:
         """Return whether this node's part of an executor's cold budget allows work of some size now."""
         planned, part = self.allowance(e) * self.set.fall_ms, self.set.share / self.set.nodes
         if planned == inf:
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -104,6 +104,19 @@
     assert node.warm(0, size)
 
 
+def test_a_small_work_unit_goes_where_a_window_allows_less_than_one_of_mean_size():
+    (node,) = fleet(1)
+    at([node], BORN + 4000.0)
+    node.warm(0)
+    node.mean_area *= node.allowance(0) * WINDOW / 0.8
+    node.tokens[0], node.token_ms[0] = 0.05, node.port.clock
+    wu = node.handle(node, WorkUnit("w", 0, node.port.clock + 5000.0))
+    node.run[0] = 0.1 * node.mean_area
+    assert node.usable(0) and wu.fits(0)
+    node.run[0] = 0.9 * node.mean_area
+    assert not wu.fits(0)
+
+
 def test_a_restarted_node_has_nothing_saved_up():
     (node,) = fleet(1, told=200)
     at([node], BORN + 12000.0)
