Failing tests: a crowded discovery leaves some nodes of a fleet without a list

A trial copy that logs each call shows it: discovery works through some 3.7 calls a second and declines at once whoever would wait over 2 s. Each node that gets a list begins a new watch, which is declined, and fetches the list again (Discovery.follow): lists of the same nodes fill the queue for good, others got none from 0.1 s to 21 s.

--- /dev/null
+++ b/tests/test_crowded_discovery.py
@@ -0,0 +1,210 @@
+"""A fleet whose discovery takes calls in turn and declines those that would wait too long (docs/node.md).
+
+The nodes are real ones on real sockets, their clock led by the test. Discovery behaves as in the incident of
+2026-12-02: each list and each new watch takes its turn, a watch that goes on after its last answer does not.
+"""
+
+import json
+import socket
+from collections.abc import Callable, Iterator
+from dataclasses import replace
+from math import inf
+from pathlib import Path
+from urllib.parse import parse_qsl
+
+import pytest
+from conftest import OPTIONS
+from test_told import HEAD, Led
+
+from marlseam.net import node as node_module
+
+STEP_MS = 50.0
+TOLD_MS = 6000.0  # by when a change counts as notified
+NODES = 32
+CALLS_PER_S = 3.7  # what discovery works through, as in the incident
+QUEUE_MS = 2000.0  # the longest wait for a turn; whoever would wait longer is declined
+GOES_ON_MS = 200.0  # within which the next call of a watch follows the last answer
+DECLINED = b"HTTP/1.1 503 -\r\nContent-Length: 0\r\n\r\n"
+
+
+class CrowdedDiscovery:
+    """Discovery as one queue of calls; `clock` is set by the test."""
+
+    def __init__(self, free_calls: int) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0), backlog=256)
+        self.sock.setblocking(False)
+        self.address = self.sock.getsockname()
+        self.clock = self.busy_ms = 0.0
+        self.free_calls = free_calls  # at the start, before calls have to take turns
+        self.version = 1
+        self.open: list[socket.socket] = []
+        self.due: list[tuple[float, socket.socket, int | None, float]] = []
+        self.watches: dict[socket.socket, float] = {}  # and when each is answered at the latest
+        self.answered_ms: dict[socket.socket, float] = {}  # when a watch's last answer went out
+        self.lists = self.declined = 0
+
+    def serve(self) -> None:
+        """Take in calls, and answer those whose turn has come."""
+        self.accept()
+        for sock in list(self.open):
+            self.read(sock)
+        while self.due and self.due[0][0] <= self.clock:
+            _, sock, since, wait_ms = self.due.pop(0)
+            self.turn(sock, since, wait_ms)
+        for sock in [sock for sock, until_ms in self.watches.items() if until_ms <= self.clock]:
+            self.news(sock)
+
+    def accept(self) -> None:
+        while True:
+            try:
+                sock, _ = self.sock.accept()
+            except BlockingIOError:
+                return
+            sock.setblocking(False)
+            self.open.append(sock)
+
+    def read(self, sock: socket.socket) -> None:
+        try:
+            data = sock.recv(4096)
+        except BlockingIOError:
+            return
+        except ConnectionError:
+            data = b""
+        if not data:
+            self.open.remove(sock)
+            self.watches.pop(sock, None)
+            self.due = [row for row in self.due if row[1] is not sock]
+            sock.close()
+            return
+        target = data.split()[1].decode()
+        query = {key: int(value) for key, value in parse_qsl(target.partition("?")[2])}
+        since, wait_ms = query.get("since"), float(query.get("timeout_ms", 0))
+        if since is not None and self.clock - self.answered_ms.get(sock, -inf) <= GOES_ON_MS:
+            self.turn(sock, since, wait_ms)
+        else:
+            self.queue(sock, since, wait_ms)
+
+    def queue(self, sock: socket.socket, since: int | None, wait_ms: float) -> None:
+        if self.free_calls:
+            self.free_calls -= 1
+            self.turn(sock, since, wait_ms)
+            return
+        turn_ms = max(self.busy_ms, self.clock) + 1000.0 / CALLS_PER_S
+        if turn_ms - self.clock > QUEUE_MS:
+            self.declined += 1
+            sock.sendall(DECLINED)
+            return
+        self.busy_ms = turn_ms
+        self.due.append((turn_ms, sock, since, wait_ms))
+
+    def turn(self, sock: socket.socket, since: int | None, wait_ms: float) -> None:
+        if since is None:
+            self.lists += 1
+            self.answer(sock, whole=True)
+        elif since < self.version:
+            self.news(sock)
+        else:
+            self.watches[sock] = self.clock + wait_ms
+
+    def news(self, sock: socket.socket) -> None:
+        self.watches.pop(sock, None)
+        self.answer(sock, whole=False)
+        self.answered_ms[sock] = self.clock
+
+    def answer(self, sock: socket.socket, whole: bool) -> None:
+        body = json.dumps({"seq": self.version, "whole": whole, "hosts": []}).encode()
+        sock.sendall(HEAD % len(body) + body)
+
+    def change(self) -> None:
+        """Change the list: open watches are answered at once."""
+        self.version += 1
+        for sock in list(self.watches):
+            self.news(sock)
+
+    def end_watches(self) -> None:
+        """Decline all open watches, as in an outage."""
+        for sock in list(self.watches):
+            del self.watches[sock]
+            sock.sendall(DECLINED)
+
+    def close(self) -> None:
+        for sock in (self.sock, *self.open):
+            sock.close()
+
+
+class CrowdedFleet:
+    """Real nodes under one led clock, and the discovery that all of them call."""
+
+    def __init__(self, nodes: list[Led], discovery: CrowdedDiscovery) -> None:
+        self.nodes, self.discovery = nodes, discovery
+
+    def lead(self, span_ms: float) -> None:
+        """Lead the clock by so much."""
+        end = self.discovery.clock + span_ms
+        while self.discovery.clock < end:
+            self.discovery.clock += STEP_MS
+            for one in self.nodes:
+                one.clock += STEP_MS
+            self.settle()
+
+    def settle(self) -> None:
+        """Have all that is said at one instant be heard."""
+        for _ in range(3):
+            self.discovery.serve()
+            for one in self.nodes:
+                one.turn()
+
+    def not_told(self) -> list[int]:
+        """Return which nodes do not know discovery's last change."""
+        return [i for i, one in enumerate(self.nodes) if one.version() < self.discovery.version]
+
+
+@pytest.fixture
+def crowd(node, tmp_path: Path) -> Iterator[Callable[..., CrowdedFleet]]:
+    """Return a maker of fleets whose nodes were given the list as it stood at their start."""
+    made: list[CrowdedFleet] = []
+
+    def begin(free_calls: int, known: int = 1) -> CrowdedFleet:
+        discovery = CrowdedDiscovery(free_calls)
+        values = json.loads(Path(node.config.path).read_text())
+        values["discovery"] = "{}:{}".format(*discovery.address)
+        values["settings"] = OPTIONS | {"fleetSize": NODES}
+        values["known"]["seq"] = known
+        path = tmp_path / "crowd.json"
+        path.write_text(json.dumps(values))
+        config = replace(node_module.configuration.load(str(path), {}), admin=None)
+        nodes = [Led(node_module.Node(replace(config, seed=seed)), discovery) for seed in range(1, NODES + 1)]
+        made.append(CrowdedFleet(nodes, discovery))
+        return made[-1]
+
+    yield begin
+    for fleet in made:
+        for one in fleet.nodes:
+            one.node.busy = True
+            one.node.loop.finish()
+        fleet.discovery.close()
+
+
+def test_a_change_soon_after_the_start_reaches_each_node_of_a_crowded_fleet_in_time(crowd):
+    fleet = crowd(free_calls=NODES + 3)
+    fleet.lead(4600.0)
+    fleet.discovery.change()
+    fleet.lead(TOLD_MS)
+    assert not fleet.not_told()
+
+
+def test_a_fleet_that_must_call_anew_all_together_is_told_as_fast_as_calls_are_worked_through(crowd):
+    fleet = crowd(free_calls=NODES + 3)
+    fleet.lead(4600.0)
+    fleet.discovery.end_watches()
+    fleet.discovery.change()
+    fleet.lead(1000.0 * NODES / CALLS_PER_S + QUEUE_MS)
+    assert not fleet.not_told()
+
+
+def test_a_crowded_fleet_comes_to_rest(crowd):
+    fleet = crowd(free_calls=0)
+    fleet.lead(1000.0 * NODES / CALLS_PER_S + 2 * QUEUE_MS)
+    declined = fleet.discovery.declined
+    fleet.lead(5000.0)
+    assert fleet.discovery.declined == declined and len(fleet.discovery.watches) == NODES
