A node asks discovery for changes since its version, not for the list and a watch anew

Cause: Discovery.follow fetched the whole list after each failed call, and began a new watch after it. Change: where a whole list of this discovery is held, the first call is that of a watch since its version. The whole list is asked for where none is held, an entry was left out, versions are numbered anew, or the process behind the address may be another (refused, reset, closed, nonsense). Empty answers that resume do not shorten rests.

--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -30,6 +30,9 @@
 GAP_SHARE = 0.1  # or less, likewise
 # How long discovery may hold a watch, likewise: for each node, at least and at most, and in all.
 WATCH_SHARE, WATCH_LEAST, WATCH_MOST, WATCH_MOST_MS = 0.1, 0.3, 2.0, 60000.0
+RESUME_MS = 10.0  # how long discovery may hold the first call of a watch that resumes from a version
+# After these the process that numbers versions may be another, which numbers anew: the whole list is needed.
+RESTARTED = (Reason.REFUSED, Reason.PEER_RESET, Reason.PEER_CLOSED, Reason.NO_CONNECT, Reason.BAD_MESSAGE)
 
 
 class Discovery:
@@ -47,6 +50,8 @@
         self.task: Task | None = None
         self.overdue: set[Task] = set()  # calls for the list that were told as failed and may yet be answered
         self.listed_ms = -inf  # when the call began that brought the list
+        self.numbered = False  # whether `version` is a number of the discovery that is called
+        self.incomplete = False  # whether an entry was left out since the last whole list
         self.set(config)
 
     def set(self, config: Config) -> None:
@@ -79,6 +84,7 @@
         if before.discovery == config.discovery and (old.zones, old.kinds) == (new.zones, new.kinds):
             return
         self.over = Reason.FORGOTTEN
+        self.numbered = False
         for task in tuple(self.overdue):
             task.cancel()
         if self.task is None or self.task.done:
@@ -93,7 +99,9 @@
         Unless one as new is held.
         """
         try:
-            self.take(self.config.known if known is None else known, cached=True, doubt=doubt)
+            held = self.take(self.config.known if known is None else known, cached=True, doubt=doubt)
+            # What was saved may be of another discovery; what the configuration holds is of this one.
+            self.numbered = known is None and held and not self.told
         except Malformed as error:
             self.log.line(f"the list in the configuration: {error}")
 
@@ -103,7 +111,7 @@
             self.task = self.loop.spawn(self.follow())
 
     def follow(self) -> Coroutine:
-        """Fetch the whole list, then watch back to back until a call fails."""
+        """Bring the list up to date, then watch back to back until a call fails."""
         connection: Connection | None = None
         reason = Reason.FAULT
         try:
@@ -133,6 +141,7 @@
             reason = self.over
             raise
         finally:
+            self.numbered = self.numbered and reason not in RESTARTED
             if connection is not None:
                 connection.close(reason)
             if self.loop.current in self.overdue:
@@ -146,9 +155,13 @@
         self.post(Roster(Listing.FAILED, []))
 
     def fetch(self, connection: Connection, began: float) -> Steps:
-        """Call for the whole list, and take it in unless a later call has brought one.
+        """Call for the list, and take it in unless a later call has brought one.
 
-        One that is overdue is told as failed, and still listened to beside those that follow it. Guards a
+        Where a list of this discovery is held, its changes since are asked for, as the first call of a watch.
+        Guards a fleet against itself: a whole list and then a new watch take two turns of discovery's, and
+        where it declines some, those that get a list keep the others from one by asking for a watch again.
+
+        A call that is overdue is told as failed, and still listened to beside those that follow it. Guards a
         fleet against a discovery that answers more slowly than calls are given up: all its time would go
         into answers that nobody waits for.
         """
@@ -158,15 +171,21 @@
             over.add(task)
             self.fail()
 
+        resumed = self.numbered and bool(self.held) and not self.incomplete
+        target = protocol.watch_target(self.version, RESUME_MS) if resumed else protocol.LIST_PATH
         timer = self.loop.at(began + self.call_ms, give_up)
         try:
-            news = yield from self.call(connection, protocol.LIST_PATH, began + self.hear_ms)
+            news = yield from self.call(connection, target, began + self.hear_ms)
         finally:
             self.loop.drop(timer)
         if began < self.listed_ms:
             raise Ended(Reason.DONE)
         self.listed_ms = began
-        self.heed(connection, news)
+        if not self.heed(connection, news, resumed):
+            # What discovery has is older than what is held: it has begun to number anew.
+            until = self.loop.now() + self.call_ms
+            self.heed(connection, (yield from self.call(connection, protocol.LIST_PATH, until)))
+        self.numbered = True
         if task in over:
             if self.task is not None and not self.task.done:
                 raise Ended(Reason.DONE)
@@ -189,9 +208,9 @@
         except (ValueError, RecursionError):
             raise Malformed("the answer is no JSON") from None
 
-    def heed(self, connection: Connection, news: Any) -> bool:  # noqa: ANN401
+    def heed(self, connection: Connection, news: Any, resumed: bool = False) -> bool:  # noqa: ANN401
         """Take in a whole answer, also a connection's last, and return whether it follows on what is held."""
-        fits = self.take(news)
+        fits = self.take(news, resumed=resumed)
         if not connection.again():
             raise Ended(Reason.DONE)
         return fits
@@ -205,8 +224,11 @@
             if name in peers and peers[name].address is not None
         ]
 
-    def take(self, value: Any, cached: bool = False, doubt: float = 0.0) -> bool:  # noqa: ANN401
-        """Take in an answer; a change that is older than what is held does not fit, and is left."""
+    def take(self, value: Any, cached: bool = False, doubt: float = 0.0, resumed: bool = False) -> bool:  # noqa: ANN401
+        """Take in an answer; a change that is older than what is held does not fit, and is left.
+
+        One that resumes and brings nothing new is not told: it shows no watch that lasts, so that rests grow.
+        """
         news = protocol.news_from(value, self.config.deployment, self.loop.clock.from_unix)
         whole = news.listing is Listing.FULL
         if (not whole or cached) and news.version < self.version:
@@ -216,6 +238,7 @@
             self.log.line(f"discovery: entry of {host[:80] or 'no host'} left out: {text}")
             if whole and host in self.held:
                 news.entries.append(self.held[host])  # what was last good of it stays
+        self.incomplete = bool(news.odd) or (self.incomplete and not whole)
         if whole:
             self.held.clear()
         for entry in news.entries:
@@ -224,6 +247,9 @@
             else:
                 self.held[entry.executor] = entry
         self.executors.listed(self.held, news.addresses)
+        if resumed and not whole and not news.entries:
+            self.heard(False)
+            return True
         self.post(Roster(Listing.CACHED if cached else news.listing, news.entries, doubt))
         if not cached:
             self.heard(whole or bool(news.entries))
--- a/tests/test_crowded_discovery.py
+++ b/tests/test_crowded_discovery.py
@@ -14,7 +14,8 @@
 
 import pytest
 from conftest import OPTIONS
-from test_told import HEAD, Led
+from test_endings import HEAD, reset
+from test_told import Led
 
 from marlseam.net import node as node_module
 
@@ -208,3 +209,130 @@
     declined = fleet.discovery.declined
     fleet.lead(5000.0)
     assert fleet.discovery.declined == declined and len(fleet.discovery.watches) == NODES
+
+
+# What the first call of a node asks for: the whole list, or what has changed since the version that it holds.
+
+LIST, RESUME = "GET /api/targets HTTP", "GET /api/targets?since={}&timeout_ms=10 HTTP"
+SPOILT = {"host": "e2", "health": "active", "dial": "nowhere"}
+
+
+class Scripted:
+    """Discovery whose calls are answered by the test, one after the other."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.address = self.sock.getsockname()
+        self.open: list[socket.socket] = []
+        self.call = ""  # the first line of the last one
+
+    def called(self) -> bool:
+        """Return whether a call has come that was not seen yet, the last connection's."""
+        try:
+            self.open.append(self.sock.accept()[0])
+            self.open[-1].setblocking(False)
+        except BlockingIOError:
+            pass
+        try:
+            data = self.open[-1].recv(4096) if self.open else b""
+        except BlockingIOError:
+            return False
+        self.call = data.decode().partition("/1.1")[0]
+        return bool(data)
+
+    def say(self, body: bytes) -> None:
+        self.open[-1].sendall(HEAD % len(body) + body)
+
+    def close(self) -> None:
+        for sock in (self.sock, *self.open):
+            sock.close()
+
+
+def next_call(one: Led) -> str:
+    """Return the first line of the next call, which waits for its answer."""
+    one.lead(one.service.called)
+    return one.service.call
+
+
+@pytest.fixture
+def scripted(node, tmp_path: Path) -> Iterator[Callable[..., Led]]:
+    """Return a maker of one node that was given a list of version 5, or another, and its discovery."""
+    made: list[Led] = []
+
+    def begin(**known: object) -> Led:
+        service = Scripted()
+        values = json.loads(Path(node.config.path).read_text())
+        values["discovery"] = "{}:{}".format(*service.address)
+        values["known"] |= {"seq": 5} | known
+        path = tmp_path / "scripted.json"
+        path.write_text(json.dumps(values))
+        made.append(
+            Led(node_module.Node(replace(node_module.configuration.load(str(path), {}), admin=None)), service)
+        )
+        return made[-1]
+
+    yield begin
+    for one in made:
+        one.node.busy = True
+        one.node.loop.finish()
+        one.service.close()
+
+
+def test_a_node_that_was_given_a_list_asks_for_its_changes_and_goes_on_with_the_same_watch(scripted):
+    one = scripted()
+    assert next_call(one) == RESUME.format(5)
+    one.service.say(b'{"seq":5,"whole":false,"hosts":[]}')
+    one.lead(one.service.called, 150.0)
+    assert one.service.call == f"GET /api/targets?since=5&timeout_ms={one.node.discovery.wait_ms:.0f} HTTP"
+
+
+@pytest.mark.parametrize("hosts", [[], [SPOILT]], ids=["empty", "spoilt"])
+def test_a_node_without_a_whole_list_asks_for_one(scripted, hosts):
+    assert next_call(scripted(hosts=hosts)) == LIST
+
+
+def test_a_discovery_that_numbers_anew_is_asked_for_the_whole_list_at_once(scripted):
+    one = scripted()
+    next_call(one)
+    one.service.say(b'{"seq":4,"whole":false,"hosts":[]}')
+    one.settle(one.service.called)
+    assert one.service.call == LIST
+    one.service.say(b'{"seq":4,"whole":true,"hosts":[]}')
+    one.settle(lambda: one.version() == 4)
+
+
+def test_an_entry_that_was_left_out_of_a_list_is_asked_for_again_after_the_next_failure(scripted):
+    one = scripted()
+    next_call(one)
+    one.service.say(json.dumps({"seq": 6, "whole": False, "hosts": [SPOILT]}).encode())
+    one.lead(one.service.called, 150.0)
+    one.service.open[-1].sendall(DECLINED)
+    one.settle(one.failed)
+    assert next_call(one) == LIST
+
+
+@pytest.mark.parametrize(
+    ("ends", "asks"),
+    [(lambda sock: sock.sendall(DECLINED), RESUME.format(5)), (reset, LIST), (socket.socket.close, LIST)],
+    ids=["declined", "reset", "closed"],
+)
+def test_the_whole_list_is_asked_for_where_another_process_may_number_versions(scripted, ends, asks):
+    one = scripted()
+    next_call(one)
+    ends(one.service.open.pop() if asks is LIST else one.service.open[-1])
+    one.settle(one.failed)
+    assert next_call(one) == asks
+
+
+def test_answers_that_resume_and_bring_nothing_do_not_shorten_the_rests_after_failures(scripted):
+    one = scripted()
+    for _ in range(4):
+        next_call(one)
+        one.service.open[-1].sendall(DECLINED)
+        one.settle(one.failed)
+    rest = one.node.core.node.backoff
+    next_call(one)
+    one.service.say(b'{"seq":5,"whole":false,"hosts":[]}')
+    one.settle(lambda: one.node.discovery.told)
+    assert one.node.core.node.backoff == rest > 0.0
