A server's start is not taken from two wall clocks that need not agree

Discovery trusted the list's Unix times by the node's own clock as it was at the start; Node.allowance took the root of a negative age. Change: marlseam/net/starts.py brings starts onto the monotonic clock: a start told by a change is believed where both clocks agree to 3 s; any other is the latest of own clock, list's clock and present. One start keeps its time. Lists that are saved or handed on hold starts as told (row_of). An age is never negative.

--- a/marlseam/logic.py
+++ b/marlseam/logic.py
@@ -692,8 +692,11 @@
 
     def allowance(self, e: int) -> float:
         """Return how many mean work units a ms all nodes may send to an executor while it is cold."""
-        born, age = self.born[e], self.port.now() - (self.born[e] or 0.0)
-        if born is None or age > self.set.warm_ms:
+        born = self.born[e]
+        if born is None:
+            return inf
+        age = max(0.0, self.port.now() - born)
+        if age > self.set.warm_ms:
             return inf
         share = self.set.cold_share + (1.0 - self.set.cold_share) * age / self.set.warm_ms
         rate = self.slots(e) / (self.mean_area * self.kind_pace[self.kind[e]])
--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -16,6 +16,7 @@
 from marlseam.net.log import Log, Reason
 from marlseam.net.loop import Cancelled, Coroutine, Loop, Task, sleep
 from marlseam.net.protocol import Malformed
+from marlseam.net.starts import StartTimes
 
 # How long a call may take beyond its wait before it counts as failed, in times after which one must ask.
 CALL_SHARE = 0.2
@@ -51,6 +52,8 @@
         self.overdue: set[Task] = set()  # calls for the list that were told as failed and may yet be answered
         self.listed_ms = -inf  # when the call began that brought the list
         self.numbered = False  # whether `version` is a number of the discovery that is called
+        self.starts = StartTimes(loop.clock.from_unix)
+        self.confirmed_ms = -inf  # when discovery last said something of the list
         self.incomplete = False  # whether an entry was left out since the last whole list
         self.set(config)
 
@@ -127,6 +130,7 @@
                 # A watch's wait is over once its answer begins. Guards against one that is cut off in it and
                 # missed only after all of its wait, which is long in large fleets.
                 news = yield from self.call(connection, target, until, self.call_ms)
+                self.confirmed_ms = self.loop.now()  # what it tells has changed just now
                 if not self.heed(connection, news):
                     until = self.loop.now() + self.call_ms
                     self.heed(connection, (yield from self.call(connection, protocol.LIST_PATH, until)))
@@ -215,11 +219,18 @@
             raise Ended(Reason.DONE)
         return fits
 
+    def place_starts(self, news: protocol.News, cached: bool) -> None:
+        """Bring the starts of servers in an answer onto the node's clock."""
+        now = self.loop.now()
+        news.entries[:] = self.starts.placed(news.entries, now, self.confirmed_ms if self.told else None)
+        if not cached:
+            self.confirmed_ms = now
+
     def rows(self) -> list[dict[str, Any]]:
         """Return the list as it is held, as the roster writes it."""
-        peers, clock = self.executors.peers, self.loop.clock
+        peers, listed = self.executors.peers, self.starts.listed
         return [
-            protocol.row_of(entry, peers[name].address, self.config.deployment, clock.to_unix)
+            protocol.row_of(entry._replace(born_ms=listed(name)), peers[name].address, self.config.deployment)
             for name, entry in self.held.items()
             if name in peers and peers[name].address is not None
         ]
@@ -229,10 +240,11 @@
 
         One that resumes and brings nothing new is not told: it shows no watch that lasts, so that rests grow.
         """
-        news = protocol.news_from(value, self.config.deployment, self.loop.clock.from_unix)
+        news = protocol.news_from(value, self.config.deployment)
         whole = news.listing is Listing.FULL
         if (not whole or cached) and news.version < self.version:
             return False
+        self.place_starts(news, cached)
         self.version, self.told = news.version, not cached
         for host, text in news.odd:
             self.log.line(f"discovery: entry of {host[:80] or 'no host'} left out: {text}")
@@ -246,6 +258,7 @@
                 self.held.pop(entry.executor, None)
             else:
                 self.held[entry.executor] = entry
+        self.starts.keep(self.held)
         self.executors.listed(self.held, news.addresses)
         if resumed and not whole and not news.entries:
             self.heard(False)
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -2,7 +2,7 @@
 
 import json
 import re
-from collections.abc import Callable, Iterable, Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from math import inf, isfinite
 from typing import Any
@@ -319,8 +319,8 @@
     return f"{LIST_PATH}?since={version}&timeout_ms={wait_ms:.0f}"
 
 
-def news_from(value: object, deployment: Deployment, from_unix: Callable[[float], float]) -> News:
-    """Read discovery's answer, with times on the node's clock; an odd entry is left out and told of."""
+def news_from(value: object, deployment: Deployment) -> News:
+    """Read discovery's answer, with starts in Unix ms as listed; an odd entry is left out and told of."""
     if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
         raise Malformed("the answer holds no list")
     version = value.get("seq")
@@ -329,7 +329,7 @@
     news = News(version, Listing.FULL if value.get("whole") else Listing.DELTA, [], {}, [])
     for row in value["hosts"]:
         try:
-            entry, address = entry_from(row, deployment, from_unix)
+            entry, address = entry_from(row, deployment)
         except Malformed as error:
             news.odd.append((str(row.get("host")) if isinstance(row, dict) else "", str(error)))
             continue
@@ -339,9 +339,7 @@
     return news
 
 
-def entry_from(
-    row: object, deployment: Deployment, from_unix: Callable[[float], float]
-) -> tuple[Entry, tuple[str, int] | None]:
+def entry_from(row: object, deployment: Deployment) -> tuple[Entry, tuple[str, int] | None]:
     """Read one entry of the list; of one that wants nothing new, host and health are enough.
 
     Guards a drain that is told in an entry that is spoilt elsewhere.
@@ -362,7 +360,7 @@
         kind=place(row.get("class"), deployment.kinds),
         zone=place(row.get("site"), deployment.zones),
         cell=block if isinstance(block, int) else -1,
-        born_ms=from_unix(at) if at else None,
+        born_ms=at or None,
         weight=share if share is not None and share > 0 else None,
     )
     if entry.state is State.GONE:
@@ -373,10 +371,8 @@
     return entry, address
 
 
-def row_of(
-    entry: Entry, address: tuple[str, int], deployment: Deployment, to_unix: Callable[[float], float]
-) -> dict[str, Any]:
-    """Write an entry as the roster does."""
+def row_of(entry: Entry, address: tuple[str, int], deployment: Deployment) -> dict[str, Any]:
+    """Write an entry, whose start is as listed, as the roster does."""
     zones, kinds = list(deployment.zones), list(deployment.kinds)
     host = f"[{address[0]}]" if ":" in address[0] else address[0]
     return {
@@ -387,7 +383,7 @@
         "block": entry.cell,
         "health": "leaving" if entry.state is State.DRAINING else "active",
         "share": 1.0,
-        "born_ms": round(to_unix(entry.born_ms)) if entry.born_ms is not None else 0,
+        "born_ms": round(entry.born_ms) if entry.born_ms is not None else 0,
     }
 
 
