Failing test: a wall clock stepped between two processes of a node lets a key run twice

Cause: the same mistake as with starts: Handover tells sendings in Unix time, each process by the wall clock as it was at its own start. Stepped between the two starts, a sending of now is one of an hour ago, its window is over (Receipts.known), and the retry goes to any server.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -253,6 +253,30 @@
     sock.close()
 
 
+@pytest.mark.parametrize("step_ms", [-3600000.0, 3600000.0])
+def test_a_clock_stepped_between_two_starts_shifts_no_sending(made, old, held, step_ms):
+    # Each process brings Unix time onto its clock as the wall clock was at its own start.
+    here = node_epoch_ms() + step_ms
+    told = {"marlseam": 1, "node": "node", "process": 1, "epoch": here}
+    began = now_ms() + step_ms
+    row = Sent("k", "gone", "here", 5, began, began + 4000.0)
+    hosts = [*HOSTS, HOSTS[0] | {"host": "e5", "block": 5}]
+    talk = old(form.line(told), *form.snapshot(2, hosts, [row]))
+    node = made(settings=PAYMENTS)
+    talk()
+    turn(node, node.ready)
+    wu, sock = pay(node, held)
+    assert [wu.fits(node.core.index[name]) for name in ("e1", "e5")] == [False, True]
+    ((_, trace),) = node.core.receipts
+    assert abs(trace.until_ms - node.loop.now() - 4000.0) < 2000.0
+    sock.close()
+
+
+def node_epoch_ms():
+    """Return the Unix time of this machine's monotonic zero."""
+    return now_ms() - 1000.0 * time.monotonic()
+
+
 def test_a_sending_that_never_ran_is_taken_off_the_record(made, old):
     row = sending()
     talk = old(
