Processes of a node tell each other how their Unix times stand to the monotonic clock

Change: the first line between two processes may hold "epoch", the Unix time that its process takes for the zero of the machine's monotonic clock, which both share; times of sendings are shifted by the difference, in whole ms. A process that tells none (an older one) is read as before. Wire forms are otherwise as they were. The store was read for the same mistake: its times carry an era of the boot clock (store/folder.py), so that a step is seen.

--- a/marlseam/net/handover.py
+++ b/marlseam/net/handover.py
@@ -146,7 +146,8 @@
     def join(self, peer: Peer) -> None:
         """Begin to talk with another process."""
         self.peers[peer] = None
-        peer.out += form.hello(self.node.config.name, os.getpid(), self.node.acting is not None)
+        fleet, epoch_ms = self.node.acting is not None, self.loop.clock.epoch_ms()
+        peer.out += form.hello(self.node.config.name, os.getpid(), fleet, epoch_ms)
         if not peer.called:
             peer.out += b"".join(self.snapshot())
         peer.task = self.loop.spawn(self.talk(peer), first=True)
@@ -230,11 +231,10 @@
             peer.hosts += item.hosts
             peer.seq = item.seq
         elif type(item) is Sent:
-            self.node.post(core.Elsewhere(item.key, self.trace(item)))
+            self.node.post(core.Elsewhere(item.key, self.trace(peer, item)))
             peer.sendings += 1
         elif type(item) is Never:
-            sent_ms = self.loop.clock.from_unix(item.sent_ms)
-            self.node.post(core.Undone(item.key, item.executor, sent_ms))
+            self.node.post(core.Undone(item.key, item.executor, self.here(peer, item.sent_ms)))
         elif type(item) is Over:
             peer.over = True
         elif type(item) is Proof:
@@ -334,10 +334,21 @@
         """Return a sending as it is told."""
         return Sent(*told(key, trace, self.node.config.deployment.zones, self.loop.clock.to_unix))
 
-    def trace(self, row: Sent) -> Trace:
+    def here(self, peer: Peer, unix_ms: float) -> float:
+        """Return a Unix time as another process tells it on this process's clock.
+
+        By the monotonic clock that both share, where it tells how its Unix times stand to that.
+        """
+        clock = self.loop.clock
+        told_ms = peer.hello.epoch_ms if peer.hello is not None else None
+        shift_ms = round(clock.epoch_ms() - told_ms) if told_ms is not None else 0
+        return clock.from_unix(unix_ms + shift_ms)
+
+    def trace(self, peer: Peer, row: Sent) -> Trace:
         """Return a sending on this process's clock."""
-        here, zones = self.loop.clock.from_unix, self.node.config.deployment.zones
-        return Trace(row.executor, zones.get(row.zone, -1), row.cell, here(row.sent_ms), here(row.until_ms))
+        zone = self.node.config.deployment.zones.get(row.zone, -1)
+        sent_ms, until_ms = self.here(peer, row.sent_ms), self.here(peer, row.until_ms)
+        return Trace(row.executor, zone, row.cell, sent_ms, until_ms)
 
     def name(self, peer: Peer) -> str:
         """Return what another process is called in the log."""
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -47,6 +47,10 @@
         """Return a time on this clock as Unix time."""
         return ms + self.unix_zero_ms
 
+    def epoch_ms(self) -> float:
+        """Return the Unix time that this process takes for the zero of the machine's monotonic clock."""
+        return self.unix_zero_ms - self.zero * 1000.0
+
 
 class Timer:
     """A call that is due at some time unless it is dropped before."""
--- a/marlseam/recovery/handover.py
+++ b/marlseam/recovery/handover.py
@@ -10,8 +10,10 @@
     {"over": true}                                                last: this process sends nothing any more
     {"proof": [number, id, at]}                                   that version of a fleet's was in force then
 
-A hello with `"fleet": true` asks for proofs; `at` is in ms of the machine's monotonic clock. The first five
-are a snapshot for the one who called; `sent` and `never` go on both ways from then on.
+A hello with `"fleet": true` asks for proofs; `at` is in ms of the machine's monotonic clock. `"epoch"` of a
+hello is the Unix time that its process takes for the zero of that clock: wall clocks are read once, at a
+process's start, and may have been stepped between two starts. The first five are a snapshot for the one who
+called; `sent` and `never` go on both ways from then on.
 """
 
 import json
@@ -38,6 +40,7 @@
     node: str
     process: int
     fleet: bool = False  # whether it wants proofs
+    epoch_ms: float | None = None  # the Unix time that it takes for the machine's monotonic zero
 
 
 class Proof(NamedTuple):
@@ -91,9 +94,14 @@
     return json.dumps(value, separators=(",", ":")).encode() + b"\n"
 
 
-def hello(node: str, process: int, fleet: bool = False) -> bytes:
+def hello(node: str, process: int, fleet: bool = False, epoch_ms: float | None = None) -> bytes:
     """Return the first line."""
-    return line({"marlseam": VERSION, "node": node, "process": process} | ({"fleet": True} if fleet else {}))
+    value: dict[str, Any] = {"marlseam": VERSION, "node": node, "process": process}
+    if fleet:
+        value["fleet"] = True
+    if epoch_ms is not None:
+        value["epoch"] = epoch_ms
+    return line(value)
 
 
 def proof(row: Proof) -> bytes:
@@ -133,7 +141,8 @@
         if value["marlseam"] != VERSION:
             raise Odd("version", f"version {value['marlseam']!r:.20}, here {VERSION}")
         process = int(number(value.get("process")))
-        return [Hello(text(value.get("node")), process, value.get("fleet") is True)]
+        epoch_ms = number(value["epoch"]) if "epoch" in value else None
+        return [Hello(text(value.get("node")), process, value.get("fleet") is True, epoch_ms)]
     if "proof" in value:
         count, id, at = fields(value["proof"], 3)
         return [Proof(int(number(count)), text(id, least=0), number(at))]
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -253,7 +253,7 @@
     sock.close()
 
 
-@pytest.mark.parametrize("step_ms", [-3600000.0, 3600000.0])
+@pytest.mark.parametrize("step_ms", [-3600000.0, -8000.0, 8000.0, 3600000.0])
 def test_a_clock_stepped_between_two_starts_shifts_no_sending(made, old, held, step_ms):
     # Each process brings Unix time onto its clock as the wall clock was at its own start.
     here = node_epoch_ms() + step_ms
