--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -30,7 +30,7 @@
 GAP_MS = 100.0  # least time between two calls of a watch, which goes on for 200 ms without one
 GAP_SHARE = 0.1  # or less, likewise
 # How long discovery may hold a watch, likewise: for each node, at least and at most, and in all.
-WATCH_SHARE, WATCH_LEAST, WATCH_MOST, WATCH_MOST_MS = 0.1, 0.3, 2.0, 60000.0
+WATCH_SHARE, WATCH_LEAST, WATCH_MOST, WATCH_MOST_MS = 0.1, 0.3, 0.5, 60000.0
 RESUME_MS = 10.0  # how long discovery may hold the first call of a watch that resumes from a version
 # After these the process that numbers versions may be another, which numbers anew: the whole list is needed.
 RESTARTED = (Reason.REFUSED, Reason.PEER_RESET, Reason.PEER_CLOSED, Reason.NO_CONNECT, Reason.BAD_MESSAGE)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -812,8 +812,8 @@
     assert len(roster(listing(5, "e1"), *[empty] * 20)) == 2 and not reasons(capsys)
 
 
-@pytest.mark.parametrize(("nodes", "wait_ms"), [(1, 3000.0), (8, 8000.0), (300, 20000.0)])
-def test_watches_are_short_in_small_fleets(node, nodes, wait_ms):
+@pytest.mark.parametrize(("nodes", "wait_ms"), [(1, 3000.0), (4, 4000.0), (300, 5000.0)])
+def test_watches_are_short(node, nodes, wait_ms):
     settings = replace(node.config.deployment.settings, nodes=nodes)
     node.discovery.set(replace(node.config, deployment=replace(node.config.deployment, settings=settings)))
     assert node.discovery.wait_ms == wait_ms
