One place says which errors of system calls pass; a line nobody reads blocks nothing

Change: marlseam/net/syscalls.py tells what passes by itself (EINTR, EAGAIN, ENOMEM, ENOBUFS, ENOSPC) from the peer's end; reads, writes, polls, epoll_ctl and the signals' bell go by it and try again. A closing listener takes the rest of its queue in several tries, and the node does not end before. Lines are cut to PIPE_BUF, and dropped and counted where standard error is not ready.

--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -10,6 +10,7 @@
 
 import h11
 
+from marlseam.net import syscalls
 from marlseam.net.buffer import Buffer
 from marlseam.net.log import Log, Reason
 from marlseam.net.loop import END, LATE, READ, WRITE, Cancelled, Loop, Wait, sleep
@@ -52,11 +53,11 @@
     def fill(self) -> bool:
         """Read what is there without waiting; return whether anything came, the end included."""
         try:
-            count = self.sock.recv_into(self.buffer.space())
-        except (BlockingIOError, InterruptedError):
-            return False
+            count = syscalls.attempted(lambda: self.sock.recv_into(self.buffer.space()))
         except OSError:
             raise Ended(Reason.PEER_RESET) from None
+        if count is None:
+            return False
         self.buffer.added(count)
         self.eof = self.eof or not count
         return True
@@ -179,7 +180,7 @@
         if not self.eof:
             look = select.poll()
             look.register(self.sock.fileno(), select.POLLRDHUP)
-            self.eof = bool(look.poll(0))
+            self.eof = syscalls.looked(look, unknown=False)
         return self.eof
 
     # Writing.
@@ -188,7 +189,7 @@
         """Wait until the system takes bytes at once: a peer may not have read what it was sent before."""
         look = select.poll()
         look.register(self.sock.fileno(), select.POLLOUT)
-        while not look.poll(0):
+        while not syscalls.looked(look, unknown=True):
             if (yield (self.sock.fileno(), WRITE, until_ms)) == LATE:
                 raise Ended(Reason.TIMED_OUT)
 
@@ -202,13 +203,17 @@
             if left is not None and left():
                 raise Ended(Reason.WITHDRAWN)
             try:
-                view = view[self.sock.send(view) :]
-            except (BlockingIOError, InterruptedError):
+                sent = self.sock.send(view)
+            except OSError as error:
+                if not syscalls.passes(error):
+                    raise Ended(Reason.PEER_RESET) from None
+                if not isinstance(error, BlockingIOError):
+                    yield from sleep(min(until_ms, self.loop.now() + syscalls.RETRY_MS))
                 came = yield (self.sock.fileno(), WRITE, until_ms)
                 if came == LATE or self.loop.now() >= until_ms:
                     raise Ended(Reason.TIMED_OUT) from None
-            except OSError:
-                raise Ended(Reason.PEER_RESET) from None
+            else:
+                view = view[sent:]
 
     def message(
         self,
--- a/marlseam/net/http.py
+++ b/marlseam/net/http.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from marlseam.net import protocol
+from marlseam.net import protocol, syscalls
 from marlseam.net.connection import Connection, Ended, Headers, Steps
 from marlseam.net.descriptors import NOTHING_LEFT
 from marlseam.net.log import Reason
@@ -67,6 +67,7 @@
         first: bool = False,
     ) -> None:
         self.loop, self.sock, self.room, self.taken = loop, sock, room, taken
+        self.closed = False  # the socket too: nobody stands in the queue
         if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
             # Not before: a client's time runs, unseen by the node, while it waits for a start that reads its
             # memory; and one that is turned away goes elsewhere at once.
@@ -81,7 +82,7 @@
             yield (self.sock.fileno(), READ, inf)
             made = False  # whether room was made and is not used yet
             for _ in range(ACCEPTS):
-                if not waiting.poll(0):
+                if not syscalls.looked(waiting, unknown=True):
                     break  # before room is made: for nobody a connection would be closed
                 while not self.room(False):
                     # Guards against losing work units: what is not accepted yet waits, what is would be lost.
@@ -115,13 +116,33 @@
         listener would reset them. `taken` sees to it that no limit is passed.
         """
         self.task.cancel()
-        for _ in range(BACKLOG if rest else 0):
+        if rest:
+            self.take_rest()
+        else:
+            self.shut()
+
+    def shut(self) -> None:
+        """Close the socket."""
+        self.closed = True
+        self.loop.close(self.sock)
+
+    def take_rest(self) -> None:
+        """Accept what stands in the queue, then close; where nothing can be had, go on a little later."""
+        made = False  # whether room was made and is not used yet
+        for _ in range(BACKLOG):
             try:
                 self.one()
+                made = False
+            except BlockingIOError:
+                break
             except OSError as error:
-                if isinstance(error, BlockingIOError) or error.errno in NOTHING_LEFT:
-                    break
-        self.loop.close(self.sock)
+                if error.errno not in NOTHING_LEFT:
+                    continue  # it is gone already, or a signal came
+                if made or not self.room(True):
+                    self.loop.at(self.loop.now() + PAUSE_MS, self.take_rest)
+                    return
+                made = True
+        self.shut()
 
 
 @dataclass(frozen=True, slots=True)
--- a/marlseam/net/log.py
+++ b/marlseam/net/log.py
@@ -1,10 +1,14 @@
 """Lines on standard error by plain print, rate-limited, with the reason codes of ended connections."""
 
+import select
 import sys
 from collections.abc import Callable
 from enum import Enum
 
+from marlseam.net import syscalls
+
 BURST, PER_S = 200.0, 50.0  # lines at once, and lines a second after that
+LINE_MOST = select.PIPE_BUF  # bytes, which a pipe that is ready takes at once
 KEPT = 100.0  # of the lines at once, kept from the ends of connections for all else
 
 
@@ -58,8 +62,26 @@
         self.line(f"{what} ended code={reason.value} messages={messages}", KEPT)
 
     def write(self, text: str) -> None:
-        """Print a line at once; a closed standard error is no reason to stop."""
+        """Print a line at once, cut to a length; one that would have to be waited for is dropped and counted.
+
+        A closed standard error is no reason to stop, nor is one that nobody reads.
+        """
+        line = f"marlseam {self.name}: {text}".encode(errors="replace")[: LINE_MOST - 1]
         try:
-            print(f"marlseam {self.name}: {text}", file=sys.stderr, flush=True)
-        except OSError:
-            self.dropped += 1
+            if takes_line():
+                print(line.decode(errors="ignore"), file=sys.stderr, flush=True)
+                return
+        except (OSError, ValueError):
+            pass
+        self.dropped += 1
+
+
+def takes_line() -> bool:
+    """Return whether standard error takes a line without a wait; also where it is no file of the system's."""
+    try:
+        number = sys.stderr.fileno()
+    except (OSError, AttributeError):
+        return True  # a stand-in of a test's
+    look = select.poll()
+    look.register(number, select.POLLOUT)
+    return syscalls.looked(look, unknown=False)
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable, Generator, Mapping
 from math import inf
 
+from marlseam.net import syscalls
 from marlseam.net.descriptors import Descriptors
 
 READ, WRITE, END = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
@@ -95,10 +96,35 @@
         fd, mask, until = wait
         if fd >= 0:
             self.fd = fd
-            self.loop.arm(fd, mask, self)
+            self.arm(mask)
         if until < inf:
             self.timer = self.loop.at(until, lambda: self.step(LATE))
 
+    def arm(self, mask: int) -> None:
+        """Wait for a socket; where the system cannot note that for a moment, it is asked again soon."""
+        fd = self.fd
+        try:
+            self.loop.arm(fd, mask, self)
+        except OSError as error:
+            if syscalls.passes(error):
+                self.loop.at(self.loop.now() + syscalls.RETRY_MS, lambda: self.arm_again(fd, mask))
+            else:
+                self.loop.soon(lambda fault=error: self.break_off(fd, fault))
+
+    def arm_again(self, fd: int, mask: int) -> None:
+        """Wait for a socket after all, unless the coroutine has gone on meanwhile."""
+        if self.waits_for(fd):
+            self.arm(mask)
+
+    def break_off(self, fd: int, error: OSError) -> None:
+        """Raise in the coroutine that its socket cannot be waited for, unless it has gone on meanwhile."""
+        if self.waits_for(fd):
+            self.step(None, error)
+
+    def waits_for(self, fd: int) -> bool:
+        """Return whether the coroutine still waits for a socket."""
+        return not self.done and self.fd == fd and self.loop.waiting.get(fd) is self
+
     def end(self) -> None:
         """Note that the coroutine has run to its end."""
         self.done = True
@@ -184,8 +210,9 @@
         if poll is not None:
             poll.modify(fd, mask | select.EPOLLONESHOT)
         else:
-            poll = self.known[fd] = self.first if task.first else self.poll
+            poll = self.first if task.first else self.poll
             poll.register(fd, mask | select.EPOLLONESHOT)
+            self.known[fd] = poll
 
     def close(self, sock: socket.socket) -> None:
         """Close a socket that the loop may know."""
@@ -210,7 +237,7 @@
 
     def turn(self) -> None:
         """Wait once, and run what is due by then."""
-        events = self.poll.poll(self.pause_s())
+        events = syscalls.attempted(lambda: self.poll.poll(self.pause_s())) or []
         began = self.now()
         self.closed.clear()
         self.run_first()
@@ -236,7 +263,7 @@
     def run_first(self) -> None:
         """Resume those that go first."""
         self.looked_ms = self.now()
-        for fd, _ in self.first.poll(0):
+        for fd, _ in syscalls.attempted(lambda: self.first.poll(0)) or []:
             task = self.waiting.get(fd)
             if task is not None:
                 task.step(READY)
@@ -281,7 +308,7 @@
         def listen() -> Coroutine:
             while True:
                 yield (ours.fileno(), READ, inf)
-                for number in dict.fromkeys(ours.recv(4096)):
+                for number in dict.fromkeys(syscalls.attempted(lambda: ours.recv(4096)) or b""):
                     self.guarded(calls[number])
 
         self.spawn(listen())
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -447,7 +447,7 @@
 
     def end(self, at_ms: float) -> None:
         """Stop once no client waits any more, or the time is over."""
-        if not self.server.open or self.loop.now() >= at_ms:
+        if not self.server.owes() or self.loop.now() >= at_ms:
             self.server.turn_away()
             for line in self.watch.lines() if self.watch is not None else ():
                 self.log.line(line)
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -202,6 +202,10 @@
         else:
             self.loop.close(self.sock)
 
+    def owes(self) -> bool:
+        """Return whether somebody may wait for an answer: a connection is open, or stands in the queue."""
+        return bool(self.open) or (self.listener is not None and not self.listener.closed)
+
     # One connection.
 
     def serve(self, connection: Connection) -> Coroutine:
--- /dev/null
+++ b/marlseam/net/syscalls.py
@@ -0,0 +1,42 @@
+"""What the error of a system call means for a connection: the one place that reads error numbers of sockets.
+
+Linux documents errors that pass by themselves and say nothing of the peer: a signal came, the kernel had no
+memory or buffer at that moment, a limit of the system was reached. Taken for the peer's end they would lose
+requests that were read, and have attempts sent twice.
+"""
+
+import errno
+import select
+from collections.abc import Callable
+from typing import TypeVar
+
+PASSES = frozenset({errno.ENOMEM, errno.ENOBUFS, errno.ENOSPC})
+RETRY_MS = 5.0  # how long what has failed for a moment waits before it is tried again
+POLL_TRIES = 8  # of a look that waits for nothing
+T = TypeVar("T")
+
+
+def passes(error: OSError) -> bool:
+    """Return whether an error passes by itself and says nothing of the peer."""
+    return isinstance(error, BlockingIOError | InterruptedError) or error.errno in PASSES
+
+
+def looked(look: select.poll, unknown: bool) -> bool:
+    """Return whether a poll object has anything to tell now; `unknown` where the system cannot say."""
+    for _ in range(POLL_TRIES):
+        try:
+            return bool(look.poll(0))
+        except OSError as error:
+            if not passes(error):
+                raise
+    return unknown
+
+
+def attempted(call: Callable[[], T]) -> T | None:
+    """Return what a call gives, or None where it fails for a moment; raises any other OSError."""
+    try:
+        return call()
+    except OSError as error:
+        if not passes(error):
+            raise
+        return None
