An error of this program costs no request its final answer

Change: Node.step takes in an error of the reducer or of one effect, carries out all others, and answers the request at once: 503 where nothing of it was sent or its class is safe to repeat, 500 else; nothing more of it is sent, as the look before an attempt counts an answer too. An error in Server.serve is told with 500. Both are logged (`fault`), and requests_given_up_on_faults counts the former.

--- a/marlseam/counters.py
+++ b/marlseam/counters.py
@@ -14,6 +14,7 @@
     attempts: int = 0  # whose last byte was handed to the system, however they ended
     reloads: int = 0
     reload_errors: int = 0
+    faults: int = 0  # requests that met an error of this program, and were answered for it
 
     def know(self, types: Iterable[str]) -> None:
         """Show these project types from now on, 0 at first; one that has gone keeps its counts."""
@@ -34,4 +35,5 @@
         }
         rows |= {"upstream_requests": self.attempts, **now}
         rows |= {"config_reloads": self.reloads, "config_reload_errors": self.reload_errors}
+        rows |= {"requests_given_up_on_faults": self.faults}
         return "".join(f"{name}={count}\n" for name, count in rows.items())
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -2,19 +2,20 @@
 
 import resource
 import signal
+import traceback
 from collections import deque
 from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from dataclasses import replace
 from math import inf
-from typing import Any
+from typing import Any, NamedTuple
 
 from marlseam import config as configuration
 from marlseam import core
 from marlseam.config import Config, ConfigError
 from marlseam.core import Core, Effect, Event
 from marlseam.counters import Counters
-from marlseam.interface import Settings, WorkUnit
+from marlseam.interface import Outcome, Settings, WorkUnit
 from marlseam.net import protocol, server
 from marlseam.net.discovery import Discovery
 from marlseam.net.executors import Executors, Order
@@ -82,6 +83,17 @@
     return Room(clients, max(free, PLACES_LEAST * protocol.BODY_MOST)), places - clients
 
 
+class GiveUp(NamedTuple):
+    """Answer a request that met an error of this program."""
+
+    ref: str
+
+
+def ref_of(what: Event | Effect) -> str:
+    """Return the request that an event or an effect is of; "" where it is of none."""
+    return what.work.ref if type(what) is core.Arrival else getattr(what, "ref", "")
+
+
 class Node:
     """Joins the loop, the server, the executors, discovery and the reducer."""
 
@@ -296,11 +308,38 @@
         self.busy = True
         try:
             while self.events:
-                for effect in self.core.reduce(self.loop.now(), self.events.popleft()):
-                    EFFECTS[type(effect)](self, effect)
+                self.step(self.events.popleft())
         finally:
             self.busy = False
 
+    def step(self, event: Event) -> None:
+        """Reduce one event and carry out its effects; an error in either costs no other request anything."""
+        try:
+            effects = self.core.reduce(self.loop.now(), event)
+        except Exception:
+            # Guards the clients against an error in a decision; what was decided before it holds.
+            self.loop.fault(traceback.format_exc())
+            effects = [*self.core.effects, GiveUp(ref_of(event))]
+        for effect in effects:
+            try:
+                EFFECTS[type(effect)](self, effect)
+            except Exception:
+                self.loop.fault(traceback.format_exc())
+                self.give_up(GiveUp(ref_of(effect)))
+
+    def give_up(self, effect: GiveUp) -> None:
+        """Answer a request that met an error of this program; nothing more of it is tried.
+
+        It is refused where a retry does no harm: nothing of it was sent, or its class is safe to repeat.
+        """
+        pending = self.pending.get(effect.ref)
+        if pending is None:
+            return
+        self.counters.faults += 1
+        harmless = not (pending.sent and pending.job.once)
+        self.answer(effect.ref, 503 if harmless else 500, [], b"")
+        self.post(core.Left(effect.ref))
+
     def take(self, pending: Pending) -> str:
         """Take a client's work unit under a name of our own, as clients may send one name twice."""
         if self.handover is not None and pending.job.receipt is not None:
@@ -324,11 +363,11 @@
         self.pending.pop(ref, None)
 
     def look(self, ref: str, pending: Pending) -> bool:
-        """Return whether a work unit's client has gone; if so nothing more of it is tried.
+        """Return whether a work unit's client has gone or has its answer; if so nothing more of it is tried.
 
         Its own coroutine closes the connection once the loop comes to that.
         """
-        if not pending.gone():
+        if pending.answer is None and not pending.gone():
             return False
         self.post(core.Left(ref))
         return True
@@ -337,13 +376,17 @@
 
     def send(self, effect: core.Send) -> None:
         """Send an allocation."""
-        pending, now = self.pending[effect.ref], self.loop.now()
+        pending, now = self.pending.get(effect.ref), self.loop.now()
+        if pending is None:
+            self.post(core.Settled(effect.ref, effect.alloc, Outcome.VOID, True, None))
+            return  # it has its answer
         gate = self.memory.gate(effect.ref) if self.memory is not None else None
         stands = self.acting.order() if self.acting is not None else None
         order = Order(
             effect.ref, effect.alloc, effect.executor, pending.job, now + effect.limit_ms,
             pending.expires_ms, gate, stands, now + effect.begin_ms, lambda: self.look(effect.ref, pending),
         )  # fmt: skip
+        pending.sent = True
         self.executors.send(order)
 
     def remember(self, effect: core.Remember | core.Forget) -> None:
@@ -458,7 +501,7 @@
             self.loop.at(self.loop.now() + server.LOOK_MS, lambda: self.end(at_ms))
 
 
-EFFECTS: dict[type[Effect], Callable[[Node, Effect], None]] = {
+EFFECTS: dict[type, Callable[[Node, Any], None]] = {
     core.Send: Node.send,
     core.Cancel: lambda node, effect: node.executors.cancel(*effect),
     core.Complete: lambda node, effect: node.answer(effect.ref, 200, [], effect.result),
@@ -468,6 +511,7 @@
     core.Timer: Node.timer,
     core.Remember: Node.remember,
     core.Forget: Node.remember,
+    GiveUp: Node.give_up,
     core.Watch: lambda node, effect: node.discovery.watch(),
     core.Log: lambda node, effect: node.log.line(effect.text),
 }
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -1,6 +1,7 @@
 """The node's own door: accepts clients, reads their work units and writes their answers."""
 
 import socket
+import traceback
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from http import HTTPStatus
@@ -39,6 +40,7 @@
     def __init__(self, job: Job, taken_ms: float, gone: Callable[[], bool] = lambda: False) -> None:
         self.job, self.gone = job, gone  # `gone` looks whether its client has ended its connection
         self.task: Task | None = None  # that waits for the answer
+        self.sent = False  # whether an attempt was handed on to be sent
         self.expires_ms = taken_ms + job.left_ms
         self.answer: tuple[int, Headers, bytes] | None = None
 
@@ -227,6 +229,11 @@
         except Cancelled:
             reason = Reason.DRAINING
             raise
+        except Exception:
+            # Guards the client against an error of this program: whoever has sent a request gets an answer.
+            self.loop.fault(traceback.format_exc())
+            failed = Ended(Reason.FAULT, HTTPStatus.INTERNAL_SERVER_ERROR, "an error of this node")
+            yield from http.complain(connection, failed, self.loop.now() + WRITE_MS)
         finally:
             for table in (self.unproven, self.reading, self.idle, self.held, self.open):
                 table.pop(connection, None)
