A request whose own coroutine fails is withdrawn before its client is told

Change: Server.work_unit withdraws the request; an id is free again where its taking fails. The test above ends its planted error once that has come, as the client is now told before its connection closes, and waits for the close after that; the list of figures holds requests_given_up_on_faults.

--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -299,8 +299,15 @@
         pending.task = self.loop.current
         self.ids.add(id)
         self.unproven.pop(connection, None)
+        ref = ""
         try:
-            yield from self.wait(connection, pending, self.take(pending))
+            ref = self.take(pending)
+            yield from self.wait(connection, pending, ref)
+        except Ended:
+            raise
+        except Exception:
+            self.left(ref)  # its client is told of the error, and nothing more of it is sent
+            raise
         finally:
             self.ids.discard(id)
         if pending.answer[0] == HTTPStatus.BAD_REQUEST:
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -258,6 +258,7 @@
         "members_unavailable": 0,
         "config_reloads": 0,
         "config_reload_errors": 0,
+        "requests_given_up_on_faults": 0,
     }
 
 
--- a/tests/test_left.py
+++ b/tests/test_left.py
@@ -674,7 +674,8 @@
     with monkeypatch.context() as patch:
         patch.setattr(Connection, "fill", lambda connection: 1 // 0)
         scene.sock.sendall(b"GET")
-        turn(lambda: scene.door not in node.server.open)
+        turn(lambda: faults)
+    turn(lambda: scene.door not in node.server.open)  # it is told of the error first
     act()
     turn(lambda: not node.executors.out)
     assert scene.begun == begun and b"abc" not in scene.read() and len(faults) == 1
