--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -46,6 +46,9 @@
         self.shed = False  # whether something that came was thrown away, after which no message can follow
         self.fed = 0  # bytes handed to the parser since this connection last let others go on
         self.opened_ms = self.used_ms = loop.now()
+        # When nothing was unread for the last time, and that time before the bytes that were read last.
+        self.empty_ms = self.came_ms = self.opened_ms
+        self.empty = False  # whether nothing was unread at the last look
         self.address: tuple[str, int] | None = None  # of the server, on our side of a call
 
     # Reading.
@@ -57,11 +60,19 @@
         except OSError:
             raise Ended(Reason.PEER_RESET) from None
         if count is None:
+            self.found_empty(self.loop.now())
             return False
+        if self.empty:  # so it was as the loop looked for the last time before these bytes
+            self.empty_ms, self.empty = max(self.empty_ms, self.loop.ready_since_ms), False
+        self.came_ms = self.empty_ms
         self.buffer.added(count)
         self.eof = self.eof or not count
         return True
 
+    def found_empty(self, at_ms: float) -> None:
+        """Note that nothing was unread at a time: what is read later was sent after that."""
+        self.empty_ms, self.empty = max(self.empty_ms, at_ms), True
+
     def event(self, until_ms: float) -> Steps:
         """Return the next part of a message, waiting for it until some time."""
         while True:
--- a/marlseam/net/http.py
+++ b/marlseam/net/http.py
@@ -68,6 +68,7 @@
     ) -> None:
         self.loop, self.sock, self.room, self.taken = loop, sock, room, taken
         self.closed = False  # the socket too: nobody stands in the queue
+        self.empty_ms = loop.now()  # when nobody stood in the queue for the last time
         if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
             # Not before: a client's time runs, unseen by the node, while it waits for a start that reads its
             # memory; and one that is turned away goes elsewhere at once.
@@ -78,11 +79,16 @@
         """Accept connections, some in each turn of the loop."""
         waiting = select.poll()
         waiting.register(self.sock, select.POLLIN)
+        empty = True  # whether nobody stood in the queue as it was waited for
         while True:
             yield (self.sock.fileno(), READ, inf)
+            if empty:
+                self.empty_ms = max(self.empty_ms, self.loop.ready_since_ms)
+            empty = False
             made = False  # whether room was made and is not used yet
             for _ in range(ACCEPTS):
                 if not syscalls.looked(waiting, unknown=True):
+                    empty, self.empty_ms = True, self.loop.now()
                     break  # before room is made: for nobody a connection would be closed
                 while not self.room(False):
                     # Guards against losing work units: what is not accepted yet waits, what is would be lost.
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -20,6 +20,7 @@
 
 READ, WRITE, END = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
 READY, LATE, WOKEN = "ready", "late", "woken"
+WAITED_MS = 1.0  # a look at the sockets that took longer has waited
 LOOK_MS = 5.0  # how often within a turn those that go first are looked for
 Wait = tuple[int, int, float]
 Coroutine = Generator[Wait, str, None]
@@ -170,6 +171,8 @@
         self.current: Task | None = None
         self.count = self.dropped = 0
         self.stopped = False
+        # When this turn's look at the sockets was over, and since when what it found may have been there.
+        self.polled_ms = self.ready_since_ms = self.now()
         self.late_ms = self.turn_ms = 0.0  # the longest that a timer came late, and that a turn took
 
     def spawn(self, coroutine: Coroutine, first: bool = False) -> Task:
@@ -237,8 +240,12 @@
 
     def turn(self) -> None:
         """Wait once, and run what is due by then."""
-        events = syscalls.attempted(lambda: self.poll.poll(self.pause_s())) or []
+        pause_s, asked = self.pause_s(), self.now()
+        events = syscalls.attempted(lambda: self.poll.poll(pause_s)) or []
         began = self.now()
+        # A look that had to wait ended with what it found; one that had not found what came since the last.
+        self.ready_since_ms = began if began - asked > WAITED_MS else self.polled_ms
+        self.polled_ms = began
         self.closed.clear()
         self.run_first()
         for fd, _ in events:
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -110,6 +110,8 @@
     def taken(self, sock: socket.socket) -> None:
         """Serve a connection; without room, as the listener closes, what came on it is refused at once."""
         connection = Connection(self.loop, self.log, sock, h11.SERVER, "client")
+        # It may have stood in the queue since then, and its first request with it.
+        connection.empty_ms = connection.came_ms = self.listener.empty_ms
         if not self.has_room(False):
             connection.last_words(HTTPStatus.SERVICE_UNAVAILABLE)
             connection.close(Reason.CROWDED)
@@ -275,7 +277,7 @@
             else:
                 job = protocol.job_from(call.target, call.head, call.body, self.deployment)
                 status, headers, body = yield from self.work_unit(
-                    connection, Pending(job, began, connection.gone)
+                    connection, Pending(job, connection.came_ms, connection.gone)
                 )
         except Malformed as error:
             raise http.bad(error) from None
@@ -317,9 +319,12 @@
     def wait(self, connection: Connection, pending: Pending, ref: str) -> Steps:
         """Wait for a work unit's answer, or for its client to go."""
         while pending.answer is None:
-            came = yield connection.waits()
+            wait, asked = connection.waits(), self.loop.now()
+            came = yield wait
             if came == LATE:
                 connection.shed_ahead()
+            elif came == WOKEN and wait[1] & READ and self.loop.polled_ms > asked:
+                connection.found_empty(self.loop.polled_ms)
             if came != WOKEN and pending.answer is None:
                 try:
                     gone = connection.gone() or (came == READY and connection.fill() and connection.eof)
