Run-time invariants: a look before each attempt and close, counted for operators

Cause: promises were kept by each path for itself; nothing said at run time that one of them did not. Change: marlseam/net/invariants.py looks at each attempt right before its bytes go out (after the final answer, after its client left, a repeat of what may have run, after a drain's grace, time told, slow start) and refuses it, so that it never ran; a close over a request that was read and has no answer is counted. invariant_violations_total.NAME among the figures, one line with ids in the log. The slow start look sees one node alone.

--- a/marlseam/core.py
+++ b/marlseam/core.py
@@ -12,7 +12,7 @@
 
 from marlseam.interface import Effect as Repeat
 from marlseam.interface import Listing, Member, Outcome, Report, Settings, State, WorkUnit
-from marlseam.logic import Handle, Node
+from marlseam.logic import COLD, Handle, Node
 from marlseam.recovery.receipts import Receipts, Trace
 
 RERUNNABLE, RECEIPTED = Repeat.RERUNNABLE, Repeat.RECEIPTED
@@ -537,6 +537,14 @@
         node = self.node
         return sum(s is not State.GONE and node.avoids(e) for e, s in enumerate(node.state))
 
+    def slow_start(self, name: str, type: int, slots: float) -> tuple[float, float]:
+        """Return a server's whole slow start budget in mean requests, inf if warm, and a request's size."""
+        e, node = self.index.get(name), self.node
+        allowance = node.allowance(e) if e is not None else inf
+        if allowance == inf:
+            return inf, 0.0
+        return allowance / COLD * node.set.fall_ms, node.run[type] * slots / node.mean_area
+
     def elsewhere(self, event: Elsewhere) -> None:
         """Note what another process of this node sends, once: it may have been told in a snapshot too."""
         if event.trace not in self.receipts.known(event.key, self.clock):
--- a/marlseam/net/discovery.py
+++ b/marlseam/net/discovery.py
@@ -260,6 +260,8 @@
                 self.held[entry.executor] = entry
         self.starts.keep(self.held)
         self.executors.listed(self.held, news.addresses)
+        if self.executors.guard is not None:
+            self.executors.guard.listed(self.held, self.loop.now())
         if resumed and not whole and not news.entries:
             self.heard(False)
             return True
--- a/marlseam/net/executors.py
+++ b/marlseam/net/executors.py
@@ -13,6 +13,7 @@
 from marlseam.interface import Outcome, Report
 from marlseam.net import protocol
 from marlseam.net.connection import Connection, Ended, Steps, connect
+from marlseam.net.invariants import SendGuard
 from marlseam.net.log import Log, Reason
 from marlseam.net.loop import READ, READY, Cancelled, Coroutine, Loop, Task
 from marlseam.net.protocol import Head, Job, Malformed
@@ -99,6 +100,7 @@
         self.loop, self.log, self.post, self.counters = loop, log, post, counters
         self.peers: dict[str, Peer] = {}
         self.out: dict[tuple[str, int], Flight] = {}
+        self.guard: SendGuard | None = None  # looks at each attempt right before it begins
         self.configure(deployment, places)
 
     def configure(self, deployment: Deployment, places: int) -> None:
@@ -259,12 +261,16 @@
             if not told:
                 told = True
                 self.out.pop((ref, alloc), None)
+                if self.guard is not None:
+                    self.guard.settled(ref, alloc, outcome)
                 self.post(Settled(ref, alloc, outcome, outcome is Outcome.COMPLETED, report, result))
 
         def unkept() -> None:
             nonlocal told
             told = True
             self.out.pop((ref, alloc), None)
+            if self.guard is not None:
+                self.guard.settled(ref, alloc, Outcome.VOID)
             self.post(Unkept(ref, alloc))
 
         reason = Reason.FAULT
@@ -289,6 +295,9 @@
                 # Guards the hard limit, and the memory of pods, against a connection that comes up late.
                 raise Ended(Reason.TIMED_OUT)
             headers = protocol.job_headers(job, peer.name, order.expires_ms - now, acting)
+            told_ms = 1000.0 * float(dict(headers)[protocol.TIME_LEFT])
+            if self.guard is not None and not self.guard.allows(ref, alloc, peer.name, told_ms, now):
+                raise Ended(Reason.WITHDRAWN)
             request = h11.Request(method="POST", target=job.target, headers=headers)
             # It begins with its last byte. The look at its client guards against work for nobody: the end may
             # be handled later in this turn, or have come since that began.
--- /dev/null
+++ b/marlseam/net/invariants.py
@@ -0,0 +1,196 @@
+"""What must never happen, checked at run time in one place each, refused where it still can be, and counted.
+
+The decisions and the adapters keep these promises by themselves; a count here says that one of them did not.
+A violation costs one log line and one count, never the process.
+"""
+
+from collections import deque
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from math import inf, sqrt
+
+from marlseam.config import Deployment
+from marlseam.core import Entry
+from marlseam.interface import Effect, Outcome, State
+from marlseam.net.log import Log
+from marlseam.net.protocol import Job
+
+LEFT_MS = 100.0  # after its client left, in which an attempt may still begin
+TOLD_MS = 150.0  # by which the deadline told may be past what the client has left
+SERVERS_MOST = 2000  # off the list, whose drains are remembered
+OVER_MOST = 2000  # requests that have ended, which are still known
+SMALL_BUDGET = 30.0  # requests, under which a slow start's bound has another form
+
+
+class Promise(Enum):
+    """An invariant; its value names it for operators."""
+
+    AFTER_ANSWER = "no_attempt_after_final_answer"
+    AFTER_LEAVING = "no_attempt_after_client_left"
+    REPEAT = "no_repeat_of_what_may_have_run"
+    DRAIN = "no_attempt_after_drain_grace"
+    DEADLINE = "deadline_told_within_time_left"
+    SLOW_START = "slow_start_budget"
+    ONE_ANSWER = "one_final_answer"
+    CLOSE = "no_close_over_unanswered_request"
+
+
+class Violations:
+    """Counts broken promises by name."""
+
+    def __init__(self, log: Log) -> None:
+        self.log = log
+        self.counts = dict.fromkeys(Promise, 0)
+
+    def note(self, promise: Promise, **ids: object) -> None:
+        """Count a violation and write its line."""
+        self.counts[promise] += 1
+        fields = " ".join(f"{name}={value}" for name, value in ids.items())
+        self.log.line(f"invariant violated: {promise.value} {fields}")
+
+    def total(self) -> int:
+        """Return how many there were."""
+        return sum(self.counts.values())
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One attempt whose last byte was about to go out."""
+
+    server: str
+    begun_ms: float
+    outcome: Outcome | None = None
+
+
+@dataclass(slots=True)
+class Request:
+    """What the guard knows of an open request."""
+
+    job: Job
+    expires_ms: float
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    ended: Promise | None = None  # what an attempt would break from now on
+    ended_ms: float = inf
+
+
+NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID)
+
+
+class SendGuard:
+    """Looks at each attempt right before it begins.
+
+    `slow_start` returns a server's whole slow start budget in mean requests, inf where it is warm, and the
+    size of a request of some class and width.
+    """
+
+    def __init__(
+        self,
+        violations: Violations,
+        deployment: Deployment,
+        slow_start: Callable[[str, int, float], tuple[float, float]],
+    ) -> None:
+        self.violations, self.deployment, self.slow_start = violations, deployment, slow_start
+        self.members: set[str] = set()
+        self.requests: dict[str, Request] = {}
+        self.over: dict[str, Promise] = {}  # requests that were forgotten last
+        self.draining_ms: dict[str, float] = {}  # since when a server is told to drain or be gone
+        self.starting: dict[str, deque[tuple[float, float]]] = {}  # sends in slow start: when, of what size
+
+    # What happens.
+
+    def taken(self, ref: str, job: Job, expires_ms: float) -> None:
+        """Note a request that is to be sent, and until when its client waits."""
+        self.requests.setdefault(ref, Request(job, expires_ms))
+
+    def ended(self, ref: str, promise: Promise, now: float) -> None:
+        """Note that a request has its answer, or that its client has left."""
+        request = self.requests.get(ref)
+        if request is None:
+            return
+        if request.ended is Promise.AFTER_ANSWER and promise is Promise.AFTER_ANSWER:
+            self.violations.note(Promise.ONE_ANSWER, ref=ref)
+        if request.ended is None:
+            request.ended, request.ended_ms = promise, now
+        self.forget(ref, request)
+
+    def settled(self, ref: str, attempt: int, outcome: Outcome) -> None:
+        """Note how an attempt ended."""
+        request = self.requests.get(ref)
+        if request is not None:
+            if attempt in request.attempts:
+                request.attempts[attempt].outcome = outcome
+            self.forget(ref, request)
+
+    def forget(self, ref: str, request: Request) -> None:
+        """Forget a request that has its end and nothing out."""
+        if request.ended is not None and all(a.outcome is not None for a in request.attempts.values()):
+            del self.requests[ref]
+            self.over[ref] = request.ended
+            if len(self.over) > OVER_MOST:
+                del self.over[next(iter(self.over))]
+
+    def listed(self, held: Mapping[str, Entry], now: float) -> None:
+        """Take in the list as it is held now; one off it may be used where draining alone binds."""
+        gone = set() if self.deployment.settings.drain_binds_alone else self.members - held.keys()
+        self.members = set(held)
+        draining = {name for name, entry in held.items() if entry.state is not State.READY}
+        for name in held.keys() - draining & self.draining_ms.keys():
+            self.draining_ms.pop(name, None)
+        for name in draining | gone:
+            self.draining_ms.setdefault(name, now)
+        if len(self.draining_ms) > SERVERS_MOST + len(held):
+            self.draining_ms = {name: at for name, at in self.draining_ms.items() if name in held}
+
+    # The look.
+
+    def allows(self, ref: str, attempt: int, server: str, told_ms: float, now: float) -> bool:
+        """Return whether an attempt may begin now, and note it; a violation is counted and refused."""
+        request = self.requests.get(ref)
+        promise = self.over.get(ref) if request is None else self.broken(request, server, told_ms, now)
+        if promise is not None:
+            self.violations.note(promise, ref=ref, attempt=attempt, server=server)
+            return False
+        if request is not None:
+            request.attempts[attempt] = Attempt(server, now)
+        return True
+
+    def broken(self, request: Request, server: str, told_ms: float, now: float) -> Promise | None:
+        """Return the promise that an attempt would break."""
+        if request.ended is Promise.AFTER_ANSWER:
+            return request.ended
+        if request.ended is not None and now - request.ended_ms > LEFT_MS:
+            return request.ended
+        if told_ms > request.expires_ms - now + TOLD_MS:
+            return Promise.DEADLINE
+        since = self.draining_ms.get(server)
+        if since is not None and now - since > self.deployment.grace_ms:
+            return Promise.DRAIN
+        if self.repeats(request, now):
+            return Promise.REPEAT
+        return Promise.SLOW_START if self.overloads(server, request.job, now) else None
+
+    def repeats(self, request: Request, now: float) -> bool:
+        """Return whether something of a request may have run, after which it may not go out again."""
+        ran = [a for a in request.attempts.values() if a.outcome not in NEVER_RAN]
+        if not ran:
+            return False
+        of_class = self.deployment.settings.types[request.job.type]
+        if of_class.effect is Effect.EXCLUSIVE:
+            return True
+        return of_class.effect is Effect.RECEIPTED and now > ran[0].begun_ms + of_class.memory_ms
+
+    def overloads(self, server: str, job: Job, now: float) -> bool:
+        """Return whether this node alone would send a server in slow start more than all nodes may."""
+        budget, size = self.slow_start(server, job.type, job.slots)
+        if budget == inf:
+            self.starting.pop(server, None)
+            return False
+        sends = self.starting.setdefault(server, deque())
+        while sends and sends[0][0] < now - self.deployment.settings.fall_ms:
+            sends.popleft()
+        factor = more = 3.0 if budget < SMALL_BUDGET else 2.0
+        if sends and sum(row[1] for row in sends) + size > budget + factor * sqrt(budget) + more:
+            return True
+        sends.append((now, size))
+        return False
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -19,6 +19,7 @@
 from marlseam.net import protocol, server
 from marlseam.net.discovery import Discovery
 from marlseam.net.executors import Executors, Order
+from marlseam.net.invariants import Promise, SendGuard, Violations
 from marlseam.net.log import Log
 from marlseam.net.loop import Loop
 from marlseam.net.server import Pending, Room
@@ -121,6 +122,9 @@
         self.counters = Counters()
         self.counters.know(config.deployment.types)
         self.executors = Executors(self.loop, self.log, config.deployment, places, self.post, self.counters)
+        self.violations = Violations(self.log)
+        self.guard = SendGuard(self.violations, config.deployment, self.slow_start)
+        self.executors.guard = self.guard
         self.discovery = Discovery(self.loop, self.log, config, self.executors, self.post)
         door = "listen", "{}:{}".format(*config.listen), "a free address"
         if config.socket_fd is not None:
@@ -129,6 +133,7 @@
             self.server = server.Server(
                 self.loop, self.log, config, clients, self.ready, self.take, self.left
             )
+        self.server.violations = self.violations
         descriptors, self.regrows = self.loop.descriptors, self.loop.at(self.loop.now(), lambda: None)
         descriptors.givers, descriptors.lacks = [self.server.make_room, self.executors.make_room], self.lacks
         self.admin = None
@@ -296,7 +301,12 @@
         """Return the figures, those of this moment included."""
         held = self.discovery.held
         now = {"pending": len(self.pending), "members": len(held), "members_unavailable": self.core.avoided()}
-        return self.counters.lines(**now)
+        violations = {f"invariant_violations_total.{p.value}": n for p, n in self.violations.counts.items()}
+        return self.counters.lines(**now, **violations)
+
+    def slow_start(self, name: str, type: int, slots: float) -> tuple[float, float]:
+        """Return a server's whole slow start budget and a request's size, in mean requests."""
+        return self.core.slow_start(name, type, slots)
 
     # Events.
 
@@ -359,6 +369,7 @@
 
     def left(self, ref: str) -> None:
         """Tell that a client has gone."""
+        self.guard.ended(ref, Promise.AFTER_LEAVING, self.loop.now())
         self.post(core.Left(ref))
         self.pending.pop(ref, None)
 
@@ -369,6 +380,7 @@
         """
         if pending.answer is None and not pending.gone():
             return False
+        self.guard.ended(ref, Promise.AFTER_LEAVING, self.loop.now())
         self.post(core.Left(ref))
         return True
 
@@ -387,6 +399,7 @@
             pending.expires_ms, gate, stands, now + effect.begin_ms, lambda: self.look(effect.ref, pending),
         )  # fmt: skip
         pending.sent = True
+        self.guard.taken(effect.ref, pending.job, pending.expires_ms)
         self.executors.send(order)
 
     def remember(self, effect: core.Remember | core.Forget) -> None:
@@ -399,6 +412,7 @@
     def answer(self, ref: str, status: int, headers: list[tuple[str, str]], body: bytes) -> None:
         """Give a client its one answer, if it is still there."""
         pending = self.pending.pop(ref, None)
+        self.guard.ended(ref, Promise.AFTER_ANSWER, self.loop.now())
         if pending is not None:
             self.counters.ended(pending.job.type_name, status)
             if self.acting is not None:
@@ -441,6 +455,7 @@
     def adopt(self, config: Config) -> None:
         """Go on under a new configuration."""
         self.config = config
+        self.guard.deployment = config.deployment
         self.counters.know(config.deployment.types)
         self.share()
         self.discovery.configure(config)
--- a/marlseam/net/server.py
+++ b/marlseam/net/server.py
@@ -12,6 +12,7 @@
 from marlseam.config import Config, Deployment
 from marlseam.net import http, protocol
 from marlseam.net.connection import Connection, Ended, Headers, Steps
+from marlseam.net.invariants import Promise, Violations
 from marlseam.net.log import Log, Reason
 from marlseam.net.loop import LATE, READ, READY, WOKEN, Cancelled, Coroutine, Loop, Task, Timer, sleep
 from marlseam.net.protocol import Job, Malformed
@@ -72,6 +73,8 @@
         self.reading: dict[Connection, Task] = {}  # those whose request has begun to come
         self.held: dict[Connection, int] = {}  # bytes set aside for the bodies of requests
         self.configure(config.deployment, room)
+        self.violations: Violations | None = None
+        self.owed: dict[Connection, str] = {}  # requests that were read and have no answer yet, by their ids
         self.ids: set[str] = set()  # of work units that are out
         self.draining: Timer | None = None  # the next look of a drain, while there is one
         self.close_ms = self.part_ms = inf  # when answers, and when unused connections, begin to close
@@ -227,6 +230,7 @@
             self.reading.pop(connection, None)
             if ended.status:
                 self.unproven[connection] = self.loop.current
+                self.owed.pop(connection, None)
                 yield from http.complain(connection, ended, self.loop.now() + WRITE_MS)
         except Cancelled:
             reason = Reason.DRAINING
@@ -234,9 +238,13 @@
         except Exception:
             # Guards the client against an error of this program: whoever has sent a request gets an answer.
             self.loop.fault(traceback.format_exc())
+            self.owed.pop(connection, None)
             failed = Ended(Reason.FAULT, HTTPStatus.INTERNAL_SERVER_ERROR, "an error of this node")
             yield from http.complain(connection, failed, self.loop.now() + WRITE_MS)
         finally:
+            id = self.owed.pop(connection, None)
+            if id is not None and self.violations is not None and not connection.gone():
+                self.violations.note(Promise.CLOSE, id=id, reason=reason.value)
             for table in (self.unproven, self.reading, self.idle, self.held, self.open):
                 table.pop(connection, None)
             connection.close(reason)
@@ -275,6 +283,7 @@
             if protocol.path_of(call.target) == protocol.READY_PATH:
                 status, headers, body = (200 if self.ready() else 503), [], b""
             else:
+                self.owed[connection] = call.head.get(protocol.ID, "")
                 job = protocol.job_from(call.target, call.head, call.body, self.deployment)
                 status, headers, body = yield from self.work_unit(
                     connection, Pending(job, connection.came_ms, connection.gone)
@@ -285,6 +294,7 @@
         if self.parting(connection):
             headers = [*headers, ("Connection", "close")]
         yield from http.answer(connection, status, headers, body, self.loop.now() + WRITE_MS)
+        self.owed.pop(connection, None)
         if connection.shed:
             yield from connection.linger(self.loop.now() + http.LINGER_MS)
         return connection.again()
--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -15,6 +15,7 @@
 from marlseam.net import node as node_module
 from marlseam.net import server as server_module
 from marlseam.net.executors import Order
+from marlseam.net.invariants import Promise
 
 
 @pytest.fixture
@@ -259,7 +260,7 @@
         "config_reloads": 0,
         "config_reload_errors": 0,
         "requests_given_up_on_faults": 0,
-    }
+    } | {f"invariant_violations_total.{promise.value}": 0 for promise in Promise}
 
 
 def test_mixed_ends_agree_with_what_clients_and_executors_saw(node, executor, client, reply, figures, call):
--- a/tests/test_own_faults.py
+++ b/tests/test_own_faults.py
@@ -9,6 +9,9 @@
 from marlseam import core
 from marlseam.net import node as node_module
 from marlseam.net import protocol
+from marlseam.net.connection import Ended
+from marlseam.net.invariants import Promise
+from marlseam.net.log import Reason
 
 
 class Planted(Exception):
@@ -89,3 +92,27 @@
     began = time.monotonic()
     assert reply(client(REQUEST)).startswith(b"HTTP/1.1 503")
     assert time.monotonic() - began < 2.0 and not node.pending and b"POST" not in asked
+
+
+def test_a_close_over_an_unanswered_request_is_counted(node, client, executor, monkeypatch):
+    # The planted defect drops the answer: the connection ends with no word to its client.
+    executor()
+
+    def dropped(*words: object) -> object:
+        raise Ended(Reason.FAULT)
+        yield
+
+    monkeypatch.setattr(node.server, "work_unit", dropped)
+    client(REQUEST)
+    turn(node, lambda: node.violations.counts[Promise.CLOSE])
+    assert node.violations.total() == 1
+    assert f"invariant_violations_total.{Promise.CLOSE.value}=1\n" in node.figures()
+
+
+def test_requests_that_are_answered_or_whose_client_leaves_break_no_invariant(node, client, reply, executor):
+    executor()
+    for _ in range(3):
+        reply(client(REQUEST))
+    client(POSTING).close()
+    turn(node, lambda: not node.server.owed)
+    assert not node.violations.total()
