--- a/marlseam/experiment/measures.py
+++ b/marlseam/experiment/measures.py
@@ -26,6 +26,7 @@
     size_cold,
     size_members,
     size_roster,
+    soak,
     versions,
 )
 from marlseam.experiment.file import Experiment
@@ -445,4 +446,5 @@
     size_members.register()
     size_changes.register()
     ready.register()
+    soak.register()
     size_cold.register()
