--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -16,6 +16,7 @@
 from marlseam.net import connection as connection_module
 from marlseam.net import http as http_module
 from marlseam.net.log import Log
+from marlseam.net.loop import Loop
 
 MOMENT = 3  # calls that fail in a row
 
@@ -233,3 +234,11 @@
     loop.at(loop.now(), lambda: None)
     loop.turn()
     assert not task.done
+
+
+def test_a_loop_begins_though_its_first_registration_fails_for_a_moment(monkeypatch):
+    # Found by the soak, seed 113: the node did not start.
+    real = select.epoll
+    monkeypatch.setattr(select, "epoll", lambda: Failing(real(), "register", errno.ENOSPC))
+    made = Loop(lambda text: None)
+    assert made.poll.left == 0
