--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -160,7 +160,7 @@
         self.clock, self.fault, self.descriptors = Clock(), fault, Descriptors()
         self.now = self.clock.now
         self.poll, self.first = select.epoll(), select.epoll()
-        self.poll.register(self.first.fileno(), READ)
+        syscalls.insisted(lambda: self.poll.register(self.first.fileno(), READ))
         self.looked_ms = 0.0  # when those that go first were last looked for
         self.known: dict[int, select.epoll] = {}
         self.closed: set[int] = set()  # in this turn
--- a/marlseam/net/syscalls.py
+++ b/marlseam/net/syscalls.py
@@ -7,10 +7,12 @@
 
 import errno
 import select
+import time
 from collections.abc import Callable
 from typing import TypeVar
 
 PASSES = frozenset({errno.ENOMEM, errno.ENOBUFS, errno.ENOSPC})
+START_TRIES = 200  # of a call without which no process can start, RETRY_MS apart
 RETRY_MS = 5.0  # how long what has failed for a moment waits before it is tried again
 POLL_TRIES = 8  # of a look that waits for nothing
 T = TypeVar("T")
@@ -40,3 +42,18 @@
         if not passes(error):
             raise
         return None
+
+
+def insisted(call: Callable[[], T]) -> T:
+    """Return what a call gives that a start needs, tried again for a second while it fails for a moment.
+
+    It blocks: for the time before a process serves alone.
+    """
+    for _ in range(START_TRIES):
+        try:
+            return call()
+        except OSError as error:
+            if not passes(error):
+                raise
+        time.sleep(RETRY_MS / 1000.0)
+    return call()
