--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -11,7 +11,7 @@
 import pytest
 from hypothesis import settings as hypothesis_settings
 
-from marlseam.config import ConfigError, Deployment, deployment_from, load, own_settings
+from marlseam.config import Config, ConfigError, Deployment, deployment_from, load, own_settings
 from marlseam.core import Event
 from marlseam.counters import Counters
 from marlseam.interface import (
@@ -323,6 +323,12 @@
     made.loop.finish()
 
 
+def reconfigured(node: Node, path: Path, **values: object) -> Config:
+    """Return a node's configuration with other values and no operators' door, as written to a file."""
+    path.write_text(json.dumps(json.loads(Path(node.config.path).read_text()) | values))
+    return replace(load(str(path), {}), admin=None)
+
+
 @pytest.fixture
 def client(node: Node) -> Callable[[bytes], socket.socket]:
     """Return a function that connects to the node and writes some bytes."""
--- a/tests/test_crowded_discovery.py
+++ b/tests/test_crowded_discovery.py
@@ -13,7 +13,7 @@
 from urllib.parse import parse_qsl
 
 import pytest
-from conftest import OPTIONS
+from conftest import OPTIONS, reconfigured
 from test_endings import HEAD, reset
 from test_told import Led
 
@@ -160,6 +160,11 @@
         return [i for i, one in enumerate(self.nodes) if one.version() < self.discovery.version]
 
 
+def given(node, **changes: object) -> dict[str, object]:
+    """Return the list that a node's configuration holds, with changes."""
+    return json.loads(Path(node.config.path).read_text())["known"] | changes
+
+
 @pytest.fixture
 def crowd(node, tmp_path: Path) -> Iterator[Callable[..., CrowdedFleet]]:
     """Return a maker of fleets whose nodes were given the list as it stood at their start."""
@@ -167,13 +172,10 @@
 
     def begin(free_calls: int, known: int = 1) -> CrowdedFleet:
         discovery = CrowdedDiscovery(free_calls)
-        values = json.loads(Path(node.config.path).read_text())
-        values["discovery"] = "{}:{}".format(*discovery.address)
-        values["settings"] = OPTIONS | {"fleetSize": NODES}
-        values["known"]["seq"] = known
-        path = tmp_path / "crowd.json"
-        path.write_text(json.dumps(values))
-        config = replace(node_module.configuration.load(str(path), {}), admin=None)
+        config = reconfigured(
+            node, tmp_path / "crowd.json", discovery="{}:{}".format(*discovery.address),
+            settings=OPTIONS | {"fleetSize": NODES}, known=given(node, seq=known),
+        )  # fmt: skip
         nodes = [Led(node_module.Node(replace(config, seed=seed)), discovery) for seed in range(1, NODES + 1)]
         made.append(CrowdedFleet(nodes, discovery))
         return made[-1]
@@ -262,21 +264,16 @@
 
     def begin(**known: object) -> Led:
         service = Scripted()
-        values = json.loads(Path(node.config.path).read_text())
-        values["discovery"] = "{}:{}".format(*service.address)
-        values["known"] |= {"seq": 5} | known
-        path = tmp_path / "scripted.json"
-        path.write_text(json.dumps(values))
-        made.append(
-            Led(node_module.Node(replace(node_module.configuration.load(str(path), {}), admin=None)), service)
-        )
+        config = reconfigured(
+            node, tmp_path / "scripted.json", discovery="{}:{}".format(*service.address),
+            known=given(node, **({"seq": 5} | known)),
+        )  # fmt: skip
+        made.append(Led(node_module.Node(config), service))
         return made[-1]
 
     yield begin
     for one in made:
-        one.node.busy = True
-        one.node.loop.finish()
-        one.service.close()
+        one.close()
 
 
 def test_a_node_that_was_given_a_list_asks_for_its_changes_and_goes_on_with_the_same_watch(scripted):
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -18,7 +18,7 @@
 from zlib import crc32
 
 import pytest
-from conftest import OPTIONS, SETTINGS
+from conftest import OPTIONS, SETTINGS, reconfigured
 from test_endings import HEAD, full_queue, reset
 
 from marlseam import logic
@@ -144,6 +144,11 @@
     def version(self) -> int:
         return self.node.discovery.version
 
+    def close(self) -> None:
+        self.node.busy = True
+        self.node.loop.finish()
+        self.service.close()
+
 
 @pytest.fixture
 def led(node, monkeypatch):
@@ -154,17 +159,13 @@
     def begin(listens: bool = True, **settings: object) -> Led:
         service = Service(listens)
         values = {"settings": OPTIONS | settings, "discovery": "{}:{}".format(*service.address)}
-        path = Path(node.config.path)
-        path.write_text(json.dumps(json.loads(path.read_text()) | values))
-        config = replace(node_module.configuration.load(node.config.path, {}), admin=None)
+        config = reconfigured(node, Path(node.config.path), **values)
         made.append(Led(node_module.Node(config), service))
         return made[-1]
 
     yield begin
     for one in made:
-        one.node.busy = True
-        one.node.loop.finish()
-        one.service.close()
+        one.close()
 
 
 # How a call can fail. Each takes a node whose call has just begun; where it hangs, time alone ends the call.
