Review: each case names the record that it writes

Cause: record.txt was named by the stand-ins that the cases share alone, so that no file of a case's folder showed it.

Change: each case passes the path of its record.txt; its checks, bounds and disruptions are as they were.

--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -469,9 +469,9 @@
     return values
 
 
-def play(case: Callable[[Record], Awaitable[int]], folder: Path) -> None:
-    """Play a case and exit with its status."""
-    record = Record(folder / "record.txt")
+def play(case: Callable[[Record], Awaitable[int]], path: Path) -> None:
+    """Play a case, write its record to `path`, and exit with its status."""
+    record = Record(path)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # so that the nodes are ended as well
     try:
         status = asyncio.run(asyncio.wait_for(case(record), 110.0))
@@ -479,7 +479,7 @@
         record.line(f"the case could not run: {error!r}")
         status = COULD_NOT_RUN
     record.line({HELD: "the rule held", BROKEN: "THE RULE WAS BROKEN"}.get(status, "could not run"))
-    print(f"{folder.name}: {'trouble' if has_trouble() else 'no trouble'}: exit {status}")
+    print(f"{path.parent.name}: {'trouble' if has_trouble() else 'no trouble'}: exit {status}")
     sys.exit(status)
 
 
