--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -278,6 +278,7 @@
         self.server: asyncio.Server | None = None
         self.writers: set[asyncio.StreamWriter] = set()
         self.left: set[str] = set()
+        self.wait_s = 0.0  # how long a call waits in line before it is worked on
 
     async def start(self) -> None:
         """Listen."""
@@ -313,6 +314,7 @@
         self.writers.add(writer)
         try:
             while (request := await read_message(reader, self.record.now)) is not None:
+                await asyncio.sleep(self.wait_s)
                 query = request.first.split()[1].partition("?")[2]
                 values = dict(part.partition("=")[::2] for part in query.split("&") if part)
                 answer = self.whole()
