--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Two exclusive edits of one key, one at each process of an upgrade."""
+"""A bad client repeats the id of another client's open request while the node is upgraded."""
 
 import asyncio
 import signal
@@ -11,42 +11,44 @@
 
 RUN_S, TIME_LEFT_S = 1.5, 5.0
 SETTINGS = rig.settings(
-    [rig.request_class("cue-edit", 500, 5000, "unsafe", oneAtATime=True)],
-    ceilings={"secondCopies": True},
-    guarantees={"turnGapUs": 50000, "drainBindsAlone": True, "stopSendingWithinUs": 2000000},
+    [rig.request_class("credit-post", 500, 20000, "unsafe")],
+    ceilings={"sendCap": 3},
+    guarantees={"stopSendingWithinUs": 300000},
 )
 
 
 async def case(site: rig.Rig) -> list[str]:
-    """Send an edit to the old process, upgrade, and send the key's next edit; return what broke the rule."""
+    """Repeat the id of an open exclusive request at the new process; return what broke the rule."""
     executors = [rig.Executor(site.record, f"s-{index}") for index in range(3)]
     for executor in executors:
-        executor.job = lambda attempt: rig.Job(RUN_S if attempt.id.startswith("edit") else 0.1)
+        executor.job = lambda attempt: rig.Job(RUN_S if attempt.id == "post-1" else 0.1)
     site.share_listener()
     await site.begin(executors)
     old = await site.start_node()
-    first_client = rig.Client(site.record, site.port, "first client")
-    for number in range(
-        12
-    ):  # the node learns how long edits run; the client's connection is the old process's
-        await first_client.send(f"warm-{number}", f"/cue-edit?user=film-{number}", TIME_LEFT_S)
+    client = rig.Client(site.record, site.port, "client")
+    await client.send("warm", "/credit-post", TIME_LEFT_S)
     if rig.trouble():
         await site.start_node()
-    first = asyncio.ensure_future(first_client.send("edit-1", "/cue-edit?user=film-x", TIME_LEFT_S))
+    open_request = asyncio.ensure_future(client.send("post-1", "/credit-post", TIME_LEFT_S))
     await asyncio.sleep(0.1)
     if rig.trouble():
         old.signal(signal.SIGTERM)
         await asyncio.sleep(0.1)
-    second_client = rig.Client(site.record, site.port, "second client")
-    await second_client.send("edit-2", "/cue-edit?user=film-x", TIME_LEFT_S)
-    await first
-    runs = {attempt.id: attempt for executor in executors for attempt in executor.attempts}
-    if "edit-1" not in runs:
-        raise rig.UnfitError("the first edit was not sent")
-    one, two = runs["edit-1"], runs.get("edit-2")
-    if two is not None and one.ended is not None and two.arrived < one.ended:
-        return [f"edit-2 was sent {one.ended - two.arrived:.2f} s before edit-1 of the same key was over"]
-    return []
+    bad_client = rig.Client(site.record, site.port, "bad client")
+    served = await bad_client.send("post-1", "/credit-post", TIME_LEFT_S)
+    await open_request
+    runs = [
+        attempt
+        for executor in executors
+        for attempt in executor.attempts
+        if attempt.id == "post-1" and attempt.began is not None
+    ]
+    if not runs:
+        raise rig.UnfitError("the request was not sent")
+    found = [f"the exclusive request post-1 was begun {len(runs)} times"] if len(runs) > 1 else []
+    if served.status == 200:
+        found.append("the bad client was served")
+    return found
 
 
 if __name__ == "__main__":
