--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A restarted node sends work to an executor that drains, as discovery is slow to answer its first call."""
+"""Two exclusive edits of one key, one at each process of an upgrade."""
 
 import asyncio
 import signal
@@ -9,51 +9,44 @@
 
 from common_2 import rig
 
-GRACE_S, SLACK_S = 0.5, 0.05
-LINE_S = 1.5  # how long a call waits at a crowded discovery, under the 2 s after which it is declined
-LOAD_S, APART_S, TIME_LEFT_S = 3.0, 0.04, 10.0
+RUN_S, TIME_LEFT_S = 1.5, 5.0
 SETTINGS = rig.settings(
-    [rig.request_class("share-check", 400, 10000, "safe")],
-    guarantees={"stopSendingWithinUs": 500000, "fallMultiple": 3.0, "tipAfterUs": 1000000},
-    registryMode="automatic",
+    [rig.request_class("cue-edit", 500, 5000, "unsafe", oneAtATime=True)],
+    ceilings={"secondCopies": True},
+    guarantees={"turnGapUs": 50000, "drainBindsAlone": True, "stopSendingWithinUs": 2000000},
 )
 
 
-async def send_requests(site: rig.Rig, prefix: str, seconds: float) -> None:
-    """Send requests at an even pace, each on a connection of its own, and wait for the answers."""
-    sent = []
-    for number in range(int(seconds / APART_S)):
-        client = rig.Client(site.record, site.port, f"client {number}")
-        request = client.send(f"{prefix}-{number}", "/share-check", TIME_LEFT_S)
-        sent.append(asyncio.ensure_future(request))
-        await asyncio.sleep(APART_S)
-    await asyncio.gather(*sent)
-
-
 async def case(site: rig.Rig) -> list[str]:
-    """Kill the node, let an executor drain, start the node again; return the sends after the grace."""
-    executors = [rig.Executor(site.record, f"s-{index}") for index in range(4)]
+    """Send an edit to the old process, upgrade, and send the key's next edit; return what broke the rule."""
+    executors = [rig.Executor(site.record, f"s-{index}") for index in range(3)]
     for executor in executors:
-        executor.job = lambda _attempt: rig.Job(0.1)
-    await site.begin(executors)  # the file's list, `known`, is the one of this moment
-    node = await site.start_node()
-    await send_requests(site, "before", 1.0)
-    node.signal(signal.SIGKILL)
-    await node.process.wait()
-    drained = executors[0]
-    site.discovery.change(drained, "leaving")
-    await asyncio.sleep(1.0)
-    site.discovery.wait_s = LINE_S if rig.trouble() else 0.0
-    await site.start_node()
-    told = site.record.now()  # at the latest: the process has begun before
-    await send_requests(site, "after", LOAD_S)
-    if not any(attempt.id.startswith("after") for executor in executors for attempt in executor.attempts):
-        raise rig.UnfitError("nothing was sent after the restart")
-    return [
-        f"{attempt.id} was sent to {drained.name} {attempt.first_byte - told:.2f} s after it was told"
-        for attempt in drained.attempts
-        if attempt.first_byte > told + GRACE_S + SLACK_S
-    ]
+        executor.job = lambda attempt: rig.Job(RUN_S if attempt.id.startswith("edit") else 0.1)
+    site.share_listener()
+    await site.begin(executors)
+    old = await site.start_node()
+    first_client = rig.Client(site.record, site.port, "first client")
+    for number in range(
+        12
+    ):  # the node learns how long edits run; the client's connection is the old process's
+        await first_client.send(f"warm-{number}", f"/cue-edit?user=film-{number}", TIME_LEFT_S)
+    if rig.trouble():
+        await site.start_node()
+    first = asyncio.ensure_future(first_client.send("edit-1", "/cue-edit?user=film-x", TIME_LEFT_S))
+    await asyncio.sleep(0.1)
+    if rig.trouble():
+        old.signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+    second_client = rig.Client(site.record, site.port, "second client")
+    await second_client.send("edit-2", "/cue-edit?user=film-x", TIME_LEFT_S)
+    await first
+    runs = {attempt.id: attempt for executor in executors for attempt in executor.attempts}
+    if "edit-1" not in runs:
+        raise rig.UnfitError("the first edit was not sent")
+    one, two = runs["edit-1"], runs.get("edit-2")
+    if two is not None and one.ended is not None and two.arrived < one.ended:
+        return [f"edit-2 was sent {one.ended - two.arrived:.2f} s before edit-1 of the same key was over"]
+    return []
 
 
 if __name__ == "__main__":
