--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,7 +1,7 @@
-"""Two exclusive edits of one key, one at each process of an upgrade."""
+"""Clients that stop in the middle of a request and stay keep usual requests unread past their time."""
 
 import asyncio
-import signal
+import contextlib
 import sys
 from pathlib import Path
 
@@ -9,44 +9,62 @@
 
 from common_2 import rig
 
-RUN_S, TIME_LEFT_S = 1.5, 5.0
+SOCKETS, BAD_CLIENTS = 256, 150
+BEGIN_S, END_S, APART_S = 2.0, 8.0, 0.05
+TIME_LEFT_S, LATE_S, SLACK_S = 1.5, 0.5, 0.05
 SETTINGS = rig.settings(
-    [rig.request_class("cue-edit", 500, 5000, "unsafe", oneAtATime=True)],
-    ceilings={"secondCopies": True},
-    guarantees={"turnGapUs": 50000, "drainBindsAlone": True, "stopSendingWithinUs": 2000000},
+    [rig.request_class("credit-lookup", 200, 5000, "safe")],
+    ceilings={"secondCopies": True, "sendCap": 5},
 )
 
 
+async def stop_midway(site: rig.Rig, number: int, until_s: float) -> None:
+    """Be a bad client: a good request, then half of one; stay for the error or the close, and begin again."""
+    turn = 0
+    while site.record.now() < until_s:
+        turn += 1
+        client = rig.Client(site.record, site.port, f"bad client {number}")
+        with contextlib.suppress(TimeoutError, *rig.LOST):
+            await client.send(f"bad-{number}-{turn}", "/credit-lookup", 5.0)
+            if client.writer is not None and client.reader is not None:
+                whole = client.request_bytes(f"half-{number}-{turn}", "/credit-lookup", 5.0, body=b"x" * 100)
+                client.writer.write(whole[:-50])
+                await asyncio.wait_for(client.reader.read(), 6.0)
+        client.close()
+
+
 async def case(site: rig.Rig) -> list[str]:
-    """Send an edit to the old process, upgrade, and send the key's next edit; return what broke the rule."""
-    executors = [rig.Executor(site.record, f"s-{index}") for index in range(3)]
+    """Send usual requests beside the bad clients; return those that got no answer in time."""
+    site.limits = {**site.limits, "sockets": SOCKETS}
+    executors = [rig.Executor(site.record, f"s-{index}", slots=20) for index in range(5)]
     for executor in executors:
-        executor.job = lambda attempt: rig.Job(RUN_S if attempt.id.startswith("edit") else 0.1)
-    site.share_listener()
+        executor.job = lambda _attempt: rig.Job(0.05)
     await site.begin(executors)
-    old = await site.start_node()
-    first_client = rig.Client(site.record, site.port, "first client")
-    for number in range(
-        12
-    ):  # the node learns how long edits run; the client's connection is the old process's
-        await first_client.send(f"warm-{number}", f"/cue-edit?user=film-{number}", TIME_LEFT_S)
-    if rig.trouble():
-        await site.start_node()
-    first = asyncio.ensure_future(first_client.send("edit-1", "/cue-edit?user=film-x", TIME_LEFT_S))
-    await asyncio.sleep(0.1)
-    if rig.trouble():
-        old.signal(signal.SIGTERM)
-        await asyncio.sleep(0.1)
-    second_client = rig.Client(site.record, site.port, "second client")
-    await second_client.send("edit-2", "/cue-edit?user=film-x", TIME_LEFT_S)
-    await first
-    runs = {attempt.id: attempt for executor in executors for attempt in executor.attempts}
-    if "edit-1" not in runs:
-        raise rig.UnfitError("the first edit was not sent")
-    one, two = runs["edit-1"], runs.get("edit-2")
-    if two is not None and one.ended is not None and two.arrived < one.ended:
-        return [f"edit-2 was sent {one.ended - two.arrived:.2f} s before edit-1 of the same key was over"]
-    return []
+    await site.start_node()
+    zero = site.record.now()
+    bad = [
+        asyncio.ensure_future(stop_midway(site, number, zero + END_S))
+        for number in range(BAD_CLIENTS if rig.trouble() else 0)
+    ]
+    await asyncio.sleep(BEGIN_S)
+    usual = []
+    while site.record.now() < zero + END_S:
+        client = rig.Client(site.record, site.port, f"client {len(usual)}")
+        request = client.send(f"look-{len(usual)}", "/credit-lookup", TIME_LEFT_S)
+        usual.append(asyncio.ensure_future(request))
+        await asyncio.sleep(APART_S)
+    answers = await asyncio.gather(*usual)
+    for task in bad:
+        task.cancel()
+    late_s = TIME_LEFT_S + LATE_S + SLACK_S
+    late = [answer for answer in answers if not answer.status or answer.at - answer.sent > late_s]
+    if not late:
+        return []
+    worst_s = max(answer.at - answer.sent for answer in late)
+    return [
+        f"{len(late)} of {len(answers)} requests with {TIME_LEFT_S} s left had no answer after {late_s} s; "
+        f"the last waited for {worst_s:.2f} s"
+    ]
 
 
 if __name__ == "__main__":
--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -23,6 +23,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
 PROGRESS_S = 1.0  # how often an executor tells of a job's progress, as `progressUs` says
+SERVED = 200
 HELD, BROKEN, UNFIT = 0, 1, 2  # exit codes of a case
 
 
