--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -24,6 +24,15 @@
 HOST = "127.0.0.1"
 PROGRESS_S = 1.0  # how often an executor tells of a job's progress, as `progressUs` says
 SERVED = 200
+# Makes the descriptor that is its first argument descriptor 3, and becomes the command that follows.
+AS_DESCRIPTOR_3 = """
+import os, sys
+given = int(sys.argv[1])
+if given != 3:
+    os.dup2(given, 3)
+    os.close(given)
+os.execv(sys.argv[2], sys.argv[2:])
+"""
 HELD, BROKEN, UNFIT = 0, 1, 2  # exit codes of a case
 
 
@@ -591,14 +600,15 @@
             "EDGE_ADMIN": f"{HOST}:{admin}",
             "TMPDIR": str(self.folder),
         }
+        command = ["/bin/sh", "-c", run]
         pass_fds: tuple[int, ...] = ()
         if self.listener is not None:
             env["EDGE_SOCKET_FD"] = "3"
-            run = f"exec 3<&{self.listener.fileno()}; {run}"
             pass_fds = (self.listener.fileno(),)
+            command = [sys.executable, "-c", AS_DESCRIPTOR_3, str(self.listener.fileno()), *command]
         log = (self.folder / "node.log").open("ab")
         process = await asyncio.create_subprocess_exec(
-            "/bin/sh", "-c", run, cwd=ROOT, env=env, stdout=log, stderr=log, pass_fds=pass_fds
+            *command, cwd=ROOT, env=env, stdout=log, stderr=log, pass_fds=pass_fds
         )
         log.close()
         node = Node(self, process, admin)
