--- a/review/common_2/rig.py
+++ b/review/common_2/rig.py
@@ -546,8 +546,8 @@
 class Rig:
     """One deployment: its folder, stand-ins and node processes."""
 
-    def __init__(self, folder: Path, options: dict[str, Any]) -> None:
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record: Path, options: dict[str, Any]) -> None:
+        self.record = Record(record)
         self.options = options
         self.folder = Path(tempfile.mkdtemp(prefix="marlseam-case-"))
         self.port = free_port()
@@ -639,9 +639,9 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-async def play(folder: Path, options: dict[str, Any], case: Callable[[Rig], Any]) -> int:
+async def play(record: Path, options: dict[str, Any], case: Callable[[Rig], Any]) -> int:
     """Play a case and return its exit code; a case returns the list of what broke the rule."""
-    rig = Rig(folder, options)
+    rig = Rig(record, options)
     try:
         async with asyncio.timeout(110.0):
             found = await case(rig)
@@ -661,6 +661,6 @@
     return code
 
 
-def main(script: str, options: dict[str, Any], case: Callable[[Rig], Any]) -> None:
-    """Play the case whose script is given, and exit with its code."""
-    sys.exit(asyncio.run(play(Path(script).resolve().parent, options, case)))
+def main(record: Path, options: dict[str, Any], case: Callable[[Rig], Any]) -> None:
+    """Play a case, write what was sent, answered and run to `record`, and exit with the case's code."""
+    sys.exit(asyncio.run(play(record, options, case)))
