An unsafe request that may have run is not sent again under its correlation id

Callers saw an unsafe request begun twice: a client sent it and left while its attempt was out (or was answered), and the same X-Correlation-Id came again.

Cause: the table that refuses an id (net/downstream.py) holds it only while a client waits, and records of attempts that may have run were kept by idempotency key alone, which unsafe requests do not have.

Change: attempts of unsafe requests are recorded by a digest of the id under the same rules as keyed ones: before the send, erased where the attempt provably never ran, told to the node's other processes. These records are not written to the state directory. Why it works: the check is where every request passes, in the reducer, and knows the outcome of each attempt.

--- a/marlseam/core/idempotency.py
+++ b/marlseam/core/idempotency.py
@@ -8,12 +8,42 @@
 
 import heapq
 from collections.abc import Callable, Iterable, Iterator
+from hashlib import blake2b
 from math import inf
 from typing import NamedTuple
 
+from marlseam.decisions.types import Idempotency, Request, RequestClass
+
+# Prefix of keys made from correlation ids; clients' idempotency keys have no spaces.
+CORRELATION_KEY_PREFIX = "id "
+CORRELATION_DIGEST_BYTES = 16
 MIN_WAIT_FOR_KEY_MS = 1.0  # the shortest delay advised for a retry while the number of keys is at its bound
 
 
+def correlation_key(correlation_id: str) -> str:
+    """Return the key under which attempts of an unsafe request are recorded, by the client's id.
+
+    A digest: an id may be as long as the longest key that other processes accept.
+    """
+    digest = blake2b(correlation_id.encode(), digest_size=CORRELATION_DIGEST_BYTES)
+    return CORRELATION_KEY_PREFIX + digest.hexdigest()
+
+
+def is_correlation_key(key: str) -> bool:
+    """Return whether a key was made from a correlation id; such records are not stored across restarts."""
+    return key.startswith(CORRELATION_KEY_PREFIX)
+
+
+def record_keys(request: Request, request_class: RequestClass) -> list[str]:
+    """Return the keys under which a request must be recorded before it is sent; none for a safe request."""
+    if request_class.idempotency is Idempotency.SAFE:
+        return []
+    keys = [] if request.idempotency_key is None else [request.idempotency_key]
+    if request.correlation_id is not None:
+        keys.append(correlation_key(request.correlation_id))
+    return keys
+
+
 class AttemptRecord(NamedTuple):
     """One attempt that may have run.
 
--- a/marlseam/core/port.py
+++ b/marlseam/core/port.py
@@ -17,13 +17,20 @@
     SetTimer,
     WatchEndpoints,
 )
-from marlseam.core.idempotency import AttemptRecord, IdempotencyRecords
+from marlseam.core.idempotency import (
+    AttemptRecord,
+    IdempotencyRecords,
+    is_correlation_key,
+    record_keys,
+)
 from marlseam.core.servers import ServerIndices
 from marlseam.decisions.dispatcher import Dispatcher
 from marlseam.decisions.types import Idempotency, TrackedRequest
 
 # Maximum number of idempotency keys of requests that may have run; requests under further keys are rejected.
 MAX_KEYS = 20000
+# The least time for which an unsafe request that may have run is refused when its correlation id comes again.
+MIN_CORRELATION_MEMORY_MS = 30000.0
 
 
 class EffectsPort:
@@ -53,7 +60,7 @@
         return self.clock
 
     def send(self, state: TrackedRequest, server: int, time_left_ms: float) -> None:
-        """Send the last attempt of a request; with an idempotency key, unless safe, it is recorded first."""
+        """Send the last attempt of a request, recorded first under the request's keys unless it is safe."""
         request, request_class = state.request, state.request_class
         send_within_ms = inf
         earlier = [
@@ -63,8 +70,8 @@
             # After this time servers may have forgotten the key of the first attempt that may have run, and
             # would run the request a second time.
             send_within_ms = earlier[0].sent_ms + request_class.deduplication_window_ms - self.clock
-        if request.idempotency_key is not None and request_class.idempotency is not Idempotency.SAFE:
-            self.persist(state, request.idempotency_key, server)
+        for key in record_keys(request, request_class):
+            self.persist(state, key, server)
         index, name = len(state.attempts) - 1, self.servers.names[server]
         self.effects.append(SendAttempt(request.request_id, index, name, time_left_ms, send_within_ms))
 
@@ -73,6 +80,8 @@
         request_class, dispatcher = state.request_class, self.dispatcher
         is_keyed = request_class.idempotency is Idempotency.KEYED
         memory_ms = request_class.deduplication_window_ms if is_keyed else request_class.deadline_ms
+        if is_correlation_key(key):
+            memory_ms = max(memory_ms, MIN_CORRELATION_MEMORY_MS)
         record = AttemptRecord(
             self.servers.names[server],
             dispatcher.zone[server],
@@ -115,10 +124,11 @@
         self.effects.append(SetTimer(self.timer_count, delay_ms))
 
     def never_ran(self, state: TrackedRequest, server: int, sent_ms: float) -> None:
-        """Erase the record of an attempt that provably never ran, if there is one."""
-        key, name = state.request.idempotency_key, self.servers.names[server]
-        if key is not None and self.idempotency_records.never_ran(key, name, sent_ms):
-            self.effects.append(ErasePersisted(key, name, sent_ms))
+        """Erase the records of an attempt that provably never ran, if there are any."""
+        name = self.servers.names[server]
+        for key in record_keys(state.request, state.request_class):
+            if self.idempotency_records.never_ran(key, name, sent_ms):
+                self.effects.append(ErasePersisted(key, name, sent_ms))
 
     def watch_endpoints(self) -> None:
         """Request the endpoint list and its changes from discovery."""
--- a/marlseam/core/reducer.py
+++ b/marlseam/core/reducer.py
@@ -32,7 +32,7 @@
     ShutdownBegun,
     TimerFired,
 )
-from marlseam.core.idempotency import UNKNOWN_ATTEMPT, AttemptRecord, UnavailableHistory
+from marlseam.core.idempotency import UNKNOWN_ATTEMPT, AttemptRecord, UnavailableHistory, record_keys
 from marlseam.core.port import EffectsPort
 from marlseam.core.servers import indexed_endpoint
 from marlseam.decisions.dispatcher import Dispatcher
@@ -41,7 +41,6 @@
 from marlseam.decisions.types import (
     Endpoint,
     EndpointState,
-    Idempotency,
     ListUpdateKind,
     Outcome,
     Request,
@@ -225,16 +224,22 @@
 
     def needs_record(self, request: Request) -> bool:
         """Return whether a request must be recorded before it is sent."""
-        request_class = self.dispatcher.request_classes[request.class_index]
-        return request.idempotency_key is not None and request_class.idempotency is not Idempotency.SAFE
+        return bool(record_keys(request, self.dispatcher.request_classes[request.class_index]))
 
     def prior_attempts(self, request: Request) -> list[AttemptRecord]:
-        """Return the attempts that may have run under a request's key, or `UNKNOWN_ATTEMPT`.
+        """Return the attempts that may have run under a request's keys, or `UNKNOWN_ATTEMPT`.
 
-        The latter stands for a retry of a request whose attempts may be among missing records.
+        The latter stands for a retry of a request whose attempts may be among missing records. A retry is
+        recognised by its idempotency key alone, as its client gives it another correlation id.
         """
-        prior = self.idempotency_records.attempts(request.idempotency_key or "", self.clock)
-        if not prior and request.may_be_retry and self.is_history_incomplete():
+        request_class = self.dispatcher.request_classes[request.class_index]
+        prior = [
+            record
+            for key in record_keys(request, request_class)
+            for record in self.idempotency_records.attempts(key, self.clock)
+        ]
+        may_be_retry = request.idempotency_key is not None and request.may_be_retry
+        if not prior and may_be_retry and self.is_history_incomplete():
             return [UNKNOWN_ATTEMPT]
         return prior
 
--- a/marlseam/decisions/types.py
+++ b/marlseam/decisions/types.py
@@ -237,13 +237,15 @@
         slots: how many slots the request takes on a server.
         run_hint_ms: the run time that the client states; None for none.
         idempotency_key: the key by which servers recognise a repeat; None for none.
+        correlation_id: the id that the client gave an unsafe request, which is sent once under it; None where
+            the request may be repeated or its client gave none.
         resource_key: the key of the resource that the request needs or changes; None for none.
         may_be_retry: whether the request may be a client's retry.
         is_recordable: whether the record that the request may run can be made durable; False also where the
             request may not be sent. If a record is needed and cannot be made, no attempt is sent.
         is_sendable: whether attempts may be sent, as the node may act.
         prior_attempts: pairs of server and sending time of earlier attempts under the same idempotency key
-            that may have run.
+            or correlation id that may have run.
     """
 
     request_id: str
@@ -257,6 +259,7 @@
     is_recordable: bool = True
     is_sendable: bool = True
     prior_attempts: tuple[tuple[int, float], ...] = ()
+    correlation_id: str | None = None
 
 
 @dataclass(slots=True)
--- a/marlseam/net/effects.py
+++ b/marlseam/net/effects.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from marlseam import core
+from marlseam.core.idempotency import is_correlation_key
 from marlseam.decisions.types import Outcome
 from marlseam.net import protocol
 from marlseam.net.node_interface import NodeInterface
@@ -91,10 +92,13 @@
     # Records, timers, discovery and log.
 
     def record(self, effect: core.PersistAttempt | core.ErasePersisted) -> None:
-        """Send other processes of the node an attempt that may run or never ran, then store the record."""
+        """Send other processes of the node an attempt that may run or never ran, then store the record.
+
+        Records by correlation id are not stored, as clients give each of their retries another id.
+        """
         if self.node.handover is not None:
             self.node.handover.send_attempt_record(effect)
-        if self.node.durable_state is not None:
+        if self.node.durable_state is not None and not is_correlation_key(effect.key):
             self.node.durable_state.record(effect)
 
     def set_timer(self, effect: core.SetTimer) -> None:
--- a/marlseam/net/open_requests.py
+++ b/marlseam/net/open_requests.py
@@ -8,6 +8,7 @@
 from marlseam.net.invariants import Invariant
 from marlseam.net.node_interface import NodeInterface
 from marlseam.net.pending_request import PendingRequest
+from marlseam.net.protocol import ClientRequest
 
 
 class GiveUp(NamedTuple):
@@ -36,7 +37,7 @@
         The node assigns the id itself, as two clients may send the same correlation id.
         """
         node, client_request = self.node, pending.client_request
-        if node.handover is not None and client_request.idempotency_key is not None:
+        if node.handover is not None and client_request.must_run_once:
             node.handover.catch_up()
         self.last_request_id += 1
         request_id = str(self.last_request_id)
@@ -44,7 +45,6 @@
         may_take = node.config_service is None or node.config_service.may_accept()
         if node.config_service is not None:
             node.config_service.record_accepted()
-        is_recordable = may_take and (node.durable_state is None or node.durable_state.store.is_available())
         request = Request(
             request_id,
             client_request.class_index,
@@ -53,12 +53,20 @@
             idempotency_key=client_request.idempotency_key,
             resource_key=client_request.resource_key,
             may_be_retry=client_request.may_be_retry,
-            is_recordable=is_recordable,
+            is_recordable=may_take and self.is_recordable(client_request),
             is_sendable=may_take,
+            correlation_id=client_request.id if client_request.is_unsafe else None,
         )
         node.post(core.RequestArrived(request))
         return request_id
 
+    def is_recordable(self, client_request: ClientRequest) -> bool:
+        """Return whether records of a request's attempts can be kept wherever the request may come again."""
+        node = self.node
+        if client_request.idempotency_key is None or node.durable_state is None:
+            return True
+        return node.durable_state.store.is_available()
+
     def client_left(self, request_id: str) -> None:
         """End a request whose client has closed its connection."""
         self.end_without_answer(request_id)
