The processes of a node tell each other the ids of their open requests

Callers saw, in an upgrade, that a client with the id of another client's open request was served by the new process, and an unsafe request begun twice.

Cause: the table of open ids belonged to one process (DownstreamServer); the handover passed keyed attempts and the endpoint list on, not these ids.

A process writes an id before it reads the others' lines, so that of two that take it at one time at least one sees the other.

--- a/marlseam/net/downstream.py
+++ b/marlseam/net/downstream.py
@@ -17,6 +17,7 @@
 from marlseam.net.log import Log, Reason
 from marlseam.net.loop import LATE, READ, READY, WOKEN, Cancelled, Coroutine, Loop, Task, Timer, sleep
 from marlseam.net.pending_request import PendingRequest
+from marlseam.net.request_ids import RequestIds
 
 IDLE_TIMEOUT_MS = 300000.0  # how long a client may keep an idle connection
 DRAIN_CHECK_MS = 20.0  # how often a drain checks for idle connections
@@ -54,7 +55,7 @@
         reading: tasks of connections whose request has begun to arrive.
         reserved_bytes: bytes of memory reserved for the body of each connection's request.
         unanswered: correlation ids of requests that were read and not answered, by connection.
-        correlation_ids: correlation ids of the requests that the node is handling.
+        request_ids: correlation ids of the requests that the node is handling.
         limits: maximum number of clients, and of bytes of their requests' bodies.
         violations: counts connections closed with an unanswered request; None if they are not counted.
         drain_timer: timer of a drain's next check; None while no drain is in progress.
@@ -85,7 +86,7 @@
         self.configure(config.deployment, limits)
         self.violations: Violations | None = None
         self.unanswered: dict[Connection, str] = {}
-        self.correlation_ids: set[str] = set()
+        self.request_ids = RequestIds()
         self.drain_timer: Timer | None = None
         self.close_answered_at_ms = self.close_idle_at_ms = inf
         fd = config.socket_fd
@@ -334,10 +335,9 @@
             connection.discard_pipelined()
         if connection.is_peer_gone():  # guards against work for a client that has already left
             raise ConnectionEndedError(Reason.PEER_CLOSED)
-        if id in self.correlation_ids:
+        if not self.request_ids.take(id):
             raise MalformedMessageError("a work unit with this id is out", 409)
         pending.task = self.loop.running_task()
-        self.correlation_ids.add(id)
         self.unvalidated.pop(connection, None)
         request_id = ""
         try:
@@ -349,7 +349,7 @@
             self.client_left(request_id)  # its client gets an error answer, and no more attempts are sent
             raise
         finally:
-            self.correlation_ids.discard(id)
+            self.request_ids.give_back(id)
         if answer.status == HTTPStatus.BAD_REQUEST:
             raise MalformedMessageError("no executor can use this")
         return answer
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -185,7 +185,9 @@
         if self.config.socket_fd is not None and self.config.folder is not None:
             from marlseam.net.process_handover import ProcessHandover
 
-            self.handover = ProcessHandover(self, self.config.folder, self.take_over)
+            self.handover = ProcessHandover(
+                self, self.config.folder, self.downstream.request_ids, self.take_over
+            )
             self.handover.begin()
         else:
             with self.listen_error():
--- a/marlseam/net/open_requests.py
+++ b/marlseam/net/open_requests.py
@@ -37,8 +37,6 @@
         The node assigns the id itself, as two clients may send the same correlation id.
         """
         node, client_request = self.node, pending.client_request
-        if node.handover is not None and client_request.must_run_once:
-            node.handover.catch_up()
         self.last_request_id += 1
         request_id = str(self.last_request_id)
         self.pending[request_id] = pending
@@ -63,6 +61,8 @@
     def is_recordable(self, client_request: ClientRequest) -> bool:
         """Return whether records of a request's attempts can be kept wherever the request may come again."""
         node = self.node
+        if client_request.is_unsafe and node.handover is not None and not node.handover.is_current():
+            return False
         if client_request.idempotency_key is None or node.durable_state is None:
             return True
         return node.durable_state.store.is_available()
--- a/marlseam/net/peer_process.py
+++ b/marlseam/net/peer_process.py
@@ -25,6 +25,9 @@
         list_rows: the entries of that list.
         attempt_count: the number of attempts received.
         is_snapshot_complete: whether the whole snapshot was received; true where none is expected.
+        open_ids: the correlation ids under which the process has a request open.
+        shares_ids: whether the process has sent such ids, and so is sent those of this process.
+        unsent_snapshot_bytes: how many of the first bytes in `unsent` belong to the snapshot for the process.
         task: the task that reads from and writes to the socket.
 
     """
@@ -37,6 +40,9 @@
         self.hello: Hello | None = None
         self.list_version, self.list_rows = -1, list[dict[str, Any]]()
         self.attempt_count, self.is_snapshot_complete = 0, not is_outgoing
+        self.open_ids: set[str] = set()
+        self.shares_ids = False
+        self.unsent_snapshot_bytes = 0
         self.task: Task | None = None
 
     def name(self) -> str:
@@ -47,7 +53,18 @@
         """Write what the socket takes without blocking; raises OSError where the connection has failed."""
         with suppress(BlockingIOError, InterruptedError):
             while self.unsent:
-                del self.unsent[: self.sock.send(self.unsent)]
+                sent = self.sock.send(self.unsent)
+                del self.unsent[:sent]
+                self.unsent_snapshot_bytes = max(0, self.unsent_snapshot_bytes - sent)
+
+    def is_current(self) -> bool:
+        """Return whether this process and the other one have each other's records and ids.
+
+        A process that has not received its whole snapshot cannot tell which unsafe requests the other one has
+        sent, and takes none itself; so what waits behind its snapshot is not late.
+        """
+        is_told = not self.unsent or self.unsent_snapshot_bytes > 0
+        return self.is_snapshot_complete and is_told
 
     def clock_shift_ms(self, epoch_ms: float) -> int:
         """Return the ms to add to the process's Unix times to get those of a process of epoch `epoch_ms`.
--- a/marlseam/net/process_handover.py
+++ b/marlseam/net/process_handover.py
@@ -14,12 +14,14 @@
 
 from marlseam import core
 from marlseam.core.idempotency import AttemptRecord, portable_record
+from marlseam.net.connection import Steps
 from marlseam.net.discovery import ListSnapshot
 from marlseam.net.errors import MalformedMessageError
 from marlseam.net.http import CAPACITY_RETRY_MS
 from marlseam.net.loop import READ, WRITE, Cancelled, Coroutine, sleep
 from marlseam.net.node_interface import HandoverHost
 from marlseam.net.peer_process import PeerProcess
+from marlseam.net.request_ids import RequestIds
 from marlseam.recovery import handover_codec
 from marlseam.recovery.handover_codec import (
     AttemptNeverRan,
@@ -29,6 +31,8 @@
     Hello,
     InvalidLineError,
     ListPart,
+    RequestClosed,
+    RequestsOpened,
     SnapshotEnd,
     VersionProof,
 )
@@ -36,6 +40,7 @@
 # How long a new process waits for snapshots, from its first connection on, and the time between its tries to
 # connect to a process that does not accept.
 SNAPSHOT_TIMEOUT_MS = 1000.0
+HELLO_TIMEOUT_MS = 50.0  # how long the snapshot for a later process waits for its hello
 MAX_PEERS = 4  # maximum number of other processes connected at a time
 READ_BYTES = 1 << 16  # maximum size of one read from another process
 MAX_UNSENT_BYTES = 1 << 22  # unsent bytes to one process above which its connection is closed
@@ -54,7 +59,9 @@
     version in all snapshots.
 
     Attributes:
+        request_ids: the correlation ids of open requests.
         peers: the other processes, in the order in which they were connected.
+        unconnected: the socket names of processes that run and do not accept connections.
         began_ms: when this handover was created, by the loop's clock.
         is_done: whether all snapshots are complete, or were given up after SNAPSHOT_TIMEOUT_MS.
         caller_count: how many connections from later processes were accepted.
@@ -65,10 +72,17 @@
     """
 
     def __init__(
-        self, node: HandoverHost, directory: str, on_complete: Callable[[ListSnapshot], None]
+        self,
+        node: HandoverHost,
+        directory: str,
+        request_ids: RequestIds,
+        on_complete: Callable[[ListSnapshot], None],
     ) -> None:
         self.node, self.loop, self.log, self.on_complete = node, node.loop, node.log, on_complete
+        self.request_ids = request_ids
+        request_ids.exchange = self
         self.peers: dict[PeerProcess, None] = {}
+        self.unconnected: set[str] = set()
         self.began_ms, self.is_done, self.caller_count = self.loop.now(), False, 0
         self.latest_list = ListSnapshot(-1, [])
         self.sock: socket.socket | None = None
@@ -120,6 +134,7 @@
             )
             return
         sock.setblocking(False)
+        self.unconnected.discard(path.name)
         try:
             sock.connect(str(path))
         except ConnectionRefusedError:
@@ -128,6 +143,7 @@
                 self.mark_history_unavailable(path.name, self.loop.now())
         except BlockingIOError:
             # The process runs but does not accept, as it hangs: it may go on at any time and then answer.
+            self.unconnected.add(path.name)
             if path.name not in self.node.reducer.unavailable_history.last_sent_ms:
                 self.mark_history_unavailable(path.name, None)
                 self.log_fault(
@@ -174,23 +190,24 @@
             self.node.apply_process_count()
 
     def add_peer(self, peer: PeerProcess) -> None:
-        """Start to exchange messages with another process: a hello, and a snapshot if the other connected."""
+        """Start to exchange messages with another process."""
         self.peers[peer] = None
         is_in_cluster, epoch_ms = self.node.config_service is not None, self.loop.clock.epoch_ms()
         peer.unsent += handover_codec.encode_hello(
-            self.node.config.name, os.getpid(), is_in_cluster, epoch_ms
+            self.node.config.name, os.getpid(), is_in_cluster, epoch_ms, shares_ids=peer.is_outgoing
         )
-        if not peer.is_outgoing:
-            peer.unsent += b"".join(self.snapshot())
         peer.task = self.loop.spawn(self.exchange(peer), prioritized=True)
 
-    def snapshot(self) -> Iterable[bytes]:
-        """Return the lines of this process's snapshot: its endpoint list and its keyed attempts."""
+    def snapshot(self, peer: PeerProcess) -> Iterable[bytes]:
+        """Return the lines of the snapshot for a process: endpoint list, attempts, and ids if requested."""
         node = self.node
         records = node.reducer.idempotency_records
         records.expire(self.loop.now())
         attempts = (self.message_of(key, record) for key, record in records)
-        return handover_codec.encode_snapshot(max(0, node.discovery.version), node.discovery.rows(), attempts)
+        open_ids = self.request_ids.own if peer.shares_ids else None
+        return handover_codec.encode_snapshot(
+            max(0, node.discovery.version), node.discovery.rows(), attempts, open_ids
+        )
 
     def finish_if_complete(self) -> None:
         """Finish the start if every process that this one connected to has sent its whole snapshot."""
@@ -222,8 +239,13 @@
     # Exchange of messages.
 
     def exchange(self, peer: PeerProcess) -> Coroutine:
-        """Read and write until the connection to another process ends."""
+        """Read and write until the connection to another process ends; the snapshot goes first.
+
+        The hello of a process that connected says what its snapshot must hold.
+        """
         try:
+            if not peer.is_outgoing:
+                yield from self.send_snapshot(peer)
             while True:
                 peer.flush()
                 yield (peer.sock.fileno(), READ | (WRITE if peer.unsent else 0), inf)
@@ -236,6 +258,16 @@
         else:
             self.remove_peer(peer)
 
+    def send_snapshot(self, peer: PeerProcess) -> Steps:
+        """Wait for the hello of a process that connected, and put its snapshot among the unsent bytes."""
+        peer.flush()
+        if peer.hello is None:
+            yield (peer.sock.fileno(), READ, self.loop.now() + HELLO_TIMEOUT_MS)
+        if not self.read(peer):
+            raise ConnectionResetError
+        peer.unsent += b"".join(self.snapshot(peer))
+        peer.unsent_snapshot_bytes = len(peer.unsent)
+
     def read(self, peer: PeerProcess) -> bool:
         """Read and handle all bytes that have come; return whether the connection goes on."""
         while True:
@@ -280,6 +312,7 @@
                 "foreign", f"expected a process of this node, got one of node {item.node:.80}"
             )
         peer.hello = item
+        peer.shares_ids = peer.shares_ids or item.shares_ids
         if item.is_in_cluster and self.node.config_service is not None:
             self.node.config_service.share_proof()
 
@@ -298,6 +331,20 @@
         sent_ms = self.local_ms(peer, item.sent_ms)
         self.node.post(core.PeerAttemptNeverRan(item.key, item.server, sent_ms))
 
+    def receive_opened(self, peer: PeerProcess, item: RequestsOpened) -> None:
+        """Add correlation ids under which the other process has a request open.
+
+        The first such message of a process that sends a snapshot shows that it understands these messages.
+        """
+        if not peer.shares_ids:
+            peer.shares_ids = True
+            self.write(b"".join(handover_codec.encode_all_opened(self.request_ids.own)), [peer])
+        peer.open_ids.update(item.ids)
+
+    def receive_closed(self, peer: PeerProcess, item: RequestClosed) -> None:
+        """Remove a correlation id under which the other process has no request open any more."""
+        peer.open_ids.discard(item.id)
+
     def receive_snapshot_end(self, peer: PeerProcess, _item: SnapshotEnd) -> None:
         """Mark the snapshot complete: the other process's history is available now."""
         if peer.is_snapshot_complete:
@@ -333,6 +380,33 @@
             text = handover_codec.encode_never(AttemptNeverRan(effect.key, effect.server, sent_unix_ms))
         self.write(text, list(self.peers))
 
+    # Correlation ids.
+
+    def send_opened(self, id: str) -> None:
+        """Send all other processes that a request is open under an id."""
+        self.write_to_sharing(handover_codec.encode_opened([id]))
+
+    def send_closed(self, id: str) -> None:
+        """Send all other processes that no request is open under an id any more."""
+        self.write_to_sharing(handover_codec.encode_closed(id))
+
+    def write_to_sharing(self, text: bytes) -> None:
+        """Write a line to all processes that share correlation ids."""
+        self.write(text, [peer for peer in self.peers if peer.shares_ids])
+
+    def is_open_elsewhere(self, id: str) -> bool:
+        """Return whether another process has a request open under an id, as far as it has told."""
+        return any(id in peer.open_ids for peer in self.peers)
+
+    def is_current(self) -> bool:
+        """Return whether all processes of the node have each other's records and ids.
+
+        Otherwise an unsafe request must not be sent: another process may have sent it already, or may do so.
+        """
+        return not self.unconnected and all(peer.is_current() for peer in self.peers)
+
+    # Writing.
+
     def send_proof(self, number: int, content_id: str, mono_ms: float) -> None:
         """Send the processes in a cluster the proof that its version was in force at `mono_ms`.
 
@@ -361,10 +435,10 @@
                 peer.task.wake()
 
     def catch_up(self) -> None:
-        """Read what the other processes have sent by now, before a keyed request is handled.
+        """Read what the other processes have sent by now, before a request is handled.
 
         A process sends its attempt records before it answers its client, so that they have arrived here
-        before that client's retry can.
+        before that client's retry can; it sends the id of a request when it takes it.
         """
         for peer in list(self.peers):
             if not self.read(peer):
@@ -437,6 +511,8 @@
     ListPart: ProcessHandover.receive_list_part,
     AttemptSent: ProcessHandover.receive_attempt,
     AttemptNeverRan: ProcessHandover.receive_never_ran,
+    RequestsOpened: ProcessHandover.receive_opened,
+    RequestClosed: ProcessHandover.receive_closed,
     SnapshotEnd: ProcessHandover.receive_snapshot_end,
     Goodbye: ProcessHandover.receive_goodbye,
     VersionProof: ProcessHandover.receive_proof,
--- a/marlseam/recovery/handover_codec.py
+++ b/marlseam/recovery/handover_codec.py
@@ -9,7 +9,11 @@
     {"whole": true}                                               the end of the snapshot; updates may follow
     {"over": true}                                                last line: the sender sends no more requests
     {"proof": [number, id, at]}                                   proof that a cluster's version was in force
+    {"opened": [id, ...]}                                         these correlation ids have a request open
+    {"closed": id}                                                and this one has none any more
 
+A hello with `"ids": true` requests `opened` and `closed`. A process that connects always does; the other
+process sends an `opened` line, maybe empty, before the end of its snapshot, and is sent these lines as well.
 A hello with `"fleet": true` requests proofs; `at` is in ms of the machine's monotonic clock. `"epoch"` of a
 hello is the Unix time that its process assumes for the zero of that clock: a process reads the wall clock
 once, at its start, and the clock may have been stepped between two starts. The first five lines are a
@@ -49,12 +53,14 @@
         is_in_cluster: whether the sender requests proofs.
         epoch_ms: the Unix time (ms) that the sender assumes for the zero of the machine's monotonic clock;
             None where the line has none.
+        shares_ids: whether the sender requests, and itself sends, the correlation ids of open requests.
     """
 
     node: str
     process: int
     is_in_cluster: bool = False
     epoch_ms: float | None = None
+    shares_ids: bool = False
 
 
 class VersionProof(NamedTuple):
@@ -106,6 +112,18 @@
     sent_ms: float
 
 
+class RequestsOpened(NamedTuple):
+    """The sender has a request open under each of these correlation ids."""
+
+    ids: list[str]
+
+
+class RequestClosed(NamedTuple):
+    """The sender has no request open under a correlation id any more."""
+
+    id: str
+
+
 class SnapshotEnd(NamedTuple):
     """The snapshot is complete."""
 
@@ -114,7 +132,17 @@
     """The sender has reported all its attempts and sends no more requests; without this line, it may have."""
 
 
-HandoverItem = Hello | ListPart | AttemptSent | AttemptNeverRan | SnapshotEnd | Goodbye | VersionProof
+HandoverItem = (
+    Hello
+    | ListPart
+    | AttemptSent
+    | AttemptNeverRan
+    | RequestsOpened
+    | RequestClosed
+    | SnapshotEnd
+    | Goodbye
+    | VersionProof
+)
 GOODBYE_LINE = b'{"over":true}\n'
 
 # Writing.
@@ -126,7 +154,11 @@
 
 
 def encode_hello(
-    node: str, process: int, is_in_cluster: bool = False, epoch_ms: float | None = None
+    node: str,
+    process: int,
+    is_in_cluster: bool = False,
+    epoch_ms: float | None = None,
+    shares_ids: bool = False,
 ) -> bytes:
     """Encode the first line; the parameters are the fields of `Hello`."""
     fields: dict[str, Any] = {"marlseam": PROTOCOL_VERSION, "node": node, "process": process}
@@ -134,6 +166,8 @@
         fields["fleet"] = True
     if epoch_ms is not None:
         fields["epoch"] = epoch_ms
+    if shares_ids:
+        fields["ids"] = True
     return encode_line(fields)
 
 
@@ -152,15 +186,40 @@
     return encode_line({"never": attempt})
 
 
+def encode_opened(ids: list[str]) -> bytes:
+    """Encode a line of correlation ids with an open request, at most MAX_ROWS_PER_LINE."""
+    return encode_line({"opened": ids})
+
+
+def encode_closed(id: str) -> bytes:
+    """Encode the line for a correlation id that has no open request any more."""
+    return encode_line({"closed": id})
+
+
+def encode_all_opened(ids: Iterable[str]) -> Iterator[bytes]:
+    """Yield the lines of all correlation ids with an open request; at least one line, which may be empty."""
+    rows = list(ids)
+    for start in range(0, max(1, len(rows)), MAX_ROWS_PER_LINE):
+        yield encode_opened(rows[start : start + MAX_ROWS_PER_LINE])
+
+
 def encode_snapshot(
-    seq: int, hosts: list[dict[str, Any]], attempts: Iterable[AttemptSent]
+    seq: int,
+    hosts: list[dict[str, Any]],
+    attempts: Iterable[AttemptSent],
+    open_ids: Iterable[str] | None = None,
 ) -> Iterator[bytes]:
-    """Yield the lines of a snapshot: the endpoint list of version `seq`, the attempts, the end."""
+    """Yield the lines of a snapshot: the endpoint list of version `seq`, the attempts, the ids, the end.
+
+    `open_ids` are the correlation ids with an open request; None for a process that does not request them.
+    """
     for start in range(0, len(hosts), MAX_ROWS_PER_LINE):
         yield encode_line({"seq": seq, "hosts": hosts[start : start + MAX_ROWS_PER_LINE]})
     rows = list(attempts)
     for start in range(0, len(rows), MAX_ROWS_PER_LINE):
         yield encode_sent(rows[start : start + MAX_ROWS_PER_LINE])
+    if open_ids is not None:
+        yield from encode_all_opened(open_ids)
     yield encode_line({"whole": True})
 
 
@@ -178,7 +237,8 @@
     if fields.get("over") is True:
         return [Goodbye()]
     raise _invalid(
-        "expected a field `marlseam`, `proof`, `hosts`, `sent` or `never`, or `whole` or `over` as true"
+        "expected a field `marlseam`, `proof`, `hosts`, `sent`, `never`, `opened` or `closed`, or `whole` or "
+        "`over` as true"
     )
 
 
@@ -206,7 +266,15 @@
         raise InvalidLineError("version", f"protocol version {shown}, expected {PROTOCOL_VERSION}")
     process = int(_parse_number(fields.get("process")))
     epoch_ms = _parse_number(fields["epoch"]) if "epoch" in fields else None
-    return [Hello(_parse_text(fields.get("node")), process, fields.get("fleet") is True, epoch_ms)]
+    return [
+        Hello(
+            _parse_text(fields.get("node")),
+            process,
+            fields.get("fleet") is True,
+            epoch_ms,
+            fields.get("ids") is True,
+        )
+    ]
 
 
 def _parse_proof(fields: dict[str, Any]) -> list[HandoverItem]:
@@ -251,10 +319,20 @@
     return [AttemptNeverRan(_parse_text(key), _parse_text(server), _parse_number(sent_ms))]
 
 
+def _parse_opened(fields: dict[str, Any]) -> list[HandoverItem]:
+    """Parse correlation ids with an open request."""
+    return [RequestsOpened([_parse_text(id) for id in _parse_rows(fields["opened"])])]
+
+
+def _parse_closed(fields: dict[str, Any]) -> list[HandoverItem]:
+    """Parse a correlation id that has no open request any more."""
+    return [RequestClosed(_parse_text(fields["closed"]))]
+
+
 def _parse_rows(value: object) -> list[Any]:
     """Return a value that must be a list of at most MAX_ROWS_PER_LINE rows."""
     if not isinstance(value, list) or len(value) > MAX_ROWS_PER_LINE:
-        raise _invalid("field `hosts` or `sent`: expected a list of at most 200 rows")
+        raise _invalid("field `hosts`, `sent` or `opened`: expected a list of at most 200 rows")
     return value
 
 
@@ -291,4 +369,6 @@
     ("hosts", _parse_list_part),
     ("sent", _parse_sent),
     ("never", _parse_never),
+    ("opened", _parse_opened),
+    ("closed", _parse_closed),
 )
--- a/tests/test_bytes.py
+++ b/tests/test_bytes.py
@@ -79,7 +79,7 @@
         node.loop.turn()
     assert not node.requests.pending
     assert not node.downstream.reserved_bytes
-    assert not node.downstream.correlation_ids
+    assert not node.downstream.request_ids
     assert count_descriptors() <= descriptors_before
 
 
--- a/tests/test_client_departure.py
+++ b/tests/test_client_departure.py
@@ -75,7 +75,7 @@
     assert not node.requests.pending
     assert not node.reducer.open_requests
     assert not node.upstream.attempts.in_flight
-    assert not node.downstream.correlation_ids
+    assert not node.downstream.request_ids
     assert not any(node.reducer.dispatcher.own_slots)
     assert not node.reducer.dispatcher.key_queues
     assert not node.reducer.dispatcher.pending_queues
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -82,7 +82,7 @@
     assert reply(client(REQUEST)).startswith(b"HTTP/1.1 409 ")
     node.requests.answer("1", 200, [], b"result")
     assert reply(first).endswith(b"result")
-    assert not node.downstream.correlation_ids
+    assert not node.downstream.request_ids
 
 
 @pytest.mark.parametrize(
