A request is answered in time however the places for clients are filled

Cause: a place was freed only from an idle connection or from one that had sent nothing good yet. Half requests kept theirs for 2.5 s; with all places held the listener accepted nothing and nobody looked at the accept queue. Memory for bodies had the same gap.

Change: a request that has been arriving for over 0.25 s is rejected where its place or memory is needed, and 6 connections beyond the places are accepted and read: their requests get the next place or a 503 within a quarter of their time, earlier if the queue is late. Connections that were sent an error are closed first. The tables and the choice moved to net/client_connections.py.

--- a/marlseam/net/downstream.py
+++ b/marlseam/net/downstream.py
@@ -3,7 +3,6 @@
 import socket
 import traceback
 from collections.abc import Callable
-from dataclasses import dataclass, replace
 from http import HTTPStatus
 from math import inf
 
@@ -11,52 +10,36 @@
 
 from marlseam.configuration import Config, Deployment
 from marlseam.net import http, protocol
+from marlseam.net.client_connections import (
+    MAX_WAIT_SHARE,
+    NEW_GRACE_MS,
+    AdmissionLimits,
+    ClientConnections,
+)
 from marlseam.net.connection import Connection, Steps
 from marlseam.net.errors import ConnectionEndedError, MalformedMessageError
 from marlseam.net.invariants import Invariant, Violations
 from marlseam.net.log import Log, Reason
-from marlseam.net.loop import LATE, READ, READY, WOKEN, Cancelled, Coroutine, Loop, Task, Timer, sleep
+from marlseam.net.loop import LATE, READ, READY, WOKEN, Cancelled, Coroutine, Loop, Timer, sleep
 from marlseam.net.pending_request import PendingRequest
 from marlseam.net.request_ids import RequestIds
 
 IDLE_TIMEOUT_MS = 300000.0  # how long a client may keep an idle connection
 DRAIN_CHECK_MS = 20.0  # how often a drain checks for idle connections
-NEW_GRACE_MS = 250.0  # time in which a new connection that has sent nothing is not closed to free capacity
-MAX_NEW_SHARE = 0.25  # share of the clients' limit above which new connections lose NEW_GRACE_MS
 # Time limit for receiving a request: the first one from connecting, others from their first byte.
 READ_TIMEOUT_MS = 2500.0
 WRITE_TIMEOUT_MS = 2500.0  # time limit for a client to read its answer
 
 
-@dataclass(frozen=True)
-class AdmissionLimits:
-    """The share of the node's limits that clients may use.
-
-    Attributes:
-        clients: maximum number of connections.
-        body_bytes: maximum memory for the bodies of all their requests together, in bytes.
-
-    """
-
-    clients: int
-    body_bytes: float
-
-
-class DownstreamServer:
+class DownstreamServer(ClientConnections):
     """Accepts clients' connections and serves each in a coroutine.
 
     Attributes:
         is_ready: returns whether the node is ready for clients.
         take_request: passes a request to the node and returns the node's own id of the request.
         client_left: notifies the node that the client of a request has disconnected.
-        open: all connections.
-        idle: tasks of connections without a request in progress, the longest idle first.
-        unvalidated: tasks of connections that have not sent a valid request, the oldest first.
-        reading: tasks of connections whose request has begun to arrive.
-        reserved_bytes: bytes of memory reserved for the body of each connection's request.
         unanswered: correlation ids of requests that were read and not answered, by connection.
         request_ids: correlation ids of the requests that the node is handling.
-        limits: maximum number of clients, and of bytes of their requests' bodies.
         violations: counts connections closed with an unanswered request; None if they are not counted.
         drain_timer: timer of a drain's next check; None while no drain is in progress.
         close_answered_at_ms, close_idle_at_ms: from when on each answer closes its connection, and idle
@@ -76,13 +59,8 @@
         take_request: Callable[[PendingRequest], str],
         client_left: Callable[[str], None],
     ) -> None:
-        self.loop, self.log = loop, log
+        super().__init__(loop, log, limits)
         self.is_ready, self.take_request, self.client_left = is_ready, take_request, client_left
-        self.open: dict[Connection, None] = {}
-        self.idle: dict[Connection, Task] = {}
-        self.unvalidated: dict[Connection, Task] = {}
-        self.reading: dict[Connection, Task] = {}
-        self.reserved_bytes: dict[Connection, int] = {}
         self.configure(config.deployment, limits)
         self.violations: Violations | None = None
         self.unanswered: dict[Connection, str] = {}
@@ -96,9 +74,8 @@
 
     def configure(self, deployment: Deployment, limits: AdmissionLimits) -> None:
         """Apply settings and the limits for clients, and close connections above the limit."""
-        self.deployment, self.limits = deployment, limits
-        while len(self.open) > limits.clients and self.close_one():
-            pass
+        self.deployment = deployment
+        self.apply_limits(limits)
 
     # Connections.
 
@@ -106,23 +83,12 @@
         """Start accepting connections."""
         self.listener = http.Listener(self.loop, self.sock, self.has_capacity, self.accept)
 
-    def limit_clients(self, max_clients: int) -> None:
-        """Lower the maximum number of clients until the next `configure`; open connections are not closed."""
-        self.limits = replace(self.limits, clients=min(self.limits.clients, max_clients))
-
-    def has_capacity(self, is_short: bool) -> bool:
-        """Return whether a connection may be accepted; closes connections without a taken request for it.
-
-        `is_short`: the system has no descriptor left, so that one descriptor must be released.
-        """
-        if is_short:
-            return self.loop.descriptors.release_one()
-        while len(self.open) >= self.limits.clients:
-            if not self.close_one():
-                return False
-        # Guards the node's own needs: freed descriptors first refill the spares, before clients use them.
-        descriptors = self.loop.descriptors
-        return descriptors.hold_all_spares() or (self.close_one() and descriptors.hold_all_spares())
+    def is_queue_late(self) -> bool:
+        """Return whether requests may wait in the accept queue past the shortest latency objective."""
+        if self.listener is None:
+            return False
+        waited_ms = self.loop.now() - self.listener.last_empty_ms
+        return waited_ms >= self.deployment.settings.shortest_objective_ms
 
     def accept(self, sock: socket.socket) -> None:
         """Serve a new connection; without capacity, as when the listener closes, answer 503 and close it."""
@@ -134,55 +100,9 @@
             connection.send_last_response(HTTPStatus.SERVICE_UNAVAILABLE)
             connection.close(Reason.CROWDED)
             return
-        self.open[connection] = None
+        self.add(connection)
         self.loop.spawn(self.serve(connection))
 
-    def close_one(self) -> bool:
-        """Close a connection without a taken request and return whether there was one.
-
-        Connections that have sent no valid request are closed first. Guards regular clients against floods of
-        connections that send nothing or nothing valid, and guards new clients, whose first request arrives
-        shortly after connecting, against being closed for each other while other connections are idle.
-        """
-        has_few_new = len(self.unvalidated) <= MAX_NEW_SHARE * self.limits.clients
-        new_ms = self.loop.now() - (NEW_GRACE_MS if has_few_new else 0.0)
-        old_unvalidated = [connection for connection in self.unvalidated if connection.opened_ms <= new_ms]
-        idle_validated = [connection for connection in self.idle if connection not in self.unvalidated]
-        closable = dict.fromkeys((*old_unvalidated, *idle_validated, *self.unvalidated))
-        return any(self.close_or_wake(connection, Reason.CROWDED) for connection in closable)
-
-    def close_or_wake(self, connection: Connection, reason: Reason) -> bool:
-        """Close a connection unless it was idle and a request has begun to arrive; return whether it closed.
-
-        A request that is being received is answered with 503.
-        """
-        task = self.unvalidated.get(connection) or self.idle.get(connection) or self.reading[connection]
-        if connection in self.idle and not connection.is_quiet():
-            del self.idle[connection]
-            task.wake()
-            return False
-        if connection in self.reading:
-            connection.send_last_response(HTTPStatus.SERVICE_UNAVAILABLE)
-        connection.close(reason)
-        task.cancel()
-        return True
-
-    def reserve_body(self, connection: Connection, size: int, until_ms: float) -> Steps:
-        """Reserve memory for a request's body, waiting until it is free.
-
-        Connections that have sent no valid request are closed to free theirs. Raises ConnectionEndedError
-        with status 408 after `until_ms`.
-        """
-        while sum(self.reserved_bytes.values()) + size > self.limits.body_bytes:
-            unvalidated_holder = next((c for c in self.unvalidated if self.reserved_bytes.get(c)), None)
-            if unvalidated_holder is not None:
-                self.close_or_wake(unvalidated_holder, Reason.CROWDED)
-            elif self.loop.now() < until_ms:
-                yield from sleep(self.loop.now() + http.CAPACITY_RETRY_MS)
-            else:
-                raise ConnectionEndedError(Reason.CROWDED, 408)
-        self.reserved_bytes[connection] = size
-
     # A drain.
 
     def drain(self, answered_grace_ms: float, idle_grace_ms: float) -> None:
@@ -213,8 +133,8 @@
 
     def refuse_unread(self) -> None:
         """Refuse the requests that are still being received as the node ends; later they get no answer."""
-        for connection in list(self.reading):
-            self.close_or_wake(connection, Reason.DRAINING)
+        for connection, task in [*self.reading.items(), *self.waiting.items()]:
+            self.close_now(connection, task, Reason.DRAINING)
 
     def is_last_message(self, connection: Connection) -> bool:
         """Return whether the current answer is the last one on its connection.
@@ -227,8 +147,13 @@
         )
 
     def stop_listening(self) -> None:
-        """Stop accepting connections; if no other process accepts the queued ones, accept these first."""
+        """Stop accepting connections; if no other process accepts the queued ones, accept these first.
+
+        Requests that wait for a place are rejected then, to make room for those in the queue.
+        """
         if self.listener is not None:
+            while not self.shared and self.reject_longest_waiting():
+                pass
             self.listener.close(accepts_queued=not self.shared)
         else:
             self.loop.close(self.sock)
@@ -253,7 +178,8 @@
             self.reserved_bytes.pop(connection, None)
             self.reading.pop(connection, None)
             if end.status:
-                self.unvalidated[connection] = self.loop.running_task()
+                self.unvalidated.pop(connection, None)
+                self.refused[connection] = self.loop.running_task()
                 self.unanswered.pop(connection, None)
                 yield from http.send_error(connection, end, self.loop.now() + WRITE_TIMEOUT_MS)
         except Cancelled:
@@ -271,9 +197,8 @@
             id = self.unanswered.pop(connection, None)
             if id is not None and self.violations is not None and not connection.is_peer_gone():
                 self.violations.note(Invariant.CLOSE, id=id, reason=reason.value)
-            for table in (self.unvalidated, self.reading, self.idle, self.reserved_bytes, self.open):
-                table.pop(connection, None)
             connection.close(reason)
+            self.remove(connection)
 
     def wait_for_first_byte(self, connection: Connection) -> Steps:
         """Wait for the first byte of a request; meanwhile the connection may be closed to free capacity."""
@@ -296,6 +221,7 @@
         yield from self.wait_for_first_byte(connection)
         began_ms = self.loop.now()
         until_ms = (connection.opened_ms if connection in self.unvalidated else began_ms) + READ_TIMEOUT_MS
+        connection.used_ms = began_ms
         self.reading[connection] = self.loop.running_task()
         try:
             received = yield from http.read(
@@ -303,16 +229,19 @@
                 until_ms,
                 lambda method, target: protocol.check_route(method, target, self.deployment.types),
                 protocol.MAX_BODY_BYTES,
-                lambda size: self.reserve_body(connection, size, until_ms),
+                lambda head, size: self.reserve_body(
+                    connection, size, min(until_ms, self.wait_until_ms(connection, head))
+                ),
             )
             del self.reading[connection]
             if protocol.path_of(received.target) == protocol.READY_PATH:
                 status, headers, body = (200 if self.is_ready() else 503), [], b""
             else:
-                self.unanswered[connection] = received.head.get(protocol.CORRELATION_ID_HEADER, "")
                 client_request = protocol.client_request_from(
                     received.target, received.head, received.body, self.deployment
                 )
+                yield from self.wait_for_place(connection, client_request.time_left_ms)
+                self.unanswered[connection] = client_request.id
                 status, headers, body = yield from self.serve_request(
                     connection,
                     PendingRequest(client_request, connection.earliest_sent_ms, connection.is_peer_gone),
@@ -328,6 +257,14 @@
             yield from connection.linger(self.loop.now() + http.LINGER_MS)
         return connection.start_next_message()
 
+    def wait_until_ms(self, connection: Connection, head: protocol.Head) -> float:
+        """Return until when a request may wait for memory for its body, by the time that its client waits."""
+        try:
+            time_left_ms = protocol.time_left_ms(head)
+        except MalformedMessageError:
+            return inf  # the request is refused once it was received
+        return connection.earliest_sent_ms + MAX_WAIT_SHARE * time_left_ms
+
     def serve_request(self, connection: Connection, pending: PendingRequest) -> Steps:
         """Pass a request to the node and wait for its answer, or until the client disconnects."""
         id = pending.client_request.id
--- a/marlseam/net/http.py
+++ b/marlseam/net/http.py
@@ -185,7 +185,7 @@
     until_ms: float,
     check_allowed: Callable[[str, str], object],
     max_bytes: int,
-    reserve_body: Callable[[int], Steps] | None = None,
+    reserve_body: Callable[[Head, int], Steps] | None = None,
 ) -> Steps:
     """Read one complete request and return a `Call`.
 
@@ -204,7 +204,7 @@
     if size > max_bytes:
         raise ConnectionEndedError(Reason.TOO_LARGE, 413)
     if reserve_body is not None:
-        yield from reserve_body(size)
+        yield from reserve_body(head, size)
     return Call(method, target, head, (yield from connection.body(max_bytes, until_ms)))
 
 
--- a/marlseam/net/limits.py
+++ b/marlseam/net/limits.py
@@ -12,18 +12,22 @@
 from marlseam.configuration import Config
 from marlseam.decisions.types import Settings
 from marlseam.net import protocol
-from marlseam.net.downstream import AdmissionLimits, DownstreamServer
+from marlseam.net.client_connections import MIN_CLIENTS, AdmissionLimits, ClientConnections
 from marlseam.net.loop import Loop
 from marlseam.net.upstream import Upstream
 
-OWN_SOCKETS = 32  # descriptors for listeners, epoll, signals, discovery, logs and the interpreter
+OWN_SOCKETS = (
+    32  # descriptors for listeners, epoll, signals, discovery, logs, the interpreter and the overflow
+)
+OVERFLOW_CONNECTIONS = (
+    6  # connections of clients without a place, whose requests wait for one or are rejected
+)
 OWN_MEMORY_MB = 20.0  # memory for the node itself
 CONNECTION_KB = 20.0  # memory for a connection, without the body of its request
 BODY_MEMORY_SHARE = 0.5  # share of the memory beyond OWN_MEMORY_MB for bodies of clients' requests
 OPERATOR_CONNECTIONS = 16  # connections reserved for operators, in addition to all others
 MIN_CONNECTIONS = 16  # minimum whatever the limits: a node cannot serve with fewer connections
 CLIENT_SHARE = 0.5  # share of the connections for clients
-MIN_CLIENTS = 2  # minimum in a shortage, whatever the number of descriptors that the system has
 SHORTAGE_MS = 10000.0  # time after a shortage until the settings' limit is tried again
 
 
@@ -60,7 +64,8 @@
     connections = max_connections(config, processes)
     clients = int(CLIENT_SHARE * connections)
     body_bytes = BODY_MEMORY_SHARE * (config.memory_mb / processes - OWN_MEMORY_MB) * 1024.0 * 1024.0
-    admission = AdmissionLimits(clients, max(body_bytes, MIN_CONNECTIONS * protocol.MAX_BODY_BYTES))
+    body_bytes = max(body_bytes, MIN_CONNECTIONS * protocol.MAX_BODY_BYTES)
+    admission = AdmissionLimits(clients, body_bytes, OVERFLOW_CONNECTIONS)
     return ConnectionLimits(admission, connections - clients)
 
 
@@ -71,7 +76,7 @@
     """
 
     def __init__(
-        self, loop: Loop, downstream: DownstreamServer, upstream: Upstream, restore: Callable[[], None]
+        self, loop: Loop, downstream: ClientConnections, upstream: Upstream, restore: Callable[[], None]
     ) -> None:
         self.loop, self.downstream, self.upstream, self.restore = loop, downstream, upstream, restore
         self.restore_timer = loop.call_at(loop.now(), lambda: None)
--- a/marlseam/net/protocol.py
+++ b/marlseam/net/protocol.py
@@ -189,6 +189,11 @@
         raise MalformedMessageError(f"method must be {allowed} for this path", 405, allowed)
 
 
+def time_left_ms(head: Head) -> float:
+    """Return how long a client waits, in ms; raises MalformedMessageError without a valid header."""
+    return 1000.0 * parse_number(head.get(TIME_LEFT_HEADER, ""), TIME_LEFT_HEADER)
+
+
 def client_request_from(target: str, head: Head, body: bytes, deployment: Deployment) -> ClientRequest:
     """Decode a client's request; raises MalformedMessageError if a header is missing or invalid."""
     id = head.get(CORRELATION_ID_HEADER, "")
@@ -200,7 +205,7 @@
             f"{SERVICE_CLASS_HEADER} is missing, names no known request class, or differs from the path's "
             "first segment"
         )
-    left_ms = 1000.0 * parse_number(head.get(TIME_LEFT_HEADER, ""), TIME_LEFT_HEADER)
+    left_ms = time_left_ms(head)
     class_index = deployment.types[name]
     request_class = deployment.settings.request_classes[class_index]
     deadline_ms = request_class.deadline_ms or inf
