A new connection has waited no longer than a full accept queue takes to empty

Cause: a first request's time counts from when the queue was last empty, as it may have waited there since; in a flood that moment stays in the past until all time of each new request seems to be over.

Change: the queue is in the order of arrival and holds BACKLOG + 1 connections at most, so that an accepted one arrived after the one that was accepted BACKLOG + 2 before it. Not for an inherited socket, whose backlog is unknown.

Measured: the new test (tests/test_full_places.py) fails without the change (no bound is kept).

--- a/marlseam/net/http.py
+++ b/marlseam/net/http.py
@@ -3,6 +3,7 @@
 import errno
 import select
 import socket
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, auto
@@ -81,7 +82,10 @@
         self.loop, self.sock, self.has_capacity, self.on_accept = loop, sock, has_capacity, on_accept
         self.closed = False  # whether the socket is closed too, so that no client is in its accept queue
         self.last_empty_ms = loop.now()  # when the accept queue was last empty
-        if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        # When each of the last connections was accepted that may have filled the queue once, and one more.
+        self.accepted_ms = deque[float](maxlen=BACKLOG + 2)
+        self.has_known_backlog = not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+        if self.has_known_backlog:
             # The socket does not listen earlier: a client's time would pass unnoticed while the node recovers
             # its state at the start, but a client whose connection is refused tries another node at once.
             sock.listen(BACKLOG)
@@ -136,8 +140,19 @@
         sock, _ = self.sock.accept()
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.note_accepted()
         self.on_accept(sock)
 
+    def note_accepted(self) -> None:
+        """Note that a connection is accepted, which bounds how long it has waited in the queue.
+
+        The queue is in the order of arrival and holds at most BACKLOG + 1 connections: this one arrived after
+        the last one was accepted that is as many before it.
+        """
+        if self.has_known_backlog and len(self.accepted_ms) == self.accepted_ms.maxlen:
+            self.last_empty_ms = max(self.last_empty_ms, self.accepted_ms[0])
+        self.accepted_ms.append(self.loop.now())
+
     def close(self, accepts_queued: bool = False) -> None:
         """Stop accepting connections; with `accepts_queued`, only after those in the accept queue.
 
--- a/tests/test_full_places.py
+++ b/tests/test_full_places.py
@@ -3,11 +3,13 @@
 See docs/incidents/2026-12-05-places-filled.md.
 """
 
+from collections import deque
 from dataclasses import replace
 
 import pytest
 from loopback_servers import SAFE_REQUEST, run_loop, run_until
 
+from marlseam.net import http
 from marlseam.net.client_connections import READING_GRACE_MS, AdmissionLimits
 
 PLACES = 4
@@ -129,6 +131,20 @@
     assert not node.downstream.overflow
 
 
+def test_a_connection_has_waited_no_longer_than_a_full_queue_takes(node, client, monkeypatch, advance_clock):
+    # Guards against a queue that is never empty: requests in it were taken for older than their time.
+    monkeypatch.setattr(http, "MAX_ACCEPTS_PER_TURN", 1)
+    node.downstream.listener.accepted_ms = deque(maxlen=3)  # of a queue that holds two
+    socks = [client(b"") for _ in range(6)]
+    sent_after_ms = []
+    while len(sent_after_ms) < len(socks):
+        advance_clock(100.0)
+        node.loop.turn()
+        sent_after_ms += [each.earliest_sent_ms for each in [*node.downstream.open][len(sent_after_ms) :]]
+    assert sent_after_ms[2] == sent_after_ms[0]
+    assert [round(at - sent_after_ms[2], -2) for at in sent_after_ms[3:]] == [100.0, 200.0, 300.0]
+
+
 def test_requests_that_wait_for_a_place_are_rejected_as_the_node_ends(node, client, reply, taken):
     fill_by_requests(node, client, taken)
     sock = client(SAFE_REQUEST.replace(b"9b", b"wait"))
