Bodies in small chunks fill neither the memory nor each turn of the loop

Callers saw their requests answered after up to 3.6 s, and a process near its memory limit, beside hundreds of clients that sent their bodies in chunks of one or two bytes.

Cause: a body was kept as a list of its parts, some twenty times the bytes that were reserved for it. A turn was bounded by bytes for each connection: 4 KB of such chunks are 800 events of the parser, some 10 ms, for each of hundreds of connections in the same turn.

Change: a body is one array of bytes. A connection lets others run after 64 events or 16 KB; requests then go on in the background: after all other tasks of a turn, in their order, for 5 ms a turn (Loop.run_background).

Measured: tests/test_memory_limit.py at: 35 MB resident of 32 where clients stop in such a body; now it passes.

--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -16,9 +16,12 @@
 from marlseam.net.buffer import Buffer
 from marlseam.net.errors import ConnectionEndedError
 from marlseam.net.log import Log, Reason
-from marlseam.net.loop import END, LATE, READ, WRITE, Cancelled, Loop, Wait, sleep
+from marlseam.net.loop import END, LATE, READ, WRITE, Cancelled, Loop, Wait, in_background, sleep
 
-PARSE_BYTES = 4096  # bytes passed to the parser at a time, and in one turn of the loop
+PARSE_BYTES = 4096  # bytes passed to the parser at a time
+# What a connection may parse until it lets others run: bytes, and events (a chunk is one, however small).
+MAX_UNYIELDED_BYTES = 16384
+MAX_UNYIELDED_EVENTS = 64
 MAX_HEAD_BYTES = 16384  # maximum size of a message's head
 MAX_HEAD_LINES = 100  # maximum number of lines of a request's head; a parsed line takes 50 times its bytes
 HEAD_END = re.compile(rb"\n\r?\n")
@@ -46,7 +49,7 @@
         closed: whether this side has closed the connection.
         eof: whether the peer has closed its sending side.
         has_discarded: whether received bytes were discarded, after which no message can follow.
-        parsed_bytes: bytes passed to the parser since this connection last yielded to the loop.
+        parsed_bytes, parsed_events: what was parsed since this connection last yielded to the loop.
         opened_ms, used_ms: when the connection was opened and last used, by the loop's clock.
         last_empty_ms: when the socket last had no unread bytes, by the loop's clock.
         earliest_sent_ms: `last_empty_ms` before the last read, whose bytes were sent after this time.
@@ -62,7 +65,7 @@
         self.raw_head = bytearray()
         self.messages, self.closed, self.eof = 0, False, False
         self.has_discarded = False  # whether received bytes were discarded, after which no message can follow
-        self.parsed_bytes = 0
+        self.parsed_bytes = self.parsed_events = 0
         self.opened_ms = self.used_ms = loop.now()
         self.last_empty_ms = self.earliest_sent_ms = self.opened_ms
         self.is_empty = False
@@ -93,20 +96,27 @@
     def event(self, until_ms: float) -> Steps:
         """Return the next h11 event of a message; raises ConnectionEndedError if none comes by `until_ms`."""
         while True:
+            if self.parsed_bytes >= MAX_UNYIELDED_BYTES or self.parsed_events >= MAX_UNYIELDED_EVENTS:
+                yield from self.let_others_run()
             event = self.parse()
+            self.parsed_events += 1
             if event is not h11.NEED_DATA:
                 return event
             if self.http.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 yield from self.write(self.http.send(continue_response), until_ms)
-            if self.parsed_bytes >= PARSE_BYTES:
-                # Guards other connections against starvation by a peer that sends at full speed, also in many
-                # small parts.
-                yield from sleep(self.loop.now())
-                self.parsed_bytes = 0
             yield from self.wait_for_bytes(until_ms)
             self.feed_parser()
 
+    def let_others_run(self) -> Steps:
+        """Yield to the loop. Guards other connections against a peer that sends at full speed.
+
+        Requests go on in the background: many clients whose requests are costly to parse would otherwise fill
+        each turn of the loop.
+        """
+        yield from in_background() if self.http.our_role is h11.SERVER else sleep(self.loop.now())
+        self.parsed_bytes = self.parsed_events = 0
+
     def parse(self) -> Any:  # noqa: ANN401
         """Return the parser's next event, an h11 event or one of h11's sentinels."""
         try:
@@ -127,7 +137,7 @@
             if not self.fill():
                 if event == LATE:
                     raise ConnectionEndedError(Reason.TIMED_OUT, 408)
-                self.parsed_bytes = 0
+                self.parsed_bytes = self.parsed_events = 0
                 event = yield (self.sock.fileno(), READ, until_ms)
 
     def feed_parser(self) -> None:
@@ -165,16 +175,15 @@
 
     def body(self, max_bytes: int, until_ms: float) -> Steps:
         """Return the remaining body of a message; raises ConnectionEndedError (413) above `max_bytes`."""
-        parts, size = [], 0
+        body = bytearray()
         while True:
             event = yield from self.event(until_ms)
             if type(event) is h11.Data:
-                size += len(event.data)
-                if size > max_bytes:
+                if len(body) + len(event.data) > max_bytes:
                     raise ConnectionEndedError(Reason.TOO_LARGE, 413)
-                parts.append(bytes(event.data))
+                body += event.data
             elif type(event) is h11.EndOfMessage:
-                return b"".join(parts)
+                return bytes(body)
             else:
                 raise ConnectionEndedError(Reason.PEER_CLOSED)
 
--- a/marlseam/net/downstream.py
+++ b/marlseam/net/downstream.py
@@ -20,7 +20,7 @@
 from marlseam.net.errors import ConnectionEndedError, MalformedMessageError
 from marlseam.net.invariants import Invariant, Violations
 from marlseam.net.log import Log, Reason
-from marlseam.net.loop import LATE, READ, READY, WOKEN, Cancelled, Coroutine, Loop, Timer, sleep
+from marlseam.net.loop import LATE, READ, READY, WOKEN, Cancelled, Coroutine, Loop, Timer, in_background
 from marlseam.net.pending_request import PendingRequest
 from marlseam.net.request_ids import RequestIds
 
@@ -170,8 +170,8 @@
         self.unvalidated[connection] = self.loop.running_task()
         try:
             while (yield from self.request(connection)):
-                # Guards other connections against starvation by a client that pipelines many requests.
-                yield from sleep(self.loop.now())
+                # Guards other connections against starvation by a client that sends many requests at once.
+                yield from in_background()
             reason = Reason.DRAINING if self.drain_timer is not None else Reason.DONE
         except ConnectionEndedError as end:
             reason = end.reason
--- a/marlseam/net/limits.py
+++ b/marlseam/net/limits.py
@@ -16,12 +16,9 @@
 from marlseam.net.loop import Loop
 from marlseam.net.upstream import Upstream
 
-OWN_SOCKETS = (
-    32  # descriptors for listeners, epoll, signals, discovery, logs, the interpreter and the overflow
-)
-OVERFLOW_CONNECTIONS = (
-    6  # connections of clients without a place, whose requests wait for one or are rejected
-)
+# Descriptors for listeners, epoll, signals, discovery, logs, the interpreter and OVERFLOW_CONNECTIONS.
+OWN_SOCKETS = 32
+OVERFLOW_CONNECTIONS = 6  # connections of clients beyond their limit
 OWN_MEMORY_MB = 20.0  # memory for the node itself
 CONNECTION_KB = 20.0  # memory for a connection, without the body of its request
 BODY_MEMORY_SHARE = 0.5  # share of the memory beyond OWN_MEMORY_MB for bodies of clients' requests
--- a/marlseam/net/loop.py
+++ b/marlseam/net/loop.py
@@ -22,6 +22,8 @@
 READ, WRITE, END = select.EPOLLIN, select.EPOLLOUT, select.EPOLLRDHUP
 READY, LATE, WOKEN = "ready", "late", "woken"
 MIN_WAITED_MS = 1.0  # a poll that took longer than this had to wait for an event
+BACKGROUND_FD = -2  # in place of a descriptor in a wait: for the next turn with time for background work
+BACKGROUND_MS = 5.0  # time in a turn after which background tasks wait for the next turn
 PRIORITIZED_CHECK_MS = 5.0  # how often within a turn the prioritized tasks are polled
 Wait = tuple[int, int, float]
 Coroutine = Generator[Wait, str, None]
@@ -72,7 +74,7 @@
         self.loop, self.coroutine, self.prioritized = loop, coroutine, prioritized
         self.fd = -1
         self.timer: Timer | None = None
-        self.done = self.running = self.woken = False
+        self.done = self.running = self.woken = self.in_background = False
 
     def step(self, value: str | None, error: BaseException | None = None) -> None:
         """Run the coroutine up to its next wait."""
@@ -97,6 +99,9 @@
             self.loop.call_soon(lambda: self.step(WOKEN))
             return
         descriptor, mask, until_ms = wait
+        if descriptor == BACKGROUND_FD:
+            self.in_background = True
+            self.loop.background.append(self)
         if descriptor >= 0:
             self.fd = descriptor
             self.arm(mask)
@@ -143,6 +148,7 @@
 
     def clear_wait(self) -> None:
         """Remove the current wait: its descriptor and its timer."""
+        self.in_background = False
         if self.fd >= 0:
             self.loop.waiting.pop(self.fd, None)
             self.fd = -1
@@ -173,6 +179,7 @@
         poll, prioritized: epoll objects of all tasks, and of the prioritized tasks.
         pollers: by descriptor, the epoll object in which it is registered.
         waiting: by descriptor, the task that waits for it.
+        background: tasks that go on once other tasks have run, in the order in which they will.
         tasks: the tasks that have not ended, in order of their start.
         current: the task that is running; None outside of tasks.
         stopped: set to end `run`.
@@ -190,6 +197,7 @@
         self.waiting: dict[int, Task] = {}
         self.timers: list[tuple[float, int, Timer]] = []
         self.calls: deque[Callable[[], None]] = deque()
+        self.background: deque[Task] = deque()
         self.tasks: dict[Task, None] = {}
         self.current: Task | None = None
         self.timer_count = self.cancelled_timers = 0
@@ -297,6 +305,7 @@
                 self.run_calls()
             else:
                 self.cancelled_timers -= 1
+        self.run_background()
         self.turn_ms = max(self.turn_ms, self.now() - began_ms)
 
     def run_prioritized(self) -> None:
@@ -312,6 +321,17 @@
         if self.now() - self.prioritized_run_ms > PRIORITIZED_CHECK_MS:
             self.run_prioritized()
 
+    def run_background(self) -> None:
+        """Resume the tasks that wait in the background, each once, for up to BACKGROUND_MS."""
+        until_ms = self.now() + BACKGROUND_MS
+        for _ in range(len(self.background)):
+            task = self.background.popleft()
+            if task.in_background:
+                task.step(LATE)
+                self.run_calls()
+                if self.now() >= until_ms:
+                    break
+
     def run_calls(self) -> None:
         """Run the calls that were scheduled before the next poll."""
         while self.calls:
@@ -326,11 +346,11 @@
             self.on_exception(traceback.format_exc())
 
     def pause_s(self) -> float:
-        """Return the time in s until the next timer is due; 0 if calls are scheduled, -1 without timers."""
+        """Return the time in s until the next timer is due; 0 if calls or tasks wait, -1 without timers."""
         while self.timers and self.timers[0][2].call is None:
             heapq.heappop(self.timers)
             self.cancelled_timers -= 1
-        if self.calls:
+        if self.calls or self.background:
             return 0.0
         return max(0.0, (self.timers[0][0] - self.now()) / 1000.0) if self.timers else -1.0
 
@@ -358,3 +378,8 @@
 def sleep(until_ms: float) -> Generator[Wait, str, str]:
     """Wait until a time or a wake; return LATE or WOKEN."""
     return (yield (-1, 0, until_ms))
+
+
+def in_background() -> Generator[Wait, str, str]:
+    """Let other tasks run first; return LATE or WOKEN."""
+    return (yield (BACKGROUND_FD, 0, inf))
--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -3,9 +3,11 @@
 import socket
 from math import inf
 
+from loopback_servers import control_clock
+
 from marlseam.net.buffer import Buffer
 from marlseam.net.log import MAX_BURST_LINES, Log
-from marlseam.net.loop import LATE, READ, WOKEN
+from marlseam.net.loop import BACKGROUND_MS, LATE, READ, WOKEN, in_background
 
 
 def test_a_buffer_returns_bytes_in_the_order_received():
@@ -147,3 +149,40 @@
     clock[0] = 1000.0
     log.line("y")
     assert capsys.readouterr().err.splitlines()[-2:] == ["marlseam n: 7 lines dropped", "marlseam n: y"]
+
+
+def test_background_tasks_get_a_bounded_part_of_each_turn_in_their_order(loop):
+    # Guards tasks that wait for events against many others that always have something to do.
+    advance, seen = control_clock(loop), []
+
+    def work(number):
+        while True:
+            yield from in_background()
+            advance(BACKGROUND_MS / 2)
+            seen.append(number)
+
+    tasks = [loop.spawn(work(number)) for number in range(5)]
+    loop.turn()
+    assert seen == [0, 1]
+    loop.turn()
+    loop.turn()
+    assert seen == [0, 1, 2, 3, 4, 0]
+    for task in tasks:
+        task.cancel()
+    loop.turn()
+    assert len(seen) == 6
+    assert loop.pause_s() == -1.0
+
+
+def test_a_task_woken_in_the_background_runs_once(loop):
+    seen = []
+
+    def work():
+        seen.append((yield from in_background()))
+        yield (-1, 0, inf)
+
+    loop.spawn(work()).wake()
+    for _ in range(3):
+        loop.call_soon(lambda: None)  # so that a turn does not wait for events
+        loop.turn()
+    assert seen == [WOKEN]
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -19,8 +19,17 @@
 )
 SHORT_FIELDS = b"".join(b"%x:1\r\n" % number for number in range(2200))  # in a head of 16 KB
 SENT = {
+    "part of a head": HEAD + b"X: " + b"x" * 16000,
     "part of a head of many fields": HEAD + SHORT_FIELDS,
     "part of a body after a head of many fields": HEAD + SHORT_FIELDS + b"Content-Length: 60000\r\n\r\nabc",
+    "part of a body": HEAD + b"Content-Length: 60000\r\n\r\n" + b"x" * 59000,
+    "part of a body in small chunks": HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"2\r\nab\r\n" * 30000,
+    "a whole request and a part of another": HEAD
+    + b"Content-Length: 60000\r\n\r\n"
+    + b"x" * 60000
+    + HEAD
+    + b"Content-Length: 60000\r\n\r\n"
+    + b"x" * 59000,
 }
 
 
