--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -24,6 +24,7 @@
 MAX_UNYIELDED_EVENTS = 64
 MAX_HEAD_BYTES = 16384  # maximum size of a message's head
 MAX_HEAD_LINES = 100  # maximum number of lines of a request's head; a parsed line takes 50 times its bytes
+FIRST_HEAD_BYTE = 0x21  # the lowest byte with which a request's head may begin
 HEAD_END = re.compile(rb"\n\r?\n")
 MAX_PIPELINED_BYTES = 2048  # bytes of pipelined data that are kept while a message is worked on
 PIPELINED_CHECK_MS = 20.0  # how often a peer that has sent MAX_PIPELINED_BYTES is checked for more
@@ -44,7 +45,7 @@
         description: name of the peer in log lines.
         http: h11's parser and writer.
         buffer: bytes that were received and not parsed.
-        raw_head: the head of the current message, as received.
+        raw_head: of the side of a server, the received bytes of the current request up to its head's end.
         messages: number of messages written.
         closed: whether this side has closed the connection.
         eof: whether the peer has closed its sending side.
@@ -105,8 +106,9 @@
             if self.http.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
                 yield from self.write(self.http.send(continue_response), until_ms)
-            yield from self.wait_for_bytes(until_ms)
-            self.feed_parser()
+            if not self.feed_whole_head():
+                yield from self.wait_for_bytes(until_ms)
+                self.feed_parser()
 
     def let_others_run(self) -> Steps:
         """Yield to the loop. Guards other connections against a peer that sends at full speed.
@@ -141,13 +143,35 @@
                 event = yield (self.sock.fileno(), READ, until_ms)
 
     def feed_parser(self) -> None:
-        """Pass received bytes to the parser; no bytes mean the end of the stream."""
+        """Pass received bytes to the parser; no bytes mean the end of the stream.
+
+        A request's head is kept here until it is whole, so that there is one copy of an incomplete one.
+        """
         data = self.buffer.take(PARSE_BYTES)
         self.parsed_bytes += len(data)
-        if self.http.their_state is h11.IDLE:
-            self.raw_head += data
-            self.check_head_lines()
-        self.http.receive_data(data)
+        if not self.is_in_head():
+            self.http.receive_data(data)
+            return
+        self.raw_head += data
+        if not self.feed_whole_head() and not data:
+            if self.raw_head:
+                self.http.receive_data(bytes(self.raw_head))
+            self.http.receive_data(b"")
+
+    def is_in_head(self) -> bool:
+        """Return whether this is the side of a server, and the next byte belongs to a request's head."""
+        return self.http.our_role is h11.SERVER and self.http.their_state is h11.IDLE
+
+    def feed_whole_head(self) -> bool:
+        """Pass a request's head to the parser if it is whole or can be no head; return whether it was."""
+        if not self.raw_head or not self.is_in_head():
+            return False
+        self.check_head_lines()
+        is_over = len(self.raw_head) > MAX_HEAD_BYTES or HEAD_END.search(self.raw_head)
+        if not is_over and self.raw_head[0] >= FIRST_HEAD_BYTE:
+            return False
+        self.http.receive_data(bytes(self.raw_head))
+        return True
 
     def check_head_lines(self) -> None:
         """Raise ConnectionEndedError (431) for a head of too many lines, before it is parsed.
@@ -192,7 +216,8 @@
 
         Guards clients that pipeline requests: the parser may hold all of them.
         """
-        return bool(len(self.buffer) or self.http.trailing_data[0])
+        has_next_head = self.is_in_head() and bool(self.raw_head)
+        return bool(len(self.buffer) or has_next_head or self.http.trailing_data[0])
 
     def is_quiet(self) -> bool:
         """Return whether an idle connection is still open and has received nothing."""
@@ -327,12 +352,15 @@
 
     def start_next_message(self) -> bool:
         """Prepare for the next message; return False if one side does not allow another one."""
-        if self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            return False
+        if self.http.our_role is h11.SERVER:
             self.raw_head[:] = self.http.trailing_data[0]
+            self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+        else:
             self.http.start_next_cycle()
-            self.used_ms = self.loop.now()
-            return True
-        return False
+        self.used_ms = self.loop.now()
+        return True
 
     def close(self, reason: Reason) -> None:
         """Close the connection once, and log its one line."""
