The request of the upgrade test stays open however late the new process is

Seen: test_a_new_process_refuses_the_id_... failed once beside the whole suite (safe class), and in 24 of 24 copies at once.

Cause: the test. Its request of a safe class waits at a silent server, which the node gives up after the class's 200 ms objective, so that no request is open when the second one comes. The node did what it should.

Change: classes with long objectives, one attempt and a client that waits 50 s, as in limited_node; the checks are the same.

--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -13,6 +13,7 @@
 import pytest
 from conftest import turn_until
 from handover_samples import attempt_sent, encode_hello
+from limited_node import LONG_RUNNING_CLASSES
 from loopback_servers import (
     NO_PROBES,
     SAFE_REQUEST,
@@ -51,7 +52,10 @@
 def begun_by_processes(listening_socket, config_path, tmp_path):
     """Return a function that starts a process of the node, and the server that the processes list."""
     server, processes = ListeningServer(), []
-    settings = OPTIONS | {"ceilings": OPTIONS["ceilings"] | NO_PROBES}
+    settings = OPTIONS | {
+        "ceilings": OPTIONS["ceilings"] | NO_PROBES | {"sendCap": 1},
+        "requestClasses": LONG_RUNNING_CLASSES,
+    }
     hosts = [ENDPOINT | {"dial": "{}:{}".format(*server.address)}]
     known = NODE_CONFIG["known"] | {"hosts": hosts}
     config_path.write_text(json.dumps(NODE_CONFIG | {"settings": settings, "known": known}))
@@ -77,13 +81,14 @@
     server.close()
 
 
-@pytest.mark.parametrize("request_bytes", [UNSAFE_REQUEST, SAFE_REQUEST])
+@pytest.mark.parametrize("request_bytes", [UNSAFE_REQUEST, SAFE_REQUEST], ids=["unsafe", "safe"])
 def test_a_new_process_refuses_the_id_of_a_request_that_is_open_at_the_old_one(
     begun_by_processes, listening_socket, request_bytes
 ):
     # Guards against an unsafe request that runs twice, and against service for a client that repeats the id
     # of another client's request, during an upgrade.
     start, server = begun_by_processes
+    request_bytes = request_bytes.replace(b"Left: 5", b"Left: 50")
     old = start()
     usual_client = socket.create_connection(listening_socket.getsockname(), timeout=20.0)
     usual_client.sendall(request_bytes)
