An answered request is not kept until its deadline

Operators saw memory grow while one client sent small requests at full speed: 0.9 KB for each request, for as long as the longest deadline.

Cause: the timer of a request's deadline refers to the state of the request; the reducer and the loop kept both until it fired.

Effects are unchanged.

--- a/marlseam/core/port.py
+++ b/marlseam/core/port.py
@@ -117,11 +117,16 @@
         """Request a load report from a server."""
         self.effects.append(Probe(self.servers.names[server]))
 
-    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
-        """Call a function once, after a delay."""
+    def after(self, delay_ms: float, call: Callable[[], None]) -> int:
+        """Call a function once, after a delay; return the timer's id."""
         self.timer_count += 1
         self.timers[self.timer_count] = call
         self.effects.append(SetTimer(self.timer_count, delay_ms))
+        return self.timer_count
+
+    def cancel_timer(self, timer_id: int) -> None:
+        """Drop the call of a timer, if it has not been made; an adapter need not report that it fires."""
+        self.timers.pop(timer_id, None)
 
     def never_ran(self, state: TrackedRequest, server: int, sent_ms: float) -> None:
         """Erase the records of an attempt that provably never ran, if there are any."""
--- a/marlseam/decisions/dispatcher.py
+++ b/marlseam/decisions/dispatcher.py
@@ -87,14 +87,16 @@
         self.count_arrival(request)
         state = self.request_state_type(self, request)
         time_left_ms = request.deadline_at_ms - self.port.now()
-        self.port.after(time_left_ms - self.deadline_margin_ms, state.answer)
+        state.timers.append(self.port.after(time_left_ms - self.deadline_margin_ms, state.answer))
         self.join_key_queue(state)
         run_share = 1.0 if request.run_hint_ms else RESERVED_RUN_SHARE
         to_spare_ms = state.time_to_spare_ms(min(self.kind_pace), run_share)
         if state.has_turn:
             state.place()
         elif self.has_time_in_key_queue(state, to_spare_ms):
-            self.port.after(to_spare_ms, lambda: None if state.has_turn else state.answer())
+            state.timers.append(
+                self.port.after(to_spare_ms, lambda: None if state.has_turn else state.answer())
+            )
         else:
             state.answer()
         return state
--- a/marlseam/decisions/key_ordering.py
+++ b/marlseam/decisions/key_ordering.py
@@ -61,7 +61,7 @@
         self.queue.append(state)
         self.ahead_ms += run_ms
 
-    def pause(self, call_after: Callable[[float, Callable[[], None]], None], gap_ms: float) -> None:
+    def pause(self, call_after: Callable[[float, Callable[[], None]], object], gap_ms: float) -> None:
         """Give no request its turn for `gap_ms`, since an attempt may still run."""
         self.pause_count += 1
         call_after(gap_ms, self.pause_ended)
--- a/marlseam/decisions/request_record.py
+++ b/marlseam/decisions/request_record.py
@@ -32,6 +32,7 @@
         key_queue: the queue of the request's resource key if its class is `ordered_by_key`, else None.
         has_turn: whether the request may be sent as far as its resource key is concerned.
         key_run_ms: how long the request is expected to delay the later requests of its resource key.
+        timers: the ids of the timers that answer the request, which are cancelled at its end.
     """
 
     def __init__(self, dispatcher: "Dispatcher", request: Request) -> None:
@@ -49,6 +50,7 @@
         self.probed_servers: list[int] = []
         self.key_queue: KeyQueue | None = None
         self.has_turn, self.key_run_ms = True, 0.0
+        self.timers: list[int] = []
 
     def attempts_that_may_have_run(self) -> list[Attempt]:
         """Return the attempts that may have had an effect, in the order sent."""
--- a/marlseam/decisions/retry.py
+++ b/marlseam/decisions/retry.py
@@ -41,8 +41,13 @@
         self.close()
 
     def close(self) -> None:
-        """Cancel the attempts in flight of a request that has its answer or whose client has left."""
+        """Cancel the attempts in flight of a request that has its answer or whose client has left.
+
+        Its timers are cancelled too: each holds the request until it fires, at the request's deadline.
+        """
         self.is_closed = True
+        while self.timers:
+            self.dispatcher.port.cancel_timer(self.timers.pop())
         for index, attempt in enumerate(self.attempts):
             if attempt.outcome is None and not attempt.cancelled:
                 # If the settings forbid cancels, the port cancels only attempts that are not sent yet.
--- a/marlseam/decisions/types.py
+++ b/marlseam/decisions/types.py
@@ -364,8 +364,12 @@
         """Request a load report from a server."""
         ...
 
-    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
-        """Call a function once, after a delay."""
+    def after(self, delay_ms: float, call: Callable[[], None]) -> int:
+        """Call a function once, after a delay; return the timer's id."""
+        ...
+
+    def cancel_timer(self, timer_id: int) -> None:
+        """Drop the call of a timer, if it has not been made."""
         ...
 
     def never_ran(self, state: TrackedRequest, server: int, sent_ms: float) -> None:
--- a/marlseam/net/effects.py
+++ b/marlseam/net/effects.py
@@ -9,16 +9,23 @@
 from marlseam.net import protocol
 from marlseam.net.node_interface import NodeInterface
 from marlseam.net.open_requests import GiveUp
+from marlseam.net.reducer_timers import ReducerTimers
 from marlseam.net.upstream import AttemptOrder
 
 NodeEffect = core.Effect | GiveUp
 
 
 class EffectHandlers:
-    """Carries out effects on the parts of one node."""
+    """Carries out effects on the parts of one node.
+
+    Attributes:
+        timers: the timers that the reducer has set.
+
+    """
 
     def __init__(self, node: NodeInterface) -> None:
         self.node = node
+        self.timers = ReducerTimers(node.loop, lambda: node.reducer.timers, node.post)
 
     def carry_out(self, effect: NodeEffect) -> None:
         """Carry out one effect."""
@@ -102,9 +109,8 @@
             self.node.durable_state.record(effect)
 
     def set_timer(self, effect: core.SetTimer) -> None:
-        """Post TimerFired with the timer's id after its delay."""
-        loop, timer_id = self.node.loop, effect.timer_id
-        loop.call_at(loop.now() + effect.delay_ms, lambda: self.node.post(core.TimerFired(timer_id)))
+        """Post TimerFired with the timer's id after its delay, unless the reducer cancels the timer."""
+        self.timers.set(effect.timer_id, effect.delay_ms)
 
     def watch_endpoints(self, _effect: core.WatchEndpoints) -> None:
         """Start to watch discovery for the endpoint list."""
--- a/marlseam/shadow_policy.py
+++ b/marlseam/shadow_policy.py
@@ -70,8 +70,13 @@
     def probe(self, server: int) -> None:
         """Probe nothing."""
 
-    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+    def after(self, delay_ms: float, call: Callable[[], None]) -> int:
         """Set no timer."""
+        del delay_ms, call
+        return 0
+
+    def cancel_timer(self, timer_id: int) -> None:
+        """Cancel nothing."""
 
     def never_ran(self, state: TrackedRequest, server: int, sent_ms: float) -> None:
         """Erase no record."""
--- a/tests/recording_port.py
+++ b/tests/recording_port.py
@@ -38,8 +38,12 @@
     def probe(self, server: int) -> None:
         self.operations.append(("probe", server))
 
-    def after(self, delay_ms: float, call: Callable[[], None]) -> None:
+    def after(self, delay_ms: float, call: Callable[[], None]) -> int:
         self.timers.append((self.clock + delay_ms, call))
+        return len(self.timers)
+
+    def cancel_timer(self, _timer_id: int) -> None:
+        """Keep the timer: a request that is over ignores its calls."""
 
     def never_ran(self, state: RequestState, server: int, _sent_ms: float) -> None:
         self.operations.append(("never_ran", state.request.request_id, server))
