Requests that a client sends ahead are kept and answered, not thrown away

Cause: so that a client's end shows behind a full receive buffer, what stood unread there was thrown away, whole requests among it.

Change: it is read and kept, up to 256 KB of a connection and a quarter of the memory for bodies of all together, and served in order.

--- a/marlseam/net/buffer.py
+++ b/marlseam/net/buffer.py
@@ -1,11 +1,13 @@
 """A byte buffer that grows as needed and is compacted in place."""
 
+MAX_GROWTH = 4  # multiple of its first size that an empty buffer keeps
+
 
 class Buffer:
     """Received bytes that were not consumed yet: appended at the end, taken from the front."""
 
     def __init__(self, size: int = 4096) -> None:
-        self.bytes = bytearray(size)
+        self.bytes, self.size = bytearray(size), size
         self.start = self.end = 0
 
     def __len__(self) -> int:
@@ -32,4 +34,6 @@
         self.start = stop
         if self.start == self.end:
             self.start = self.end = 0
+            if len(self.bytes) > MAX_GROWTH * self.size:
+                self.bytes = bytearray(self.size)
         return taken
--- a/marlseam/net/client_connections.py
+++ b/marlseam/net/client_connections.py
@@ -18,6 +18,8 @@
 MAX_NEW_SHARE = 0.25  # share of the clients' limit above which new connections lose NEW_GRACE_MS
 READING_GRACE_MS = 250.0  # time in which a request that is being received is not rejected to free capacity
 MIN_CLIENTS = 2  # minimum number of places in a shortage, whatever the number of descriptors
+MAX_PIPELINED_BYTES = 1 << 18  # maximum of a connection for requests behind the one that is worked on
+PIPELINED_SHARE = 0.25  # limit of all such bytes together, as a share of the memory for bodies
 MAX_WAIT_SHARE = 0.25  # share of the time that a client waits in which its request may wait for capacity
 
 
@@ -238,6 +240,12 @@
                 raise ConnectionEndedError(Reason.CROWDED, HTTPStatus.SERVICE_UNAVAILABLE)
         self.reserved_bytes[connection] = size
 
+    def max_pipelined_bytes(self, connection: Connection) -> int:
+        """Return how many bytes of further requests may be kept while a connection's request is worked on."""
+        others_bytes = sum(len(other.buffer) for other in self.open if other is not connection)
+        free_bytes = int(PIPELINED_SHARE * self.limits.body_bytes) - others_bytes
+        return max(0, min(MAX_PIPELINED_BYTES, free_bytes))
+
     def closable_holder(self) -> Connection | None:
         """Return a connection that may be closed to free the memory reserved for its body; None for none."""
         slow_ms = self.loop.now() - READING_GRACE_MS
--- a/marlseam/net/connection.py
+++ b/marlseam/net/connection.py
@@ -26,7 +26,9 @@
 MAX_HEAD_LINES = 100  # maximum number of lines of a request's head; a parsed line takes 50 times its bytes
 FIRST_HEAD_BYTE = 0x21  # the lowest byte with which a request's head may begin
 HEAD_END = re.compile(rb"\n\r?\n")
-MAX_PIPELINED_BYTES = 2048  # bytes of pipelined data that are kept while a message is worked on
+MAX_PIPELINED_BYTES = 2048  # bytes of pipelined data that are read at once while a message is worked on
+MIN_READ_BYTES = 2048  # least room for a read
+PIPELINED_READ_BYTES = 65536  # least room for a read of pipelined bytes that may hide the peer's end
 PIPELINED_CHECK_MS = 20.0  # how often a peer that has sent MAX_PIPELINED_BYTES is checked for more
 # Share of the socket's receive buffer, at most DISCARD_BUFFER's size; more unread bytes may hide an end.
 HIDDEN_END_SHARE = 0.5
@@ -74,10 +76,13 @@
 
     # Reading.
 
-    def fill(self) -> bool:
-        """Read available bytes without waiting; return whether bytes or the peer's end were read."""
+    def fill(self, min_bytes: int = MIN_READ_BYTES) -> bool:
+        """Read available bytes without waiting, with room for at least `min_bytes`.
+
+        Returns whether bytes or the peer's end were read.
+        """
         try:
-            count = syscalls.none_if_transient(lambda: self.sock.recv_into(self.buffer.reserve()))
+            count = syscalls.none_if_transient(lambda: self.sock.recv_into(self.buffer.reserve(min_bytes)))
         except OSError:
             raise ConnectionEndedError(Reason.PEER_RESET) from None
         if count is None:
@@ -237,20 +242,38 @@
             return (self.sock.fileno(), END | READ, inf)
         return (self.sock.fileno(), END, self.loop.now() + PIPELINED_CHECK_MS)
 
-    def discard_pipelined(self) -> None:
-        """Discard pipelined bytes if they fill much of the socket's receive buffer, and all later bytes.
+    def read_pipelined(self, max_kept: int) -> None:
+        """Read pipelined bytes if they fill much of the socket's receive buffer; keep up to `max_kept`.
 
-        Guards against work for a client that has disconnected: with a full receive buffer the system accepts
-        neither more bytes nor the end behind them, so that the end would not be detected.
+        Where there are more, these and all later ones are discarded. Guards against work for a client that
+        has disconnected: with a full receive buffer the system accepts neither more bytes nor the end behind
+        them, so that the end would not be detected.
         """
         try:
-            if not self.has_discarded:
-                buffer_bytes = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
-                limit_bytes = min(len(DISCARD_BUFFER), int(HIDDEN_END_SHARE * buffer_bytes))
-                self.has_discarded = (
-                    self.sock.recv_into(DISCARD_BUFFER, limit_bytes, socket.MSG_PEEK) == limit_bytes
-                )
-            for _ in range(MAX_DISCARD_READS if self.has_discarded else 0):
+            if not self.has_discarded and self.hides_end():
+                while len(self.buffer) < max_kept and self.fill(PIPELINED_READ_BYTES) and not self.eof:
+                    pass
+                self.has_discarded = len(self.buffer) >= max_kept and not self.eof
+            if self.has_discarded:
+                self.discard_unread()
+        except ConnectionEndedError:
+            self.eof = True
+
+    def hides_end(self) -> bool:
+        """Return whether so many bytes are unread that the peer's end may wait behind them."""
+        buffer_bytes = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        limit_bytes = min(len(DISCARD_BUFFER), int(HIDDEN_END_SHARE * buffer_bytes))
+        try:
+            return self.sock.recv_into(DISCARD_BUFFER, limit_bytes, socket.MSG_PEEK) == limit_bytes
+        except ConnectionError:
+            raise ConnectionEndedError(Reason.PEER_RESET) from None
+        except OSError:
+            return False
+
+    def discard_unread(self) -> None:
+        """Discard unread bytes, up to MAX_DISCARD_READS reads of them."""
+        try:
+            for _ in range(MAX_DISCARD_READS):
                 if not self.sock.recv_into(DISCARD_BUFFER):
                     self.eof = True
                     break
--- a/marlseam/net/downstream.py
+++ b/marlseam/net/downstream.py
@@ -269,7 +269,7 @@
         """Pass a request to the node and wait for its answer, or until the client disconnects."""
         id = pending.client_request.id
         if connection.has_pipelined():
-            connection.discard_pipelined()
+            connection.read_pipelined(self.max_pipelined_bytes(connection))
         if connection.is_peer_gone():  # guards against work for a client that has already left
             raise ConnectionEndedError(Reason.PEER_CLOSED)
         if not self.request_ids.take(id):
@@ -297,7 +297,7 @@
             wait, asked_ms = connection.wait_for_end(), self.loop.now()
             event = yield wait
             if event == LATE:
-                connection.discard_pipelined()
+                connection.read_pipelined(self.max_pipelined_bytes(connection))
             elif event == WOKEN and wait[1] & READ and self.loop.polled_ms > asked_ms:
                 connection.note_empty(self.loop.polled_ms)
             if event != WOKEN and pending.answer is None:
