A new file must have the keys that each class has in the file in force

Cause: of a list of classes only the keys common to all rows were required of a new file; a missing flag of one class reads as its less strict meaning.

Change: a class must also have the keys that the class of its name has in the file in force (configuration.loader.RowKeys).

--- a/marlseam/configuration/loader.py
+++ b/marlseam/configuration/loader.py
@@ -241,16 +241,37 @@
     return int(value)
 
 
+class RowKeys(NamedTuple):
+    """The keys of a list of objects.
+
+    Attributes:
+        common: the keys that all objects have.
+        by_name: the keys of each object that has a name.
+    """
+
+    common: frozenset[str]
+    by_name: dict[str, frozenset[str]]
+
+    def required_of(self, row: Mapping[str, Any]) -> list[str]:
+        """Return the keys that an object must have: the common ones, and those of its namesake."""
+        return sorted(self.common | self.by_name.get(str(row.get("name")), frozenset()))
+
+
+def row_keys_of(rows: list[Mapping[str, Any]]) -> RowKeys:
+    """Return the keys of a list of objects, which is not empty."""
+    by_name = {str(row["name"]): frozenset(row) for row in rows if "name" in row}
+    return RowKeys(frozenset.intersection(*(frozenset(row) for row in rows)), by_name)
+
+
 def shape_of(values: Mapping[str, Any]) -> dict[str, Any]:
-    """Return the keys of a file: nested for objects, and for a list of objects the keys common to them."""
+    """Return the keys of a file: nested for objects, and as `RowKeys` for a list of objects."""
     shape: dict[str, Any] = {}
     for key, value in values.items():
         shape[key] = None
         if isinstance(value, Mapping):
             shape[key] = shape_of(value)
         elif isinstance(value, list) and value and all(isinstance(row, Mapping) for row in value):
-            common = set.intersection(*(set(row) for row in value))
-            shape[key] = [sorted(common)]
+            shape[key] = row_keys_of(value)
     return shape
 
 
@@ -268,7 +289,7 @@
             continue
         if isinstance(inner, dict) and isinstance(value, Mapping):
             require_keys(value, inner, full_key + ".")
-        elif isinstance(inner, list) and isinstance(value, list):
+        elif isinstance(inner, RowKeys) and isinstance(value, list):
             for i, row in enumerate(value):
                 if isinstance(row, Mapping):
-                    require_keys(row, dict.fromkeys(inner[0]), f"{full_key}[{i}].")
+                    require_keys(row, dict.fromkeys(inner.required_of(row)), f"{full_key}[{i}].")
--- a/tests/test_settings_reload.py
+++ b/tests/test_settings_reload.py
@@ -191,3 +191,16 @@
     follow_discovery(endpoint_list(1, "e2"))
     rewrite(known=json.loads(endpoint_list(9, "e9")))
     assert list(node.discovery.entries) == ["e2"]
+
+
+def test_a_file_short_of_a_key_that_one_class_alone_has_is_refused(node, rewrite, capsys):
+    # Guards the order of a key's requests: without `oneAtATime` they would be sent at the same time.
+    ordered = settings_with_classes("statement", "edit", oneAtATime=True)
+    rewrite(settings=ordered)
+    in_force = node.config
+    rewrite(settings=settings_with_classes("statement", "edit"))
+    assert node.config is in_force
+    assert "requestClasses[1].oneAtATime" in capsys.readouterr().err
+    rewrite(settings=settings_with_classes("statement", "other"))
+    assert [each.ordered_by_key for each in node.config.deployment.settings.request_classes][-1] is False
+    assert node.counters.reloads == 2
