The processes of a node tell each other the keys whose requests they send in order

Cause: as with the ids of open requests: the queues of keys belong to one process, and nothing of them was told.

A process holds a key from its first request of an ordered class until the reducer's queue of the key has ended, and tells so by the lines for ids. Why it works: the key is held before a request is taken, written before the others are read.

--- a/marlseam/net/downstream.py
+++ b/marlseam/net/downstream.py
@@ -19,6 +19,7 @@
 from marlseam.net.connection import Connection, Steps
 from marlseam.net.errors import ConnectionEndedError, MalformedMessageError
 from marlseam.net.invariants import Invariant, Violations
+from marlseam.net.key_turns import KeyTurns
 from marlseam.net.log import Log, Reason
 from marlseam.net.loop import LATE, READ, READY, WOKEN, Cancelled, Coroutine, Loop, Timer, in_background
 from marlseam.net.pending_request import PendingRequest
@@ -28,6 +29,7 @@
 DRAIN_CHECK_MS = 20.0  # how often a drain checks for idle connections
 # Time limit for receiving a request: the first one from connecting, others from their first byte.
 READ_TIMEOUT_MS = 2500.0
+MAX_KEY_WAIT_MS = 1000.0  # maximum wait for a resource key that another process of the node holds
 WRITE_TIMEOUT_MS = 2500.0  # time limit for a client to read its answer
 
 
@@ -40,6 +42,7 @@
         client_left: notifies the node that the client of a request has disconnected.
         unanswered: correlation ids of requests that were read and not answered, by connection.
         request_ids: correlation ids of the requests that the node is handling.
+        key_turns: resource keys whose requests this process may send in their order.
         violations: counts connections closed with an unanswered request; None if they are not counted.
         drain_timer: timer of a drain's next check; None while no drain is in progress.
         close_answered_at_ms, close_idle_at_ms: from when on each answer closes its connection, and idle
@@ -65,6 +68,7 @@
         self.violations: Violations | None = None
         self.unanswered: dict[Connection, str] = {}
         self.request_ids = RequestIds()
+        self.key_turns = KeyTurns(loop, self.request_ids)
         self.drain_timer: Timer | None = None
         self.close_answered_at_ms = self.close_idle_at_ms = inf
         fd = config.socket_fd
@@ -199,6 +203,7 @@
                 self.violations.note(Invariant.CLOSE, id=id, reason=reason.value)
             connection.close(reason)
             self.remove(connection)
+            self.key_turns.release_ended()
 
     def wait_for_first_byte(self, connection: Connection) -> Steps:
         """Wait for the first byte of a request; meanwhile the connection may be closed to free capacity."""
@@ -241,6 +246,7 @@
                     received.target, received.head, received.body, self.deployment
                 )
                 yield from self.wait_for_place(connection, client_request.time_left_ms)
+                yield from self.wait_for_key(connection, client_request)
                 self.unanswered[connection] = client_request.id
                 status, headers, body = yield from self.serve_request(
                     connection,
@@ -257,6 +263,19 @@
             yield from connection.linger(self.loop.now() + http.LINGER_MS)
         return connection.start_next_message()
 
+    def wait_for_key(self, connection: Connection, client_request: protocol.ClientRequest) -> Steps:
+        """Wait until no other process of the node has requests of an ordered class with the same key.
+
+        Raises ConnectionEndedError with status 503 after MAX_WAIT_SHARE of the time that its client waits.
+        """
+        key = client_request.resource_key
+        request_class = self.deployment.settings.request_classes[client_request.class_index]
+        if key is None or not request_class.ordered_by_key:
+            return
+        wait_ms = min(MAX_WAIT_SHARE * client_request.time_left_ms, MAX_KEY_WAIT_MS)
+        if not (yield from self.key_turns.wait_for(key, connection.earliest_sent_ms + wait_ms)):
+            raise ConnectionEndedError(Reason.CROWDED, HTTPStatus.SERVICE_UNAVAILABLE)
+
     def wait_until_ms(self, connection: Connection, head: protocol.Head) -> float:
         """Return until when a request may wait for memory for its body, by the time that its client waits."""
         try:
--- a/marlseam/net/node.py
+++ b/marlseam/net/node.py
@@ -160,6 +160,7 @@
                 self.requests.client_left,
             )
         self.downstream.violations = self.violations
+        self.downstream.key_turns.queues = lambda: self.reducer.dispatcher.key_queues
         self.shortage = DescriptorShortage(loop, self.downstream, self.upstream, self.apply_client_limits)
 
     def make_admin(self) -> None:
@@ -317,6 +318,7 @@
                 self.process_event(self.events.popleft())
         finally:
             self.is_reducing = False
+        self.downstream.key_turns.release_ended()
 
     def process_event(self, event: Event) -> None:
         """Reduce one event and carry out its effects; an exception in either ends only that one request."""
--- a/marlseam/net/request_ids.py
+++ b/marlseam/net/request_ids.py
@@ -24,6 +24,9 @@
     def is_open_elsewhere(self, id: str) -> bool:
         """Return whether another process has a request open under an id, as far as it has told."""
 
+    def is_current(self) -> bool:
+        """Return whether all processes of the node have each other's ids."""
+
 
 class RequestIds:
     """The ids under which this node has a request open.
@@ -41,6 +44,10 @@
     def __len__(self) -> int:
         return len(self.own)
 
+    def is_current(self) -> bool:
+        """Return whether all processes of the node have each other's ids."""
+        return self.exchange is None or self.exchange.is_current()
+
     def take(self, id: str) -> bool:
         """Take an id for a request; return False if a request is open under it, here or elsewhere."""
         if id in self.own:
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -24,7 +24,8 @@
 from settings_samples import ENDPOINT, NODE_CONFIG, OPTIONS
 
 from marlseam.core.idempotency import correlation_key
-from marlseam.net import process_handover
+from marlseam.net import downstream, process_handover
+from marlseam.net.key_turns import KeyTurns
 from marlseam.net.node import Node
 from marlseam.net.request_ids import RequestIds
 from marlseam.recovery import handover_codec
@@ -127,9 +128,9 @@
     """
     socks = []
 
-    def connect(*lines):
+    def connect(*lines, **changes):
         socks.append(listen_as_old_process(tmp_path))
-        node = make_inheriting_node()
+        node = make_inheriting_node(**changes)
         sock, _ = socks[0].accept()
         socks.append(sock)
         sock.sendall(b"".join((encode_hello(), *lines)))
@@ -237,6 +238,72 @@
     assert answer_on(node, send(listening_socket, UNSAFE_REQUEST)).startswith(b"HTTP/1.1 503 ")
 
 
+# Resource keys of classes whose requests run one at a time.
+
+ORDERED = OPTIONS | {"requestClasses": [row | {"oneAtATime": True} for row in LONG_RUNNING_CLASSES]}
+KEY_REQUEST = UNSAFE_REQUEST.replace(b"/posting", b"/posting?user=u")
+
+
+def told(old_process):
+    """Return the ids and keys that the node has told an old process, as pairs of a type and an id."""
+    items = [
+        item for line in old_process.recv(65536).splitlines() for item in handover_codec.parse_line(line)
+    ]
+    opened = [(type(item), id) for item in items if hasattr(item, "ids") for id in item.ids]
+    return opened + [(type(item), item.id) for item in items if hasattr(item, "id")]
+
+
+def test_requests_of_a_key_wait_in_order_for_another_process_that_holds_the_key(
+    connect_old_process, listening_socket
+):
+    # Guards the order of a key's requests, and one at a time, during an upgrade.
+    ids = handover_codec.encode_all_opened(["key u"])
+    node, old_process = connect_old_process(*ids, SNAPSHOT_END_LINE, settings=ORDERED)
+    taken = []
+    node.downstream.take_request = lambda pending: taken.append(pending.client_request.id) or "1"
+    socks = []
+    for number in range(3):
+        socks.append(send(listening_socket, KEY_REQUEST.replace(b"9b", b"a%d" % number)))
+        turn_until(node.loop, lambda: len(node.downstream.key_turns.waiting.get("u", ())) == len(socks))
+    socks.append(send(listening_socket, KEY_REQUEST.replace(b"=u", b"=v")))
+    turn_until(node.loop, lambda: taken)
+    assert taken == ["9b"]
+    old_process.sendall(handover_codec.encode_closed("key u"))
+    turn_until(node.loop, lambda: len(taken) == 4)
+    assert taken == ["9b", "a0", "a1", "a2"]
+    for sock in socks:
+        sock.close()
+
+
+def test_a_request_is_rejected_where_another_process_holds_its_key_for_long(
+    connect_old_process, listening_socket, monkeypatch
+):
+    monkeypatch.setattr(downstream, "MAX_KEY_WAIT_MS", 50.0)
+    ids = handover_codec.encode_all_opened(["key u"])
+    node, _ = connect_old_process(*ids, SNAPSHOT_END_LINE, settings=ORDERED)
+    assert answer_on(node, send(listening_socket, KEY_REQUEST)).startswith(b"HTTP/1.1 503 ")
+    assert not node.downstream.key_turns.waiting
+
+
+def test_a_key_is_held_until_its_queue_has_ended(connect_old_process, listening_socket):
+    ids = handover_codec.encode_all_opened([])
+    node, old_process = connect_old_process(*ids, SNAPSHOT_END_LINE, settings=ORDERED)
+    sock = send(listening_socket, KEY_REQUEST)
+    turn_until(node.loop, lambda: node.requests.pending)
+    assert node.downstream.key_turns.held == {"u"}
+    assert (handover_codec.RequestsOpened, "key u") in told(old_process)
+    sock.close()
+    turn_until(node.loop, lambda: not node.downstream.key_turns.held)
+    assert (handover_codec.RequestClosed, "key u") in told(old_process)
+
+
+def test_a_key_longer_than_a_line_takes_is_told_by_its_end(loop):
+    turns = KeyTurns(loop, RequestIds())
+    assert turns.hold("x" * 5000)
+    (id,) = turns.request_ids.own
+    assert handover_codec.parse_line(handover_codec.encode_opened([id]))
+
+
 class Exchange:
     """The exchange of one of two processes; `before_read` is called between its write and its read."""
 
@@ -257,6 +324,9 @@
     def is_open_elsewhere(self, id):
         return id in self.known
 
+    def is_current(self):
+        return True
+
 
 def test_of_two_processes_that_take_an_id_at_the_same_time_one_takes_it():
     first, second = RequestIds(), RequestIds()
