A restarted process counts no response to its predecessor's quorum reads

Cause: each process numbered its quorum reads from 1, so that late responses to the former process were counted for the reads of the new one.

Change: a process numbers its reads from a random number of 40 bits on. The form of the messages is the same. Why it works: a response counts only for a read of its number, and no two processes of a member share one.

--- a/marlseam/cluster/replication/quorum_lease.py
+++ b/marlseam/cluster/replication/quorum_lease.py
@@ -63,17 +63,18 @@
             held had been chosen, as far as it is proven; -inf without any proof.
         stagger_position: when this member leaves service, among members whose proofs end together: from 0
             (first) to 1 (last); a hash of its name.
-        last_sequence: the sequence number of the last quorum read.
+        last_sequence: the sequence number of the last quorum read. The first one differs by process: late
+            responses to an earlier process of this member do not count for the reads of this one.
         reads: quorum reads whose responses are still counted, by sequence number.
 
     """
 
-    def __init__(self, replica: "ConfigReplica") -> None:
-        """Start without a proof."""
+    def __init__(self, replica: "ConfigReplica", last_sequence: int = 0) -> None:
+        """Start without a proof; quorum reads are numbered from after `last_sequence`."""
         self.replica = replica
         self.proven_at_ms = -inf
         self.stagger_position = crc32(replica.name.encode()) / 2.0**32
-        self.last_sequence = 0
+        self.last_sequence = last_sequence
         self.reads: dict[int, QuorumRead] = {}
 
     def staggered_share(self) -> float:
--- a/marlseam/cluster/replication/replica.py
+++ b/marlseam/cluster/replication/replica.py
@@ -102,8 +102,13 @@
         now: float,
         recovered: RecoveredLog,
         check: Callable[[Content], str] = accept_any,
+        last_sequence: int = 0,
     ) -> None:
-        """Start from the recovered log; `proposer_id` must be unique to this process in the whole cluster."""
+        """Start from the recovered log; `proposer_id` must be unique to this process in the whole cluster.
+
+        `last_sequence` should differ between the processes of a member; its quorum reads are numbered from
+        there on.
+        """
         self.name, self.members, self.settings = name, members, settings
         self.other_members = sorted(members - {name})
         self.random, self.check = RandomSource(seed), check
@@ -118,7 +123,7 @@
         self.continuations: dict[int, Continuation] = {}
         self.last_token = 0
         self.store = self.store_type(recovered.contents)
-        self.lease = self.lease_type(self)
+        self.lease = self.lease_type(self, last_sequence)
         self.serving = ServingRule(self, now)
         self.fetcher = self.fetcher_type(self)
         self.voter = self.voter_type(self, recovered)
--- a/marlseam/net/config_service.py
+++ b/marlseam/net/config_service.py
@@ -37,6 +37,7 @@
 
 CHECK_PERIOD_MS = 1000.0  # longest time between writes of counts, and between evaluations of the status
 PROPOSER_RANDOM_BYTES = 8  # in a proposer's id, so that no two processes of one generation share it
+SEQUENCE_RANDOM_BYTES = 5  # of the number from which a process counts its quorum reads, below MAX_NUMBER
 STATUS_OK = 200
 
 
@@ -161,8 +162,17 @@
         )
         proposer_id = f"{self.name}/{self.generation}/{os.urandom(PROPOSER_RANDOM_BYTES).hex()}"
         members = frozenset(cluster.members)
+        last_sequence = int.from_bytes(os.urandom(SEQUENCE_RANDOM_BYTES))
         return ConfigReplica(
-            self.name, members, settings, proposer_id, self.seed, now, recovered, self.content_fault
+            self.name,
+            members,
+            settings,
+            proposer_id,
+            self.seed,
+            now,
+            recovered,
+            self.content_fault,
+            last_sequence,
         )
 
     def start(self) -> None:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -108,3 +108,15 @@
     recovered = RecoveredLog(begun=True, held=VersionHeld(1, digest(data)), contents={digest(data): data})
     replica = make_replica("d", recovered, check=lambda _content: "key: what was expected")
     assert replica.serving.evaluate(0.0) == (False, False, "unfit")
+
+
+def test_a_late_response_to_an_earlier_process_proves_nothing_for_this_one():
+    # Guards against a strict node that, restarted, acts on a version that was replaced before its own reads.
+    earlier, restarted = make_replica("a"), make_replica("a", last_sequence=1 << 39)
+    for replica in (earlier, restarted):
+        replica.tick(replica.next_ms)
+    for name in "bc":
+        restarted.receive_status(100.0, name, status_response(earlier.lease.last_sequence, age_ms=0.0))
+    assert restarted.lease.proven_at_ms == -inf
+    restarted.receive_status(100.0, "b", status_response(restarted.lease.last_sequence, age_ms=0.0))
+    assert restarted.lease.proven_at_ms > -inf
